--- /dev/null
+++ b/pkg/link/link.go
@@ -0,0 +1,182 @@
+// Package link connects the processes of plantainstair: one yamux session for
+// each pair, a handshake that negotiates the protocol version and
+// authenticates both sides, and one stream for each call.
+package link
+
+import (
+	"context"
+	"crypto/tls"
+	"io"
+	"net"
+	"time"
+
+	"github.com/hashicorp/yamux"
+
+	"github.com/plantainstair/plantainstair/pkg/fault"
+	"github.com/plantainstair/plantainstair/pkg/wire"
+)
+
+// Protocol versions that this build speaks.
+const (
+	MinVersion = 1
+	MaxVersion = 1
+)
+
+// Defaults of Options.
+const (
+	DefaultHandshakeTimeout = 2 * time.Second
+	DefaultKeepAlive        = time.Second
+	DefaultWriteTimeout     = 2 * time.Second
+)
+
+// Identity describes one process to its peer.
+type Identity struct {
+	Role        string
+	Host        string
+	DataCentre  string
+	Incarnation uint64
+}
+
+// Options configure a session. TLS and Keys may be combined.
+type Options struct {
+	Identity         Identity
+	Keys             *Keyring    // shared keys; nil turns the MAC off
+	TLS              *tls.Config // mutual TLS; nil means plain TCP
+	MaxFrame         int
+	HandshakeTimeout time.Duration
+	KeepAlive        time.Duration
+	WriteTimeout     time.Duration
+}
+
+func (o Options) withDefaults() Options {
+	if o.HandshakeTimeout <= 0 {
+		o.HandshakeTimeout = DefaultHandshakeTimeout
+	}
+	if o.KeepAlive <= 0 {
+		o.KeepAlive = DefaultKeepAlive
+	}
+	if o.WriteTimeout <= 0 {
+		o.WriteTimeout = DefaultWriteTimeout
+	}
+	return o
+}
+
+func (o Options) yamuxConfig() *yamux.Config {
+	c := yamux.DefaultConfig()
+	c.EnableKeepAlive = true
+	c.KeepAliveInterval = o.KeepAlive
+	c.ConnectionWriteTimeout = o.WriteTimeout
+	c.StreamOpenTimeout = o.WriteTimeout
+	c.LogOutput = io.Discard
+	c.Logger = nil
+	return c
+}
+
+// Session is an authenticated connection to one peer.
+type Session struct {
+	mux     *yamux.Session
+	peer    Identity
+	version uint32
+	opts    Options
+}
+
+// Dial connects to addr and performs the handshake.
+func Dial(ctx context.Context, addr string, opts Options) (*Session, error) {
+	opts = opts.withDefaults()
+	ctx, cancel := context.WithTimeout(ctx, opts.HandshakeTimeout)
+	defer cancel()
+	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Unavailable, "connect to %s", addr)
+	}
+	s, err := clientSession(ctx, conn, opts)
+	if err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+func clientSession(ctx context.Context, conn net.Conn, opts Options) (*Session, error) {
+	deadline, _ := ctx.Deadline()
+	_ = conn.SetDeadline(deadline)
+	if opts.TLS != nil {
+		tc := tls.Client(conn, opts.TLS)
+		if err := tc.HandshakeContext(ctx); err != nil {
+			return nil, fault.Wrap(err, fault.Unauthenticated, "TLS handshake")
+		}
+		conn = tc
+	}
+	peer, version, err := clientHandshake(wire.NewUnbufferedStream(conn, handshakeMaxFrame), opts)
+	if err != nil {
+		return nil, err
+	}
+	_ = conn.SetDeadline(time.Time{})
+	mux, err := yamux.Client(conn, opts.yamuxConfig())
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Protocol, "start session")
+	}
+	return &Session{mux: mux, peer: peer, version: version, opts: opts}, nil
+}
+
+func serverSession(conn net.Conn, opts Options) (*Session, error) {
+	_ = conn.SetDeadline(time.Now().Add(opts.HandshakeTimeout))
+	if opts.TLS != nil {
+		tc := tls.Server(conn, opts.TLS)
+		if err := tc.Handshake(); err != nil {
+			return nil, fault.Wrap(err, fault.Unauthenticated, "TLS handshake")
+		}
+		conn = tc
+	}
+	peer, version, err := serverHandshake(wire.NewUnbufferedStream(conn, handshakeMaxFrame), opts)
+	if err != nil {
+		return nil, err
+	}
+	_ = conn.SetDeadline(time.Time{})
+	mux, err := yamux.Server(conn, opts.yamuxConfig())
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Protocol, "start session")
+	}
+	return &Session{mux: mux, peer: peer, version: version, opts: opts}, nil
+}
+
+// Peer returns the identity that the peer proved in the handshake.
+func (s *Session) Peer() Identity { return s.peer }
+
+// Open starts a stream.
+func (s *Session) Open() (*wire.Stream, error) {
+	st, err := s.mux.OpenStream()
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Unavailable, "open stream to %s", s.peer.Host)
+	}
+	return wire.NewStream(st, s.opts.MaxFrame), nil
+}
+
+// Accept waits for a stream opened by the peer.
+func (s *Session) Accept() (*wire.Stream, error) {
+	st, err := s.mux.AcceptStream()
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Unavailable, "accept stream from %s", s.peer.Host)
+	}
+	return wire.NewStream(st, s.opts.MaxFrame), nil
+}
+
+// RoundTrip measures the round trip time to the peer.
+func (s *Session) RoundTrip() (time.Duration, error) {
+	d, err := s.mux.Ping()
+	if err != nil {
+		return 0, fault.Wrap(err, fault.Unavailable, "ping %s", s.peer.Host)
+	}
+	return d, nil
+}
+
+// Done is closed when the session ends.
+func (s *Session) Done() <-chan struct{} { return s.mux.CloseChan() }
+
+// Closed reports whether the session has ended.
+func (s *Session) Closed() bool { return s.mux.IsClosed() }
+
+// Close ends the session and all its streams.
+func (s *Session) Close() error { return s.mux.Close() }
+
+func errPoolClosed() error { return fault.New(fault.Unavailable, "session pool is closed") }
--- /dev/null
+++ b/pkg/logs/logs.go
@@ -0,0 +1,76 @@
+// Package logs sets up structured logging. Each part of a process logs short
+// sentences with a fixed prefix.
+package logs
+
+import (
+	"io"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/plantainstair/plantainstair/pkg/fault"
+)
+
+// Logger writes the messages of one part of a process.
+type Logger struct {
+	base   zerolog.Logger
+	prefix string
+}
+
+// Field adds one key to a log line.
+type Field func(*zerolog.Event)
+
+// New returns the root logger of a process. The level is a zerolog level name.
+func New(w io.Writer, level, role, host string) (Logger, error) {
+	l, err := zerolog.ParseLevel(level)
+	if err != nil {
+		return Nop(), fault.Wrap(err, fault.Invalid, "log level %q", level).WithField("log.level")
+	}
+	base := zerolog.New(w).Level(l).With().Timestamp().Str("role", role).Str("host", host).Logger()
+	return Logger{base: base}, nil
+}
+
+// Nop returns a logger that writes nothing.
+func Nop() Logger { return Logger{base: zerolog.Nop()} }
+
+// Part returns a logger whose messages all start with the name of the part.
+func (l Logger) Part(name string) Logger { return Logger{base: l.base, prefix: name + ": "} }
+
+// Debug logs at debug level.
+func (l Logger) Debug(msg string, fields ...Field) { l.write(l.base.Debug(), msg, fields) }
+
+// Info logs at info level.
+func (l Logger) Info(msg string, fields ...Field) { l.write(l.base.Info(), msg, fields) }
+
+// Warn logs at warn level.
+func (l Logger) Warn(msg string, fields ...Field) { l.write(l.base.Warn(), msg, fields) }
+
+// Error logs at error level.
+func (l Logger) Error(msg string, fields ...Field) { l.write(l.base.Error(), msg, fields) }
+
+func (l Logger) write(e *zerolog.Event, msg string, fields []Field) {
+	if e == nil {
+		return
+	}
+	for _, f := range fields {
+		f(e)
+	}
+	e.Msg(l.prefix + msg)
+}
+
+// Str returns a string field.
+func Str(key, value string) Field { return func(e *zerolog.Event) { e.Str(key, value) } }
+
+// Int returns an integer field.
+func Int(key string, value int) Field { return func(e *zerolog.Event) { e.Int(key, value) } }
+
+// Uint returns an unsigned integer field.
+func Uint(key string, value uint64) Field { return func(e *zerolog.Event) { e.Uint64(key, value) } }
+
+// Dur returns a duration field.
+func Dur(key string, value time.Duration) Field { return func(e *zerolog.Event) { e.Dur(key, value) } }
+
+// Err returns an error field with the kind of the error.
+func Err(err error) Field {
+	return func(e *zerolog.Event) { e.Str("kind", string(fault.KindOf(err))).Err(err) }
+}
