state: add the replicated state machine

Holds the catalogue, claims, order epochs, request ids and the audit trail. Keys older than the horizon stay expired when the horizon grows, because their claims are already dropped and a resend would run again.

--- /dev/null
+++ b/pkg/core/state/claims.go
@@ -0,0 +1,308 @@
+package state
+
+import (
+	"strings"
+	"unique"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/plantainstair/plantainstair/pkg/fault"
+	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
+)
+
+// Statuses of a claim reply.
+const (
+	ClaimWon      = "won"
+	ClaimPending  = "pending"
+	ClaimAnswered = "answered"
+	ClaimAbsent   = "absent"
+	ClaimExpired  = "expired"
+	ClaimMismatch = "mismatch"
+)
+
+const (
+	digestSize     = 32
+	maxKeyLength   = 256
+	maxClaims      = 4 << 20
+	maxStoredBytes = 1 << 30
+	// MaxResponse bounds a recorded response in bytes.
+	MaxResponse = 256 << 10
+	// bucketMS is the width of the groups in which expired claims are dropped.
+	bucketMS = 60_000
+)
+
+// claim is one claimed key. The answer is kept encoded, which takes less memory.
+type claim struct {
+	attempt  string
+	host     unique.Handle[string]
+	digest   [digestSize]byte
+	created  int64
+	response []byte
+	answered bool
+}
+
+type released struct{ created int64 }
+
+// bucket lists what was created within the same minute, so that it can be
+// dropped without a search.
+type bucket struct {
+	claims   []string
+	attempts []string
+}
+
+type claimTable struct {
+	claims        map[string]*claim // by organisation, service and key
+	released      map[string]released
+	buckets       map[int64]*bucket
+	purged        int64 // buckets below this number are dropped
+	responseBytes int64
+}
+
+func newClaimTable() claimTable {
+	return claimTable{
+		claims:   make(map[string]*claim),
+		released: make(map[string]released),
+		buckets:  make(map[int64]*bucket),
+	}
+}
+
+func claimID(c *wirepb.ClaimRequest) string {
+	return c.GetOrganisation() + "\x00" + c.GetService() + "\x00" + c.GetKey()
+}
+
+func validateClaim(c *wirepb.ClaimRequest) *fault.Error {
+	if len(c.GetRequestDigest()) != digestSize {
+		return invalid("request_digest", "%d bytes in place of %d", len(c.GetRequestDigest()), digestSize)
+	}
+	for _, f := range [...]struct{ name, value string }{
+		{"organisation", c.GetOrganisation()}, {"service", c.GetService()}, {"key", c.GetKey()}, {"attempt", c.GetAttempt()},
+	} {
+		if f.value == "" || len(f.value) > maxKeyLength || strings.ContainsRune(f.value, 0) {
+			return invalid(f.name, "not between 1 and %d bytes without NUL", maxKeyLength)
+		}
+	}
+	if len(c.GetHost()) > maxKeyLength {
+		return invalid("host", "longer than %d bytes", maxKeyLength)
+	}
+	return nil
+}
+
+// expired reports whether a key of this creation time can no longer win.
+func (s *Store) expired(created int64) bool {
+	return created < s.expiredBefore || created > s.now+MaxKeyAhead.Milliseconds()
+}
+
+// claim gives the key to the attempt unless another attempt holds it.
+func (s *Store) claim(c *wirepb.ClaimRequest) (*wirepb.ClaimReply, *fault.Error) {
+	known, reply, err := s.lookup(c)
+	if err != nil || reply != nil {
+		return reply, err
+	}
+	if known != nil {
+		if known.attempt == c.GetAttempt() && !known.answered {
+			return &wirepb.ClaimReply{Status: ClaimWon, Attempt: known.attempt}, nil
+		}
+		return known.reply()
+	}
+	if _, gone := s.claims.released[c.GetAttempt()]; gone {
+		return &wirepb.ClaimReply{Status: ClaimAbsent}, nil
+	}
+	if len(s.claims.claims) >= maxClaims {
+		return nil, fault.New(fault.Overloaded, "%d claims are held, which is the limit", maxClaims)
+	}
+	s.claims.add(claimID(c), newClaim(c))
+	return &wirepb.ClaimReply{Status: ClaimWon, Attempt: c.GetAttempt()}, nil
+}
+
+// lookup finds the claim of the key. The reply is set when the key is expired
+// or was used for another request.
+func (s *Store) lookup(c *wirepb.ClaimRequest) (*claim, *wirepb.ClaimReply, *fault.Error) {
+	if err := validateClaim(c); err != nil {
+		return nil, nil, err
+	}
+	if s.expired(c.GetKeyCreatedUnixMs()) {
+		return nil, &wirepb.ClaimReply{Status: ClaimExpired}, nil
+	}
+	known := s.claims.claims[claimID(c)]
+	if known != nil && !known.matches(c) {
+		return nil, &wirepb.ClaimReply{Status: ClaimMismatch}, nil
+	}
+	return known, nil, nil
+}
+
+// resolve records the response of the attempt that holds the key. The first
+// response stays.
+func (s *Store) resolve(r *wirepb.ClaimResolve) (*wirepb.ClaimReply, *fault.Error) {
+	known, reply, err := s.lookup(r.GetClaim())
+	if err != nil || reply != nil {
+		return reply, err
+	}
+	if known == nil {
+		return &wirepb.ClaimReply{Status: ClaimAbsent}, nil
+	}
+	if known.attempt != r.GetClaim().GetAttempt() || known.answered {
+		return known.reply()
+	}
+	return s.answer(known, r.GetResponse())
+}
+
+func (s *Store) answer(known *claim, response *wirepb.CallResponse) (*wirepb.ClaimReply, *fault.Error) {
+	if response == nil {
+		return nil, invalid("response", "missing")
+	}
+	encoded, err := proto.MarshalOptions{Deterministic: true}.Marshal(response)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Invalid, "encode response").WithField("response")
+	}
+	if len(encoded) > MaxResponse {
+		return nil, invalid("response", "%d bytes; the limit is %d", len(encoded), MaxResponse)
+	}
+	if s.claims.responseBytes+int64(len(encoded)) > maxStoredBytes {
+		return nil, fault.New(fault.Overloaded, "recorded responses take %d bytes, which is the limit", int64(maxStoredBytes))
+	}
+	known.response = encoded
+	known.answered = true
+	s.claims.responseBytes += int64(len(encoded))
+	return known.reply()
+}
+
+// release removes a claim of an attempt that was never dispatched and refuses
+// the attempt from then on, because its claim command may still be on the way.
+func (s *Store) release(c *wirepb.ClaimRequest) (*wirepb.ClaimReply, *fault.Error) {
+	if err := validateClaim(c); err != nil {
+		return nil, err
+	}
+	if s.releasable(c.GetKeyCreatedUnixMs()) {
+		if err := s.claims.remember(c.GetAttempt(), c.GetKeyCreatedUnixMs()); err != nil {
+			return nil, err
+		}
+	}
+	known, reply, err := s.lookup(c)
+	if err != nil || reply != nil {
+		return reply, err
+	}
+	if known == nil {
+		return &wirepb.ClaimReply{Status: ClaimAbsent}, nil
+	}
+	if known.attempt != c.GetAttempt() || known.answered {
+		return known.reply()
+	}
+	s.claims.remove(claimID(c))
+	return &wirepb.ClaimReply{Status: ClaimAbsent}, nil
+}
+
+// releasable reports whether a claim with this creation time could still win
+// later. The upper bound keeps a key from the far future out of the table; its
+// claim would have to be delayed by a whole horizon to win.
+func (s *Store) releasable(created int64) bool {
+	return created >= s.expiredBefore && created <= s.now+s.ClaimHorizon().Milliseconds()
+}
+
+// ReadClaim returns the state of the key without changing it.
+func (s *Store) ReadClaim(c *wirepb.ClaimRequest) (*wirepb.ClaimReply, error) {
+	known, reply, err := s.lookup(c)
+	if err != nil {
+		return nil, err
+	}
+	if reply != nil {
+		return reply, nil
+	}
+	if known == nil {
+		return &wirepb.ClaimReply{Status: ClaimAbsent}, nil
+	}
+	reply, err = known.reply()
+	if err != nil {
+		return nil, err
+	}
+	return reply, nil
+}
+
+func newClaim(c *wirepb.ClaimRequest) *claim {
+	out := &claim{
+		attempt: strings.Clone(c.GetAttempt()),
+		host:    unique.Make(c.GetHost()),
+		created: c.GetKeyCreatedUnixMs(),
+	}
+	copy(out.digest[:], c.GetRequestDigest())
+	return out
+}
+
+// matches reports whether the request is the one that was claimed. The creation
+// time is part of it, because it decides how long the claim is kept.
+func (c *claim) matches(r *wirepb.ClaimRequest) bool {
+	return c.created == r.GetKeyCreatedUnixMs() && string(c.digest[:]) == string(r.GetRequestDigest())
+}
+
+func (c *claim) reply() (*wirepb.ClaimReply, *fault.Error) {
+	if !c.answered {
+		return &wirepb.ClaimReply{Status: ClaimPending, Attempt: c.attempt}, nil
+	}
+	response := &wirepb.CallResponse{}
+	if err := proto.Unmarshal(c.response, response); err != nil {
+		return nil, fault.Wrap(err, fault.Corrupt, "decode recorded response")
+	}
+	return &wirepb.ClaimReply{Status: ClaimAnswered, Attempt: c.attempt, Response: response}, nil
+}
+
+func (t *claimTable) add(id string, c *claim) {
+	t.claims[id] = c
+	t.responseBytes += int64(len(c.response))
+	b := t.bucketOf(c.created)
+	b.claims = append(b.claims, id)
+}
+
+func (t *claimTable) remove(id string) {
+	if c, ok := t.claims[id]; ok {
+		t.responseBytes -= int64(len(c.response))
+		delete(t.claims, id)
+	}
+}
+
+func (t *claimTable) remember(attempt string, created int64) *fault.Error {
+	if _, ok := t.released[attempt]; ok {
+		return nil
+	}
+	if len(t.released) >= maxClaims {
+		return fault.New(fault.Overloaded, "%d released attempts are held, which is the limit", maxClaims)
+	}
+	t.released[attempt] = released{created: created}
+	b := t.bucketOf(created)
+	b.attempts = append(b.attempts, attempt)
+	return nil
+}
+
+func (t *claimTable) bucketOf(created int64) *bucket {
+	number := created / bucketMS
+	b, ok := t.buckets[number]
+	if !ok {
+		b = &bucket{}
+		t.buckets[number] = b
+	}
+	return b
+}
+
+// purge drops whole buckets that lie before the given creation time.
+func (t *claimTable) purge(expiredBefore int64) {
+	first := expiredBefore / bucketMS
+	if first <= t.purged {
+		return
+	}
+	t.purged = first
+	for number, b := range t.buckets {
+		if number < first {
+			t.drop(number, b)
+		}
+	}
+}
+
+func (t *claimTable) drop(number int64, b *bucket) {
+	for _, id := range b.claims {
+		if c, ok := t.claims[id]; ok && c.created/bucketMS == number {
+			t.remove(id)
+		}
+	}
+	for _, attempt := range b.attempts {
+		delete(t.released, attempt)
+	}
+	delete(t.buckets, number)
+}
--- /dev/null
+++ b/pkg/core/state/store.go
@@ -0,0 +1,178 @@
+// Package state is the replicated state machine of the control process. It is
+// pure: equal sequences of commands give equal states and equal results on
+// every replica.
+package state
+
+import (
+	"time"
+
+	"github.com/plantainstair/plantainstair/pkg/fault"
+	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
+)
+
+const (
+	// DefaultClaimHorizon is how long claims and request ids are kept when the
+	// policy does not say.
+	DefaultClaimHorizon = 24 * time.Hour
+	// MaxKeyAhead bounds how far the creation time of a key may be in the
+	// future of the log, which allows for clock differences between hosts.
+	MaxKeyAhead = 5 * time.Minute
+	// DefaultConcurrentLoads is the number of load orders in progress when the
+	// policy does not say.
+	DefaultConcurrentLoads = 4
+)
+
+// Store is the whole replicated state. It is not safe for concurrent use.
+type Store struct {
+	applied uint64
+	now     int64 // highest proposal time in the log, in Unix milliseconds
+	// expiredBefore is the creation time below which keys are expired. It never
+	// goes back: a longer horizon must not revive keys whose claims are gone.
+	expiredBefore int64
+
+	catalogue catalogue
+	claims    claimTable
+	orders    map[string]uint64
+	audit     auditTrail
+	dedup     dedupTable
+}
+
+// New returns an empty state.
+func New() *Store {
+	return &Store{
+		catalogue: newCatalogue(),
+		claims:    newClaimTable(),
+		orders:    make(map[string]uint64),
+		dedup:     newDedupTable(),
+	}
+}
+
+// Apply executes the command at the given log index.
+func (s *Store) Apply(index uint64, cmd *wirepb.Command) *wirepb.CommandResult {
+	if index <= s.applied {
+		return s.refuse(fault.New(fault.Internal, "log index %d is not above the applied index %d", index, s.applied))
+	}
+	s.applied = index
+	s.advance(cmd.GetTimeUnixMs())
+	result := s.dispatch(cmd)
+	result.Index = index
+	return result
+}
+
+// advance moves the log time and drops what has passed the horizon.
+func (s *Store) advance(proposed int64) {
+	s.now = max(s.now, proposed)
+	horizon := s.ClaimHorizon().Milliseconds()
+	s.expiredBefore = max(s.expiredBefore, s.now-horizon)
+	s.claims.purge(s.expiredBefore)
+	s.dedup.purge(s.now - horizon)
+}
+
+func (s *Store) dispatch(cmd *wirepb.Command) *wirepb.CommandResult {
+	switch body := cmd.GetBody().(type) {
+	case *wirepb.Command_Claim:
+		return s.claimResult(s.claim(body.Claim))
+	case *wirepb.Command_Resolve:
+		return s.claimResult(s.resolve(body.Resolve))
+	case *wirepb.Command_Release:
+		return s.claimResult(s.release(body.Release.GetClaim()))
+	case *wirepb.Command_Change, *wirepb.Command_Order, *wirepb.Command_Refused, *wirepb.Command_Voter:
+		return s.once(cmd)
+	default:
+		return s.refuse(fault.New(fault.Invalid, "command has no known body").WithField("body"))
+	}
+}
+
+// once executes a command of an operator unless its request id has an outcome.
+func (s *Store) once(cmd *wirepb.Command) *wirepb.CommandResult {
+	if cmd.GetRequestId() == "" {
+		return s.refuse(fault.New(fault.Invalid, "request id is missing").WithField("request_id"))
+	}
+	if len(cmd.GetRequestId()) > maxNameLength || len(cmd.GetOperator()) > maxNameLength {
+		return s.refuse(fault.New(fault.Invalid, "request id or operator is over %d bytes", maxNameLength).WithField("request_id"))
+	}
+	first, err := s.dedup.find(cmd)
+	if err != nil {
+		return s.refuse(err)
+	}
+	if first != nil {
+		return cloneResult(first)
+	}
+	if s.dedup.full() {
+		return s.refuse(fault.New(fault.Overloaded, "table of request ids is full").WithRetryAfter(time.Minute))
+	}
+	result := s.execute(cmd)
+	result.Index = s.applied
+	s.dedup.record(cmd, s.now, cloneResult(result))
+	return result
+}
+
+func (s *Store) execute(cmd *wirepb.Command) *wirepb.CommandResult {
+	switch body := cmd.GetBody().(type) {
+	case *wirepb.Command_Change:
+		return s.change(cmd, body.Change)
+	case *wirepb.Command_Order:
+		return s.order(cmd, body.Order)
+	case *wirepb.Command_Refused:
+		return s.refused(cmd, body.Refused)
+	case *wirepb.Command_Voter:
+		return s.voter(cmd, body.Voter)
+	}
+	return s.refuse(fault.New(fault.Invalid, "command has no known body").WithField("body"))
+}
+
+// refuse returns the result of a command that changed nothing.
+func (s *Store) refuse(err *fault.Error) *wirepb.CommandResult {
+	return &wirepb.CommandResult{
+		Revision: s.catalogue.revision,
+		Error:    fault.ToWire(err.WithOutcome(fault.NotRun)),
+	}
+}
+
+func (s *Store) claimResult(reply *wirepb.ClaimReply, err *fault.Error) *wirepb.CommandResult {
+	if err != nil {
+		return s.refuse(err)
+	}
+	return &wirepb.CommandResult{Revision: s.catalogue.revision, Claim: reply}
+}
+
+// AppliedIndex returns the log index of the last command.
+func (s *Store) AppliedIndex() uint64 { return s.applied }
+
+// LogTime returns the highest proposal time in the log, in Unix milliseconds.
+func (s *Store) LogTime() int64 { return s.now }
+
+// ClaimHorizon returns how long claims are kept after the creation of the key.
+func (s *Store) ClaimHorizon() time.Duration {
+	if seconds := s.catalogue.policy().GetClaimHorizonSeconds(); seconds > 0 {
+		return time.Duration(seconds) * time.Second
+	}
+	return DefaultClaimHorizon
+}
+
+// ConcurrentLoads returns how many load orders may be in progress.
+func (s *Store) ConcurrentLoads() int {
+	if n := s.catalogue.policy().GetConcurrentLoads(); n > 0 {
+		return int(n)
+	}
+	return DefaultConcurrentLoads
+}
+
+// Counts are the sizes of the tables.
+type Counts struct {
+	Entries, Claims, Released, Orders, Audit, RequestIDs int
+	ResponseBytes                                        int64
+}
+
+// Counts returns the sizes of the tables.
+func (s *Store) Counts() Counts {
+	return Counts{
+		Entries:       len(s.catalogue.entries),
+		Claims:        len(s.claims.claims),
+		Released:      len(s.claims.released),
+		Orders:        len(s.orders),
+		Audit:         s.audit.len(),
+		RequestIDs:    len(s.dedup.records),
+		ResponseBytes: s.claims.responseBytes,
+	}
+}
