--- /dev/null
+++ b/pkg/platform/platform_test.go
@@ -0,0 +1,50 @@
+package platform
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/plantainstair/plantainstair/pkg/fault"
+)
+
+// Guards against a shutdown that cuts requests in progress or takes new ones.
+func TestLifecycle_DrainWaitsForRequests(t *testing.T) {
+	l := NewLifecycle()
+	assert.NilError(t, l.Ready())
+	done, ok := l.Track()
+	assert.Assert(t, ok)
+	l.Drain()
+	l.Drain()
+	_, ok = l.Track()
+	assert.Assert(t, !ok)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	assert.Assert(t, fault.Is(l.Wait(ctx), fault.Deadline))
+	done()
+	assert.NilError(t, l.Wait(context.Background()))
+	assert.NilError(t, l.Stop())
+}
+
+// Guards against a balancer that keeps sending callers to a draining process.
+func TestReadyz_FollowsState(t *testing.T) {
+	l := NewLifecycle()
+	reason := error(nil)
+	h := Handler(Options{Lifecycle: l, Ready: func() error { return reason }})
+	get := func() int {
+		w := httptest.NewRecorder()
+		h.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/readyz", nil))
+		return w.Code
+	}
+	assert.Equal(t, get(), http.StatusServiceUnavailable)
+	assert.NilError(t, l.Ready())
+	assert.Equal(t, get(), http.StatusOK)
+	reason = fault.New(fault.StaleConfig, "no confirmation for 5 s")
+	assert.Equal(t, get(), http.StatusServiceUnavailable)
+	reason = nil
+	l.Drain()
+	assert.Equal(t, get(), http.StatusServiceUnavailable)
+}
--- /dev/null
+++ b/pkg/platform/server.go
@@ -0,0 +1,124 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/justinas/alice"
+
+	"github.com/plantainstair/plantainstair/pkg/fault"
+)
+
+const (
+	readTimeout   = 5 * time.Second
+	writeTimeout  = 10 * time.Second
+	headerMaxSize = 16 << 10
+)
+
+// Options configure the platform endpoints.
+type Options struct {
+	Lifecycle *Lifecycle
+	// Ready reports why the process cannot take work; nil means that the
+	// state of the lifecycle decides alone.
+	Ready func() error
+	// Metrics is the set of the process; nil means the global set.
+	Metrics *metrics.Set
+}
+
+// Server serves /healthz, /readyz and /metrics.
+type Server struct {
+	ln   net.Listener
+	http *http.Server
+}
+
+type status struct {
+	State  string `json:"state"`
+	Reason string `json:"reason,omitempty"`
+}
+
+// NewServer listens on addr, an IP address and port.
+func NewServer(addr string, opts Options) (*Server, error) {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Unavailable, "listen for the platform").WithField(addr)
+	}
+	s := &Server{ln: ln}
+	s.http = &http.Server{
+		Handler:           Handler(opts),
+		ReadHeaderTimeout: readTimeout,
+		ReadTimeout:       readTimeout,
+		WriteTimeout:      writeTimeout,
+		MaxHeaderBytes:    headerMaxSize,
+	}
+	go func() { _ = s.http.Serve(ln) }()
+	return s, nil
+}
+
+// Handler returns the platform endpoints, for a process that serves them on
+// another listener.
+func Handler(opts Options) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
+		writeStatus(w, http.StatusOK, status{State: opts.Lifecycle.State()})
+	})
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		code, body := readiness(opts)
+		writeStatus(w, code, body)
+	})
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		writeMetrics(w, opts.Metrics)
+	})
+	return alice.New(noStore).Then(mux)
+}
+
+func readiness(opts Options) (int, status) {
+	state := opts.Lifecycle.State()
+	if state != Ready {
+		return http.StatusServiceUnavailable, status{State: state, Reason: "process is " + state}
+	}
+	if opts.Ready == nil {
+		return http.StatusOK, status{State: state}
+	}
+	if err := opts.Ready(); err != nil {
+		return http.StatusServiceUnavailable, status{State: state, Reason: err.Error()}
+	}
+	return http.StatusOK, status{State: state}
+}
+
+func writeStatus(w http.ResponseWriter, code int, body status) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(code)
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+func writeMetrics(w http.ResponseWriter, set *metrics.Set) {
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+	if set == nil {
+		metrics.WritePrometheus(w, true)
+		return
+	}
+	set.WritePrometheus(w)
+	metrics.WriteProcessMetrics(w)
+}
+
+func noStore(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Cache-Control", "no-store")
+		next.ServeHTTP(w, r)
+	})
+}
+
+// Address returns the address that the server listens on.
+func (s *Server) Address() string { return s.ln.Addr().String() }
+
+// Close stops the server.
+func (s *Server) Close(ctx context.Context) error {
+	if err := s.http.Shutdown(ctx); err != nil {
+		return fault.Wrap(err, fault.Internal, "stop the platform server")
+	}
+	return nil
+}
