Add the client towards control replicas

Cause: entries and agents need one way to watch the configuration, register upstreams and make claims.

Conclusion: tests with fake replicas pass for a replica that is behind, a silent replica and a claim that needs a second replica.

--- /dev/null
+++ b/pkg/control/claims.go
@@ -0,0 +1,114 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/plantainstair/plantainstair/pkg/fault"
+	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
+)
+
+const (
+	// attemptTimeout is longer than an election, so that one attempt usually
+	// survives a change of leader.
+	attemptTimeout  = 1500 * time.Millisecond
+	attemptInterval = 50 * time.Millisecond
+)
+
+// Statuses of a claim.
+const (
+	ClaimWon      = "won"
+	ClaimPending  = "pending"
+	ClaimAnswered = "answered"
+	ClaimAbsent   = "absent"
+	ClaimExpired  = "expired"
+	ClaimMismatch = "mismatch"
+)
+
+// Claim makes a claim durable at a quorum. Repeating it with the same attempt
+// id is safe. An error means that the claim may or may not have been made.
+func (c *Client) Claim(ctx context.Context, req *wirepb.ClaimRequest) (*wirepb.ClaimReply, error) {
+	return c.unary(ctx, &wirepb.Frame{Body: &wirepb.Frame_Claim{Claim: req}}, 0)
+}
+
+// Resolve records the outcome of a claimed call.
+func (c *Client) Resolve(ctx context.Context, req *wirepb.ClaimResolve) (*wirepb.ClaimReply, error) {
+	return c.unary(ctx, &wirepb.Frame{Body: &wirepb.Frame_ClaimResolve{ClaimResolve: req}}, 0)
+}
+
+// Release gives up an attempt that was never dispatched.
+func (c *Client) Release(ctx context.Context, req *wirepb.ClaimRequest) (*wirepb.ClaimReply, error) {
+	release := &wirepb.ClaimRelease{Claim: req}
+	return c.unary(ctx, &wirepb.Frame{Body: &wirepb.Frame_ClaimRelease{ClaimRelease: release}}, 0)
+}
+
+// ReadClaim reads a claim linearizably. With a positive wait the replica holds
+// the answer until the claim has an outcome or the wait is over.
+func (c *Client) ReadClaim(ctx context.Context, req *wirepb.ClaimRequest, wait time.Duration) (*wirepb.ClaimReply, error) {
+	read := &wirepb.ClaimRead{Claim: req, WaitMs: uint32(wait / time.Millisecond)}
+	return c.unary(ctx, &wirepb.Frame{Body: &wirepb.Frame_ClaimRead{ClaimRead: read}}, wait)
+}
+
+// unary sends one request and tries other replicas until ctx ends.
+func (c *Client) unary(ctx context.Context, req *wirepb.Frame, wait time.Duration) (*wirepb.ClaimReply, error) {
+	var last error
+	for ctx.Err() == nil {
+		addresses := c.replicaAddresses()
+		if len(addresses) == 0 {
+			return nil, fault.New(fault.Invalid, "no control address").WithField("control.addresses")
+		}
+		index := c.preferred.Load()
+		addr := addresses[int(index)%len(addresses)]
+		reply, err := c.exchange(ctx, addr, req, wait)
+		if err == nil {
+			return reply, nil
+		}
+		if !mayTryAnother(err) {
+			return nil, err
+		}
+		last = err
+		c.preferred.CompareAndSwap(index, index+1)
+		sleep(ctx, jitter(attemptInterval))
+	}
+	if last == nil {
+		last = ctx.Err()
+	}
+	return nil, fault.Wrap(last, fault.Unavailable, "no control replica answered").WithOutcome(fault.MayHaveRun)
+}
+
+func mayTryAnother(err error) bool {
+	switch fault.KindOf(err) {
+	case fault.Invalid, fault.Forbidden, fault.NotFound, fault.Conflict:
+		return false
+	}
+	return true
+}
+
+func (c *Client) exchange(ctx context.Context, addr string, req *wirepb.Frame, wait time.Duration) (*wirepb.ClaimReply, error) {
+	limit := time.Now().Add(attemptTimeout + wait)
+	if d, ok := ctx.Deadline(); ok && d.Before(limit) {
+		limit = d
+	}
+	s, err := c.pool.Open(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	defer s.Close()
+	_ = s.SetDeadline(limit)
+	stop := context.AfterFunc(ctx, func() { _ = s.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+	if err := s.Write(req); err != nil {
+		return nil, err
+	}
+	f, err := s.Read()
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Unavailable, "answer from %s", addr)
+	}
+	if e := f.GetError(); e != nil {
+		return nil, fault.FromWire(e)
+	}
+	if reply := f.GetClaimReply(); reply != nil {
+		return reply, nil
+	}
+	return nil, fault.New(fault.Protocol, "%s answered a claim with another message", addr)
+}
--- /dev/null
+++ b/pkg/control/client.go
@@ -0,0 +1,172 @@
+// Package control is the client towards control replicas: it watches the
+// configuration and the upstreams, registers an upstream, and makes claims on
+// calls that may not be repeated.
+package control
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/plantainstair/plantainstair/pkg/fault"
+	"github.com/plantainstair/plantainstair/pkg/link"
+	"github.com/plantainstair/plantainstair/pkg/logs"
+	"github.com/plantainstair/plantainstair/pkg/wire"
+	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
+)
+
+const (
+	// pingInterval bounds how old a confirmation is when all goes well.
+	pingInterval = 500 * time.Millisecond
+	// answerTimeout is longer than an election, so that a watcher keeps a
+	// replica that merely changes its leader.
+	answerTimeout = 1500 * time.Millisecond
+	// registryGrace keeps upstreams that a newly watched replica does not
+	// list yet, as agents need up to a lease to register with it.
+	registryGrace = 2 * time.Second
+	minBackoff    = 50 * time.Millisecond
+	maxBackoff    = time.Second
+)
+
+// Options configure a client.
+type Options struct {
+	Addresses []string // control replicas to start from
+	Link      link.Options
+	Role      string
+	Host      string
+	Upstreams bool // also watch the upstreams
+	Log       logs.Logger
+	Now       func() time.Time
+}
+
+// Client talks to the control replicas. Its methods may be used by many
+// goroutines.
+type Client struct {
+	opts      Options
+	pool      *link.Pool
+	view      atomic.Pointer[View]
+	confirmed atomic.Int64 // unix nanoseconds, zero before the first confirmation
+	addresses atomic.Pointer[[]string]
+	preferred atomic.Int64 // index of the address that answered last
+	changed   chan struct{}
+}
+
+// NewClient returns a client. Run must be called for the view to be filled.
+func NewClient(opts Options) *Client {
+	if opts.Now == nil {
+		opts.Now = time.Now
+	}
+	c := &Client{opts: opts, pool: link.NewPool(opts.Link), changed: make(chan struct{}, 1)}
+	addresses := slices.Clone(opts.Addresses)
+	c.addresses.Store(&addresses)
+	return c
+}
+
+// View returns the newest view, or nil before the first event.
+func (c *Client) View() *View { return c.view.Load() }
+
+// Changed receives a value after each new view. Values are coalesced.
+func (c *Client) Changed() <-chan struct{} { return c.changed }
+
+// Confirmed returns the latest local time at which the view was known to be
+// current. It is zero before the first confirmation.
+func (c *Client) Confirmed() time.Time {
+	n := c.confirmed.Load()
+	if n == 0 {
+		return time.Time{}
+	}
+	return time.Unix(0, n)
+}
+
+// Close ends all sessions.
+func (c *Client) Close() { c.pool.Close() }
+
+// Run watches one replica after another until ctx ends.
+func (c *Client) Run(ctx context.Context) error {
+	defer c.pool.Close()
+	backoff := minBackoff
+	next := rand.IntN(max(1, len(c.replicaAddresses())))
+	for ctx.Err() == nil {
+		addresses := c.replicaAddresses()
+		if len(addresses) == 0 {
+			return fault.New(fault.Invalid, "no control address").WithField("control.addresses")
+		}
+		addr := addresses[next%len(addresses)]
+		next++
+		started := c.opts.Now()
+		err := newWatch(c, addr).run(ctx)
+		if ctx.Err() != nil {
+			break
+		}
+		c.opts.Log.Warn("watch ended", logs.Str("replica", addr), logs.Err(err))
+		if c.opts.Now().Sub(started) > maxBackoff {
+			backoff = minBackoff
+		}
+		sleep(ctx, jitter(backoff))
+		backoff = min(2*backoff, maxBackoff)
+	}
+	return ctx.Err()
+}
+
+func (c *Client) replicaAddresses() []string { return *c.addresses.Load() }
+
+// publish makes a view visible and follows changes of the voter set.
+func (c *Client) publish(v *View) {
+	c.view.Store(v)
+	if addresses := voterAddresses(v.Voters); len(addresses) > 0 && !slices.Equal(addresses, c.replicaAddresses()) {
+		c.addresses.Store(&addresses)
+	}
+	select {
+	case c.changed <- struct{}{}:
+	default:
+	}
+}
+
+func voterAddresses(voters []*wirepb.Voter) []string {
+	var addresses []string
+	for _, v := range voters {
+		if !v.Learner && v.PeerAddress != "" {
+			addresses = append(addresses, v.PeerAddress)
+		}
+	}
+	slices.Sort(addresses)
+	return addresses
+}
+
+func jitter(d time.Duration) time.Duration {
+	return d/2 + rand.N(d)
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// readFrames passes frames of a stream to a channel until the stream fails.
+// Each frame must arrive within timeout of the one before.
+func readFrames(s *wire.Stream, timeout time.Duration, stop <-chan struct{}) (<-chan *wirepb.Frame, <-chan error) {
+	frames := make(chan *wirepb.Frame, 16)
+	failed := make(chan error, 1)
+	go func() {
+		for {
+			_ = s.SetReadDeadline(time.Now().Add(timeout))
+			f, err := s.Read()
+			if err != nil {
+				failed <- err
+				return
+			}
+			select {
+			case frames <- f:
+			case <-stop:
+				return
+			}
+		}
+	}()
+	return frames, failed
+}
--- /dev/null
+++ b/pkg/control/client_test.go
@@ -0,0 +1,150 @@
+package control
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/plantainstair/plantainstair/pkg/fault"
+	"github.com/plantainstair/plantainstair/pkg/link"
+	"github.com/plantainstair/plantainstair/pkg/logs"
+	"github.com/plantainstair/plantainstair/pkg/wire"
+	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
+)
+
+// fakeReplica answers watches with a full state at a settable revision.
+type fakeReplica struct {
+	server   *link.Server
+	revision atomic.Uint64
+	silent   atomic.Bool
+	watches  atomic.Int64
+	claims   atomic.Int64
+}
+
+func startReplica(t *testing.T, revision uint64) *fakeReplica {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	r := &fakeReplica{}
+	r.revision.Store(revision)
+	r.server = link.NewServer(ln, link.Options{}, r.serve, nil)
+	t.Cleanup(func() { _ = r.server.Close() })
+	return r
+}
+
+func (r *fakeReplica) serve(_ link.Identity, s *wire.Stream) {
+	defer s.Close()
+	for {
+		f, err := s.Read()
+		if err != nil {
+			return
+		}
+		if r.silent.Load() {
+			continue
+		}
+		switch {
+		case f.GetWatch() != nil:
+			r.watches.Add(1)
+			_ = s.Write(&wirepb.Frame{Body: &wirepb.Frame_WatchEvent{WatchEvent: r.full()}})
+		case f.GetPing() != nil:
+			cur := &wirepb.Current{Sequence: f.GetPing().Sequence, Revision: r.revision.Load()}
+			_ = s.Write(&wirepb.Frame{Body: &wirepb.Frame_Current{Current: cur}})
+		case f.GetClaim() != nil:
+			r.claims.Add(1)
+			reply := &wirepb.ClaimReply{Status: ClaimWon, Attempt: f.GetClaim().Attempt}
+			_ = s.Write(&wirepb.Frame{Body: &wirepb.Frame_ClaimReply{ClaimReply: reply}})
+		}
+	}
+}
+
+func (r *fakeReplica) full() *wirepb.WatchEvent {
+	org := &wirepb.Entry{Kind: KindOrganisation, Name: "o", Organisation: &wirepb.OrganisationSpec{KeySha256: []string{"k"}}}
+	return &wirepb.WatchEvent{Revision: r.revision.Load(), Full: true, Entries: []*wirepb.Entry{org}, UpstreamsFull: true}
+}
+
+func runClient(t *testing.T, replicas ...*fakeReplica) *Client {
+	t.Helper()
+	var addresses []string
+	for _, r := range replicas {
+		addresses = append(addresses, r.server.Address())
+	}
+	c := NewClient(Options{Addresses: addresses, Log: logs.Nop()})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = c.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-done })
+	return c
+}
+
+func until(t *testing.T, what string, cond func() bool) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if cond() {
+			return poll.Success()
+		}
+		return poll.Continue("%s", what)
+	}, poll.WithDelay(10*time.Millisecond), poll.WithTimeout(10*time.Second))
+}
+
+// Guards against a configuration that reverts when a watcher reaches a replica
+// that is behind the one it watched before.
+func TestClient_NeverAppliesLowerRevision(t *testing.T) {
+	behind, ahead := startReplica(t, 5), startReplica(t, 9)
+	c := runClient(t, behind, ahead)
+	until(t, "revision 9", func() bool {
+		if v := c.View(); v != nil && v.Revision == 5 {
+			behind.silent.Store(true)
+		}
+		return c.View() != nil && c.View().Revision == 9
+	})
+	behind.silent.Store(false)
+	before := behind.watches.Load()
+	ahead.silent.Store(true)
+	until(t, "a watch on the replica behind", func() bool { return behind.watches.Load() > before })
+	assert.Equal(t, c.View().Revision, uint64(9))
+	assert.Assert(t, c.View().KeyOwner["k"] != nil)
+}
+
+// Guards against a watcher that takes silence of its replica for being current.
+func TestClient_SilentReplicaDoesNotConfirm(t *testing.T) {
+	r := startReplica(t, 1)
+	c := runClient(t, r)
+	until(t, "a confirmation", func() bool { return !c.Confirmed().IsZero() })
+	r.silent.Store(true)
+	silentAt := time.Now()
+	until(t, "two more attempts", func() bool { return time.Since(silentAt) > 2*answerTimeout })
+	assert.Assert(t, c.Confirmed().Before(silentAt.Add(pingInterval)))
+}
+
+// Guards against a claim that fails while another replica could answer it.
+func TestClient_ClaimTriesOtherReplica(t *testing.T) {
+	silent, good := startReplica(t, 1), startReplica(t, 1)
+	silent.silent.Store(true)
+	c := NewClient(Options{Addresses: []string{silent.server.Address(), good.server.Address()}, Log: logs.Nop()})
+	defer c.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	reply, err := c.Claim(ctx, &wirepb.ClaimRequest{Attempt: "a"})
+	assert.NilError(t, err)
+	assert.Equal(t, reply.Status, ClaimWon)
+	good.silent.Store(true)
+	short, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	_, err = c.Claim(short, &wirepb.ClaimRequest{Attempt: "b"})
+	assert.Assert(t, fault.Is(err, fault.Unavailable))
+	assert.Equal(t, fault.As(err).Outcome, fault.MayHaveRun)
+}
+
+// Guards against an upstream's earlier run replacing its present one.
+func TestView_KeepsHigherIncarnation(t *testing.T) {
+	v, err := emptyView().next(&wirepb.WatchEvent{Upstreams: []*wirepb.Announcement{{Host: "h", Incarnation: 2}}})
+	assert.NilError(t, err)
+	v, err = v.next(&wirepb.WatchEvent{Upstreams: []*wirepb.Announcement{{Host: "h", Incarnation: 1}}})
+	assert.NilError(t, err)
+	assert.Equal(t, v.Upstreams["h"].Incarnation, uint64(2))
+}
--- /dev/null
+++ b/pkg/control/watch.go
@@ -0,0 +1,159 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/plantainstair/plantainstair/pkg/fault"
+	"github.com/plantainstair/plantainstair/pkg/logs"
+	"github.com/plantainstair/plantainstair/pkg/wire"
+	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
+)
+
+// watch is one attachment to one replica. A single goroutine owns it.
+type watch struct {
+	client   *Client
+	addr     string
+	stream   *wire.Stream
+	sequence uint64
+	sent     map[uint64]time.Time // pings not answered yet
+	// retained holds upstreams taken over from the replica watched before.
+	retained      map[string]struct{}
+	retainedUntil time.Time
+}
+
+func newWatch(c *Client, addr string) *watch {
+	return &watch{client: c, addr: addr, sent: make(map[uint64]time.Time), retained: make(map[string]struct{})}
+}
+
+func (w *watch) run(ctx context.Context) error {
+	stream, err := w.client.pool.Open(ctx, w.addr)
+	if err != nil {
+		return err
+	}
+	defer stream.Close()
+	w.stream = stream
+	if err := w.request(); err != nil {
+		return err
+	}
+	stop := make(chan struct{})
+	defer close(stop)
+	frames, failed := readFrames(stream, answerTimeout, stop)
+	ticker := time.NewTicker(pingInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case err := <-failed:
+			// A session that fails silently must not be used again.
+			w.client.pool.Drop(w.addr)
+			return err
+		case f := <-frames:
+			if err := w.handle(f); err != nil {
+				return err
+			}
+		case <-ticker.C:
+			w.dropRetained()
+			if err := w.ping(); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+func (w *watch) request() error {
+	req := &wirepb.WatchRequest{Role: w.client.opts.Role, Host: w.client.opts.Host, Upstreams: w.client.opts.Upstreams}
+	if v := w.client.View(); v != nil {
+		req.Revision = v.Revision
+	}
+	return w.stream.Write(&wirepb.Frame{Body: &wirepb.Frame_Watch{Watch: req}})
+}
+
+func (w *watch) ping() error {
+	v := w.client.View()
+	if v == nil {
+		return nil
+	}
+	w.sequence++
+	w.sent[w.sequence] = w.client.opts.Now()
+	ping := &wirepb.Ping{Sequence: w.sequence, AppliedRevision: v.Revision}
+	return w.stream.Write(&wirepb.Frame{Body: &wirepb.Frame_Ping{Ping: ping}})
+}
+
+func (w *watch) handle(f *wirepb.Frame) error {
+	switch {
+	case f.GetWatchEvent() != nil:
+		return w.apply(f.GetWatchEvent())
+	case f.GetCurrent() != nil:
+		return w.confirm(f.GetCurrent())
+	case f.GetError() != nil:
+		return fault.FromWire(f.GetError())
+	}
+	return fault.New(fault.Protocol, "unexpected message on the watch stream")
+}
+
+func (w *watch) apply(ev *wirepb.WatchEvent) error {
+	known := w.client.View()
+	first := known == nil
+	if first {
+		known = emptyView()
+	}
+	v, err := known.next(ev)
+	if err != nil {
+		return err
+	}
+	if ev.UpstreamsFull {
+		v = w.retain(v, known)
+	}
+	for _, u := range ev.Upstreams {
+		delete(w.retained, u.Host)
+	}
+	w.client.publish(v)
+	if v.Revision > known.Revision || first {
+		w.client.opts.Log.Debug("revision applied", logs.Uint("revision", v.Revision))
+		return w.ping()
+	}
+	return nil
+}
+
+// retain keeps upstreams of the earlier view until agents had time to register
+// with the replica that is watched now.
+func (w *watch) retain(v, known *View) *View {
+	v, hosts := v.withRetained(known.Upstreams)
+	for _, host := range hosts {
+		w.retained[host] = struct{}{}
+	}
+	w.retainedUntil = w.client.opts.Now().Add(registryGrace)
+	return v
+}
+
+func (w *watch) dropRetained() {
+	if len(w.retained) == 0 || w.client.opts.Now().Before(w.retainedUntil) {
+		return
+	}
+	w.client.publish(w.client.View().without(w.retained))
+	clear(w.retained)
+}
+
+// confirm records that the view was current when the ping was sent.
+func (w *watch) confirm(cur *wirepb.Current) error {
+	sent, ok := w.sent[cur.Sequence]
+	if !ok {
+		return fault.New(fault.Protocol, "answer to ping %d, which was not sent", cur.Sequence)
+	}
+	delete(w.sent, cur.Sequence)
+	v := w.client.View()
+	if v.Revision < cur.Revision {
+		return nil // the event that brings the revision is still on its way
+	}
+	if n := sent.UnixNano(); n > w.client.confirmed.Load() {
+		w.client.confirmed.Store(n)
+	}
+	if cur.LiveEntries > 0 && int(cur.LiveEntries) != v.LiveEntries {
+		n := *v
+		n.LiveEntries = int(cur.LiveEntries)
+		w.client.publish(&n)
+	}
+	return nil
+}
