--- /dev/null
+++ b/pkg/operators/catalogue.go
@@ -0,0 +1,16 @@
+package operators
+
+import "math"
+
+// catalogue handles GET /v1/catalogue. With the parameter "since" the answer
+// holds what changed after that revision.
+func (a *api) catalogue(r *request) (any, error) {
+	since, err := queryUint(r, "since", 0, math.MaxUint64)
+	if err != nil {
+		return nil, err
+	}
+	if !r.URL.Query().Has("since") {
+		return a.service.Catalogue(r.Context(), nil)
+	}
+	return a.service.Catalogue(r.Context(), &since)
+}
--- /dev/null
+++ b/pkg/operators/orders.go
@@ -0,0 +1,63 @@
+package operators
+
+import (
+	"time"
+
+	"github.com/plantainstair/plantainstair/pkg/fault"
+	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
+)
+
+// orders handles POST /v1/orders.
+func (a *api) orders(r *request) (any, error) {
+	req := &OrderRequest{}
+	if err := decode(r.body, req); err != nil {
+		return nil, err
+	}
+	if err := req.validate(); err != nil {
+		return nil, err
+	}
+	return a.service.Order(r.Context(), r.operator, req)
+}
+
+// drain handles POST /v1/upstreams/{host}/drain.
+func (a *api) drain(r *request) (any, error) {
+	body := &DrainRequest{}
+	if err := decode(r.body, body); err != nil {
+		return nil, err
+	}
+	req := &OrderRequest{
+		RequestID: body.RequestID,
+		Host:      r.PathValue("host"),
+		Order:     Order{Value: &wirepb.Order{Action: "drain"}},
+		TimeoutMS: body.TimeoutMS,
+	}
+	if err := req.validate(); err != nil {
+		return nil, err
+	}
+	return a.service.Order(r.Context(), r.operator, req)
+}
+
+func (o *OrderRequest) validate() error {
+	if o.RequestID == "" {
+		return missing("request_id")
+	}
+	if o.Host == "" {
+		return missing("host")
+	}
+	if o.Order.Value == nil {
+		return missing("order")
+	}
+	if o.Order.Value.Id != "" || o.Order.Value.Epoch != 0 {
+		err := fault.New(fault.Invalid, "the control process sets id and epoch")
+		return err.WithField("order.epoch").WithOutcome(fault.NotRun)
+	}
+	return nil
+}
+
+// Limit returns how long the answer waits for the upstream.
+func (o *OrderRequest) Limit() time.Duration {
+	if o.TimeoutMS == 0 {
+		return defaultOrderMax
+	}
+	return min(time.Duration(o.TimeoutMS)*time.Millisecond, orderTimeout)
+}
--- /dev/null
+++ b/pkg/operators/types.go
@@ -0,0 +1,223 @@
+// Package operators is the admin HTTP API of the control process and its
+// client. Bodies are JSON; wire messages in them use their protobuf JSON form
+// with the field names of the wire protocol.
+package operators
+
+import (
+	"encoding/json"
+
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
+)
+
+// Message carries a protobuf message in its JSON form.
+type Message[T any, P interface {
+	*T
+	proto.Message
+}] struct{ Value P }
+
+// MarshalJSON implements json.Marshaler.
+func (m Message[T, P]) MarshalJSON() ([]byte, error) {
+	if m.Value == nil {
+		return []byte("null"), nil
+	}
+	return protojson.MarshalOptions{UseProtoNames: true}.Marshal(m.Value)
+}
+
+// UnmarshalJSON implements json.Unmarshaler. Unknown fields are refused.
+func (m *Message[T, P]) UnmarshalJSON(data []byte) error {
+	value := P(new(T))
+	if err := protojson.Unmarshal(data, value); err != nil {
+		return err
+	}
+	m.Value = value
+	return nil
+}
+
+// JSON forms of wire messages.
+type (
+	Entry        = Message[wirepb.Entry, *wirepb.Entry]
+	EntryName    = Message[wirepb.EntryName, *wirepb.EntryName]
+	Order        = Message[wirepb.Order, *wirepb.Order]
+	Voter        = Message[wirepb.Voter, *wirepb.Voter]
+	Announcement = Message[wirepb.Announcement, *wirepb.Announcement]
+	AuditRecord  = Message[wirepb.AuditRecord, *wirepb.AuditRecord]
+	Change       = Message[wirepb.CatalogueChange, *wirepb.CatalogueChange]
+)
+
+// Messages converts a list of wire messages to their JSON forms.
+func Messages[T any, P interface {
+	*T
+	proto.Message
+}](in []P) []Message[T, P] {
+	out := make([]Message[T, P], len(in))
+	for i, v := range in {
+		out[i].Value = v
+	}
+	return out
+}
+
+// Values is the reverse of Messages.
+func Values[T any, P interface {
+	*T
+	proto.Message
+}](in []Message[T, P]) []P {
+	out := make([]P, len(in))
+	for i, m := range in {
+		out[i] = m.Value
+	}
+	return out
+}
+
+var _ json.Unmarshaler = (*Entry)(nil)
+
+// ChangeRequest is a set of catalogue edits made on one revision.
+type ChangeRequest struct {
+	BaseRevision uint64      `json:"base_revision"`
+	RequestID    string      `json:"request_id"`
+	Put          []Entry     `json:"put,omitempty"`
+	Remove       []EntryName `json:"remove,omitempty"`
+	Comment      string      `json:"comment,omitempty"`
+	// Wait holds the answer until every watcher has confirmed the revision.
+	Wait   bool   `json:"wait,omitempty"`
+	WaitMS uint32 `json:"wait_ms,omitempty"`
+}
+
+// ChangeReply is the outcome of an accepted change.
+type ChangeReply struct {
+	Revision     uint64        `json:"revision"`
+	Index        uint64        `json:"index"`
+	Confirmation *Confirmation `json:"confirmation,omitempty"`
+}
+
+// Confirmation tells whether the watchers apply a revision.
+type Confirmation struct {
+	Confirmed bool   `json:"confirmed"`
+	ElapsedMS uint64 `json:"elapsed_ms"`
+	Watchers  int    `json:"watchers"`
+	// Lagging lists some of the hosts that have not confirmed.
+	Lagging      []string `json:"lagging,omitempty"`
+	LaggingTotal int      `json:"lagging_total"`
+	// Silent lists replicas that do not report; their watchers are not counted.
+	Silent []uint64 `json:"silent_replicas,omitempty"`
+}
+
+// CatalogueReply holds the catalogue, or what changed after a revision.
+type CatalogueReply struct {
+	Revision uint64      `json:"revision"`
+	Full     bool        `json:"full"`
+	Entries  []Entry     `json:"entries"`
+	Removed  []EntryName `json:"removed,omitempty"`
+}
+
+// HistoryReply lists accepted changes, oldest first.
+type HistoryReply struct {
+	Revision uint64   `json:"revision"`
+	Changes  []Change `json:"changes"`
+}
+
+// AuditReply lists audit records, oldest first.
+type AuditReply struct {
+	Newest  uint64        `json:"newest"`
+	Records []AuditRecord `json:"records"`
+}
+
+// ReplicaStatus describes one replica as the answering replica sees it.
+type ReplicaStatus struct {
+	ID       uint64 `json:"id"`
+	Voter    Voter  `json:"voter"`
+	Leader   bool   `json:"leader"`
+	Self     bool   `json:"self"`
+	Reports  bool   `json:"reports"`
+	Revision uint64 `json:"revision"`
+	Watchers int    `json:"watchers"`
+	Lagging  int    `json:"lagging"`
+}
+
+// UpstreamStatus describes one upstream in the registry.
+type UpstreamStatus struct {
+	Announcement Announcement `json:"announcement"`
+	State        string       `json:"state"`
+	OrderEpoch   uint64       `json:"order_epoch"`
+}
+
+// StatusReply describes the answering replica and what it knows of the others.
+type StatusReply struct {
+	ID          uint64           `json:"id"`
+	Host        string           `json:"host"`
+	Role        string           `json:"role"`
+	Term        uint64           `json:"term"`
+	Leader      uint64           `json:"leader"`
+	Commit      uint64           `json:"commit_index"`
+	Applied     uint64           `json:"applied_index"`
+	Revision    uint64           `json:"revision"`
+	Current     bool             `json:"current"`
+	LiveEntries int              `json:"live_entries"`
+	Claims      int              `json:"claims"`
+	Replicas    []ReplicaStatus  `json:"replicas"`
+	Upstreams   []UpstreamStatus `json:"upstreams"`
+}
+
+// VotersReply lists the voters and learners.
+type VotersReply struct {
+	Leader uint64  `json:"leader"`
+	Voters []Voter `json:"voters"`
+}
+
+// Actions of a VoterRequest.
+const (
+	AddVoter     = "add"
+	RemoveVoter  = "remove"
+	ReplaceVoter = "replace"
+)
+
+// VoterRequest changes the set of voters. A replacement adds Voter and then
+// removes Old.
+type VoterRequest struct {
+	RequestID string `json:"request_id"`
+	Action    string `json:"action"`
+	Voter     Voter  `json:"voter"`
+	Old       uint64 `json:"old,omitempty"`
+}
+
+// OrderRequest gives an order to one upstream.
+type OrderRequest struct {
+	RequestID string `json:"request_id"`
+	Host      string `json:"host"`
+	Order     Order  `json:"order"`
+	TimeoutMS uint32 `json:"timeout_ms,omitempty"`
+}
+
+// DrainRequest is the optional body of a drain.
+type DrainRequest struct {
+	RequestID string `json:"request_id"`
+	TimeoutMS uint32 `json:"timeout_ms,omitempty"`
+}
+
+// OrderReply is the outcome of an order that the upstream carried out.
+type OrderReply struct {
+	ID    string `json:"id"`
+	Epoch uint64 `json:"epoch"`
+}
+
+// SnapshotReply tells which log index a snapshot covers.
+type SnapshotReply struct {
+	Index uint64 `json:"index"`
+}
+
+// ErrorReply is the body of every answer that is not a success.
+type ErrorReply struct {
+	Error ErrorBody `json:"error"`
+}
+
+// ErrorBody is the JSON form of a typed error.
+type ErrorBody struct {
+	Kind         string `json:"kind"`
+	Message      string `json:"message"`
+	Field        string `json:"field,omitempty"`
+	Outcome      string `json:"outcome"`
+	RetryAfterMS uint64 `json:"retry_after_ms,omitempty"`
+	Revision     uint64 `json:"revision,omitempty"`
+}
