--- a/pkg/operators/middleware.go
+++ b/pkg/operators/middleware.go
@@ -72,6 +72,9 @@
 				writeError(w, fault.New(fault.Invalid, "body is over %d bytes", limit).WithField("body").WithOutcome(fault.NotRun))
 				return
 			}
+			// The deadline covers the body only: when it passes later, the
+			// server cancels a request that is still waiting for its outcome.
+			_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 			ctx := context.WithValue(r.Context(), bodyKey, body)
 			next.ServeHTTP(w, r.WithContext(ctx))
 		})
--- /dev/null
+++ b/pkg/role/control/confirm.go
@@ -0,0 +1,116 @@
+package control
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/plantainstair/plantainstair/pkg/operators"
+	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
+)
+
+// signal wakes all goroutines that wait for a change.
+type signal struct {
+	mu sync.Mutex
+	ch chan struct{}
+}
+
+func newSignal() *signal { return &signal{ch: make(chan struct{})} }
+
+func (s *signal) raise() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	close(s.ch)
+	s.ch = make(chan struct{})
+}
+
+func (s *signal) next() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ch
+}
+
+// progressed tells the others soon that watchers of this replica advanced.
+func (c *Control) progressed() {
+	select {
+	case c.report <- struct{}{}:
+	default:
+	}
+}
+
+// reportLoop sends the state of the local watchers to the other replicas, at
+// intervals and soon after progress.
+func (c *Control) reportLoop() {
+	ticker := time.NewTicker(peerStatusInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-c.ctx.Done():
+			return
+		case <-c.report:
+		case <-ticker.C:
+		}
+		c.sendReport()
+		if !pause(c.ctx, peerStatusMinGap) {
+			return
+		}
+	}
+}
+
+func (c *Control) sendReport() {
+	status := c.watchers.progress(c.machine.Revision())
+	status.From = c.opts.ID
+	status.Entries = c.watchers.entries()
+	c.peers.sawEntries(c.opts.Now(), status.Entries)
+	c.transport.broadcast(&wirepb.Frame{Body: &wirepb.Frame_PeerStatus{PeerStatus: status}})
+	c.advanced.raise()
+}
+
+// confirm waits until every watcher of every reporting replica has confirmed
+// the revision, or until the limit.
+func (c *Control) confirm(ctx context.Context, revision uint64, limit time.Duration) *operators.Confirmation {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	started := c.opts.Now()
+	for {
+		next := c.advanced.next()
+		result := c.confirmation(revision)
+		result.ElapsedMS = uint64(c.opts.Now().Sub(started) / time.Millisecond)
+		if result.Confirmed || ctx.Err() != nil {
+			return result
+		}
+		select {
+		case <-next:
+		case <-ctx.Done():
+		}
+	}
+}
+
+// confirmation joins the progress of all replicas. A replica that reports but
+// has not applied the revision counts as lagging itself.
+func (c *Control) confirmation(revision uint64) *operators.Confirmation {
+	reports := c.peers.fresh(c.opts.Now())
+	reports[c.opts.ID] = c.watchers.progress(c.machine.Revision())
+	out := &operators.Confirmation{Confirmed: true}
+	for id, r := range reports {
+		out.Watchers += int(r.GetWatchers())
+		if r.GetConfirmedRevision() >= revision {
+			continue
+		}
+		out.Confirmed = false
+		out.LaggingTotal += max(1, int(r.GetLaggingTotal()))
+		if r.GetLaggingTotal() == 0 {
+			out.Lagging = append(out.Lagging, replicaName(id))
+		}
+		out.Lagging = append(out.Lagging, r.GetLagging()...)
+	}
+	for _, v := range c.node.Status().Voters {
+		if reports[v.GetId()] == nil {
+			out.Silent = append(out.Silent, v.GetId())
+		}
+	}
+	slices.Sort(out.Lagging)
+	out.Lagging = out.Lagging[:min(len(out.Lagging), maxLaggingListed)]
+	return out
+}
--- /dev/null
+++ b/pkg/role/control/feed.go
@@ -0,0 +1,157 @@
+package control
+
+import (
+	"sync"
+	"sync/atomic"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/plantainstair/plantainstair/pkg/core/state"
+	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
+)
+
+// maxEventBytes is the size above which a watch event is split. It leaves room
+// for one entry or announcement under the frame limit of 1 MiB.
+const maxEventBytes = 512 << 10
+
+// cursor is what a watcher has been sent.
+type cursor struct {
+	revision  uint64
+	upstreams uint64
+	voters    uint64
+}
+
+// voterList is the set of voters with a number that rises with each change.
+type voterList struct {
+	version uint64
+	voters  []*wirepb.Voter
+}
+
+// feed builds the events of watchers. Watchers at the same place share one
+// event.
+type feed struct {
+	machine     *Machine
+	registry    *Registry
+	voters      atomic.Pointer[voterList]
+	liveEntries func() int
+
+	mu     sync.Mutex
+	from   cursor
+	to     cursor
+	scope  bool // upstreams included
+	events []*wirepb.WatchEvent
+}
+
+func newFeed(m *Machine, r *Registry, liveEntries func() int) *feed {
+	f := &feed{machine: m, registry: r, liveEntries: liveEntries}
+	f.voters.Store(&voterList{})
+	return f
+}
+
+// setVoters stores the voters for the events to come.
+func (f *feed) setVoters(voters []*wirepb.Voter) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.voters.Store(&voterList{version: f.voters.Load().version + 1, voters: voters})
+}
+
+// full returns events that replace everything a watcher knows.
+func (f *feed) full(upstreams bool) ([]*wirepb.WatchEvent, cursor) {
+	var d state.Delta
+	f.machine.Read(func(s *state.Store) { d = s.Full() })
+	voters := f.voters.Load()
+	event := &wirepb.WatchEvent{
+		Revision:    d.Revision,
+		Full:        true,
+		Entries:     d.Put,
+		Voters:      voters.voters,
+		LiveEntries: uint32(f.liveEntries()),
+	}
+	c := cursor{revision: d.Revision, voters: voters.version}
+	if upstreams {
+		u := f.registry.Since(0, true)
+		event.UpstreamsFull = true
+		event.Upstreams = u.Put
+		c.upstreams = u.Version
+	}
+	return split(event), c
+}
+
+// since returns events that bring a watcher from a cursor to now.
+func (f *feed) since(from cursor, upstreams bool) ([]*wirepb.WatchEvent, cursor) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.from == from && f.scope == upstreams && f.isCurrent(f.to, upstreams) {
+		return f.events, f.to
+	}
+	if f.isCurrent(from, upstreams) {
+		return nil, from
+	}
+	f.events, f.to = f.build(from, upstreams)
+	f.from, f.scope = from, upstreams
+	return f.events, f.to
+}
+
+func (f *feed) isCurrent(c cursor, upstreams bool) bool {
+	return c.revision == f.machine.Revision() &&
+		c.voters == f.voters.Load().version &&
+		(!upstreams || c.upstreams == f.registry.Version())
+}
+
+func (f *feed) build(from cursor, upstreams bool) ([]*wirepb.WatchEvent, cursor) {
+	var d state.Delta
+	f.machine.Read(func(s *state.Store) { d = s.Since(from.revision) })
+	voters := f.voters.Load()
+	event := &wirepb.WatchEvent{Revision: d.Revision, Full: d.Full, Entries: d.Put, Removed: d.Removed}
+	if d.Full || voters.version != from.voters {
+		event.Voters = voters.voters
+	}
+	to := cursor{revision: d.Revision, voters: voters.version}
+	if upstreams {
+		u := f.registry.Since(from.upstreams, false)
+		event.UpstreamsFull = u.Full
+		event.Upstreams = u.Put
+		event.UpstreamsRemoved = u.Removed
+		to.upstreams = u.Version
+	}
+	event.LiveEntries = uint32(f.liveEntries())
+	return split(event), to
+}
+
+// split divides an event so that each part fits in a frame.
+func split(event *wirepb.WatchEvent) []*wirepb.WatchEvent {
+	if proto.Size(event) <= maxEventBytes {
+		return []*wirepb.WatchEvent{event}
+	}
+	first := &wirepb.WatchEvent{
+		Revision:         event.Revision,
+		Full:             event.Full,
+		Removed:          event.Removed,
+		Voters:           event.Voters,
+		UpstreamsFull:    event.UpstreamsFull,
+		UpstreamsRemoved: event.UpstreamsRemoved,
+		LiveEntries:      event.LiveEntries,
+	}
+	parts := []*wirepb.WatchEvent{first}
+	size := proto.Size(first)
+	room := func(n int) *wirepb.WatchEvent {
+		if size+n > maxEventBytes {
+			parts = append(parts, &wirepb.WatchEvent{Revision: event.Revision})
+			size = 0
+		}
+		size += n
+		return parts[len(parts)-1]
+	}
+	for _, e := range event.Entries {
+		part := room(proto.Size(e))
+		part.Entries = append(part.Entries, e)
+	}
+	for _, a := range event.Upstreams {
+		part := room(proto.Size(a))
+		part.Upstreams = append(part.Upstreams, a)
+	}
+	for _, part := range parts[:len(parts)-1] {
+		part.More = true
+	}
+	return parts
+}
--- /dev/null
+++ b/pkg/role/control/forward.go
@@ -0,0 +1,35 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/plantainstair/plantainstair/pkg/fault"
+	"github.com/plantainstair/plantainstair/pkg/wire"
+	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
+)
+
+// serveForward proposes a command that another replica passed on. It does not
+// pass the command on again: the sender finds the new leader itself.
+func (c *Control) serveForward(s *wire.Stream, fwd *wirepb.Forward) {
+	ctx, cancel := context.WithTimeout(c.ctx, attemptTimeout)
+	defer cancel()
+	reply, err := c.executeForward(ctx, fwd)
+	if err != nil {
+		reply = &wirepb.ForwardReply{Error: fault.ToWire(err)}
+	}
+	_ = s.SetDeadline(time.Now().Add(replyWrite))
+	_ = s.Write(&wirepb.Frame{Body: &wirepb.Frame_ForwardReply{ForwardReply: reply}})
+}
+
+func (c *Control) executeForward(ctx context.Context, fwd *wirepb.Forward) (*wirepb.ForwardReply, error) {
+	if fwd.GetReadIndex() {
+		index, err := c.node.ReadIndex(ctx)
+		return &wirepb.ForwardReply{ReadIndex: index}, err
+	}
+	if fwd.GetCommand() == nil {
+		return nil, fault.New(fault.Invalid, "forwarded command is missing").WithOutcome(fault.NotRun)
+	}
+	result, err := c.proposer.local(ctx, fwd.GetCommand())
+	return &wirepb.ForwardReply{Result: result}, err
+}
--- /dev/null
+++ b/pkg/role/control/machine.go
@@ -0,0 +1,160 @@
+package control
+
+import (
+	"sync"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/plantainstair/plantainstair/pkg/core/state"
+	"github.com/plantainstair/plantainstair/pkg/fault"
+	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
+)
+
+// Machine connects the pure state to the replica and to its readers.
+type Machine struct {
+	mu    sync.RWMutex
+	store *state.Store
+
+	// onRevision is called after the revision moved; it must not block.
+	onRevision func()
+
+	waitMu  sync.Mutex
+	waiters map[claimIdentity]map[chan struct{}]struct{}
+}
+
+type claimIdentity struct{ organisation, service, key string }
+
+func identityOf(c *wirepb.ClaimRequest) claimIdentity {
+	return claimIdentity{c.GetOrganisation(), c.GetService(), c.GetKey()}
+}
+
+// NewMachine returns a machine with an empty state.
+func NewMachine() *Machine {
+	return &Machine{
+		store:      state.New(),
+		onRevision: func() {},
+		waiters:    make(map[claimIdentity]map[chan struct{}]struct{}),
+	}
+}
+
+// Apply executes one committed command and returns a *wirepb.CommandResult.
+func (m *Machine) Apply(index uint64, data []byte) any {
+	cmd := &wirepb.Command{}
+	if err := proto.Unmarshal(data, cmd); err != nil {
+		// The same bytes fail on every replica, so the states stay equal.
+		cmd = &wirepb.Command{}
+	}
+	m.mu.Lock()
+	before := m.store.Revision()
+	result := m.store.Apply(index, cmd)
+	moved := m.store.Revision() != before
+	m.mu.Unlock()
+	if moved {
+		m.onRevision()
+	}
+	m.wakeClaim(cmd)
+	return result
+}
+
+// Snapshot encodes the state.
+func (m *Machine) Snapshot() ([]byte, error) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.store.Snapshot()
+}
+
+// Restore replaces the state.
+func (m *Machine) Restore(data []byte) error {
+	fresh := state.New()
+	if err := fresh.Restore(data); err != nil {
+		return err
+	}
+	m.mu.Lock()
+	m.store = fresh
+	m.mu.Unlock()
+	m.onRevision()
+	m.wakeAll()
+	return nil
+}
+
+// Read calls fn with the state. fn must not keep the store.
+func (m *Machine) Read(fn func(*state.Store)) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	fn(m.store)
+}
+
+// Revision returns the revision of the catalogue.
+func (m *Machine) Revision() uint64 {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.store.Revision()
+}
+
+// ReadClaim returns the state of a claim.
+func (m *Machine) ReadClaim(c *wirepb.ClaimRequest) (*wirepb.ClaimReply, error) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.store.ReadClaim(c)
+}
+
+// watchClaim returns a channel that is closed after the next resolve or
+// release of the key. The caller calls stop when it no longer waits.
+func (m *Machine) watchClaim(c *wirepb.ClaimRequest) (changed <-chan struct{}, stop func()) {
+	id := identityOf(c)
+	ch := make(chan struct{})
+	m.waitMu.Lock()
+	defer m.waitMu.Unlock()
+	if m.waiters[id] == nil {
+		m.waiters[id] = make(map[chan struct{}]struct{})
+	}
+	m.waiters[id][ch] = struct{}{}
+	return ch, func() { m.forget(id, ch) }
+}
+
+func (m *Machine) forget(id claimIdentity, ch chan struct{}) {
+	m.waitMu.Lock()
+	defer m.waitMu.Unlock()
+	delete(m.waiters[id], ch)
+	if len(m.waiters[id]) == 0 {
+		delete(m.waiters, id)
+	}
+}
+
+func (m *Machine) wakeClaim(cmd *wirepb.Command) {
+	var claim *wirepb.ClaimRequest
+	switch body := cmd.GetBody().(type) {
+	case *wirepb.Command_Resolve:
+		claim = body.Resolve.GetClaim()
+	case *wirepb.Command_Release:
+		claim = body.Release.GetClaim()
+	default:
+		return
+	}
+	id := identityOf(claim)
+	m.waitMu.Lock()
+	defer m.waitMu.Unlock()
+	for ch := range m.waiters[id] {
+		close(ch)
+	}
+	delete(m.waiters, id)
+}
+
+func (m *Machine) wakeAll() {
+	m.waitMu.Lock()
+	defer m.waitMu.Unlock()
+	for _, chans := range m.waiters {
+		for ch := range chans {
+			close(ch)
+		}
+	}
+	clear(m.waiters)
+}
+
+// resultOf converts what Propose returned.
+func resultOf(v any) (*wirepb.CommandResult, error) {
+	if r, ok := v.(*wirepb.CommandResult); ok && r != nil {
+		return r, nil
+	}
+	return nil, fault.New(fault.Internal, "state machine returned %T", v)
+}
--- /dev/null
+++ b/pkg/role/control/orders.go
@@ -0,0 +1,179 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/plantainstair/plantainstair/pkg/core/state"
+	"github.com/plantainstair/plantainstair/pkg/fault"
+	"github.com/plantainstair/plantainstair/pkg/operators"
+	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
+)
+
+const (
+	// orderMax bounds one order, which goes on after its request has ended.
+	orderMax = 30 * time.Minute
+	// orderRetention is how long the leader answers a repeated request from
+	// memory.
+	orderRetention = 10 * time.Minute
+	maxOrders      = 10_000
+)
+
+// orderRun is one order from its request to the result of the upstream.
+type orderRun struct {
+	request *operators.OrderRequest
+	done    chan struct{}
+	reply   *operators.OrderReply
+	err     error
+	ended   time.Time
+}
+
+type orderKey struct{ operator, request string }
+
+// orderBook carries out orders on the leader. A repeated request joins the
+// order that it started before.
+type orderBook struct {
+	control *Control
+	loads   pacer
+
+	mu   sync.Mutex
+	runs map[orderKey]*orderRun
+}
+
+func newOrderBook(c *Control) *orderBook {
+	b := &orderBook{control: c, runs: make(map[orderKey]*orderRun)}
+	b.loads.limit = func() int {
+		n := 0
+		c.machine.Read(func(s *state.Store) { n = s.ConcurrentLoads() })
+		return n
+	}
+	return b
+}
+
+// Order gives an order to an upstream. Only the leader does so.
+func (c *Control) Order(ctx context.Context, operator string, req *operators.OrderRequest) (*operators.OrderReply, error) {
+	if err := c.requireLeader(); err != nil {
+		return nil, err
+	}
+	run, err := c.orders.start(operator, req)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, req.Limit())
+	defer cancel()
+	select {
+	case <-run.done:
+		return run.reply, run.err
+	case <-ctx.Done():
+		return nil, fault.Wrap(ctx.Err(), fault.Unknown, "order is still in progress").
+			WithOutcome(fault.MayHaveRun).WithRetryAfter(time.Second)
+	}
+}
+
+func (b *orderBook) start(operator string, req *operators.OrderRequest) (*orderRun, error) {
+	key := orderKey{operator, req.RequestID}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if run, ok := b.runs[key]; ok {
+		return run, run.sameAs(req)
+	}
+	b.forgetOld(b.control.opts.Now())
+	if len(b.runs) >= maxOrders {
+		return nil, fault.New(fault.Overloaded, "%d orders in progress or kept, which is the limit", maxOrders).
+			WithOutcome(fault.NotRun).WithRetryAfter(time.Minute)
+	}
+	run := &orderRun{request: req, done: make(chan struct{})}
+	b.runs[key] = run
+	b.control.wg.Add(1)
+	go func() {
+		defer b.control.wg.Done()
+		b.run(key, run)
+	}()
+	return run, nil
+}
+
+func (r *orderRun) sameAs(req *operators.OrderRequest) error {
+	if r.request.Host == req.Host && proto.Equal(r.request.Order.Value, req.Order.Value) {
+		return nil
+	}
+	return fault.New(fault.Conflict, "request id %q was used for another order", req.RequestID).
+		WithField("request_id").WithOutcome(fault.NotRun)
+}
+
+func (b *orderBook) forgetOld(now time.Time) {
+	for key, run := range b.runs {
+		if !run.ended.IsZero() && now.Sub(run.ended) > orderRetention {
+			delete(b.runs, key)
+		}
+	}
+}
+
+func (b *orderBook) run(key orderKey, run *orderRun) {
+	ctx, cancel := context.WithTimeout(b.control.ctx, orderMax)
+	defer cancel()
+	reply, err := b.carryOut(ctx, key, run.request)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	run.reply, run.err = reply, err
+	run.ended = b.control.opts.Now()
+	close(run.done)
+	if err != nil && fault.As(err).Outcome == fault.NotRun {
+		delete(b.runs, key) // a later attempt may succeed
+	}
+}
+
+func (b *orderBook) carryOut(ctx context.Context, key orderKey, req *operators.OrderRequest) (*operators.OrderReply, error) {
+	if isLoad(req.Order.Value.GetAction()) {
+		if err := b.loads.acquire(ctx); err != nil {
+			return nil, err
+		}
+		defer b.loads.release()
+	}
+	reg := b.control.registry.Find(req.Host)
+	if reg == nil {
+		return nil, fault.New(fault.NotFound, "no upstream is registered on host %q", req.Host).
+			WithField("host").WithOutcome(fault.NotRun)
+	}
+	epoch, err := b.raiseEpoch(ctx, key, req)
+	if err != nil {
+		return nil, err
+	}
+	return b.send(ctx, reg, epoch, req)
+}
+
+func isLoad(action string) bool { return action == "load_model" || action == "load_adapter" }
+
+// raiseEpoch makes the order durable before the upstream sees it.
+func (b *orderBook) raiseEpoch(ctx context.Context, key orderKey, req *operators.OrderRequest) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
+	defer cancel()
+	result, err := b.control.proposer.propose(ctx, &wirepb.Command{
+		RequestId: key.request,
+		Operator:  key.operator,
+		Body:      &wirepb.Command_Order{Order: &wirepb.OrderChange{Host: req.Host, Order: req.Order.Value}},
+	})
+	if err != nil {
+		return 0, err
+	}
+	if result.GetError() != nil {
+		return 0, fault.FromWire(result.GetError())
+	}
+	return result.GetOrderEpoch(), nil
+}
+
+func (b *orderBook) send(ctx context.Context, reg *registration, epoch uint64, req *operators.OrderRequest) (*operators.OrderReply, error) {
+	order := proto.CloneOf(req.Order.Value)
+	order.Epoch = epoch
+	order.Id = req.RequestID
+	result, err := reg.stream.sendOrder(ctx, order)
+	if err != nil {
+		return nil, err
+	}
+	if result.GetError() != nil {
+		return nil, fault.FromWire(result.GetError())
+	}
+	return &operators.OrderReply{ID: req.RequestID, Epoch: epoch}, nil
+}
--- /dev/null
+++ b/pkg/role/control/peers.go
@@ -0,0 +1,96 @@
+package control
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
+)
+
+const (
+	// peerStatusLease is how long the report of another replica counts.
+	peerStatusLease = 1500 * time.Millisecond
+	// entryRetention is how long an entry counts after its watch ended. It
+	// equals the grace period in which the entry may still take requests, so
+	// that the shares of the others do not grow too early.
+	entryRetention = 4 * time.Second
+	// peerStatusInterval and peerStatusMinGap pace the reports to the others.
+	peerStatusInterval = 500 * time.Millisecond
+	peerStatusMinGap   = 50 * time.Millisecond
+	maxLaggingListed   = 64
+)
+
+// peers holds the reports of the other replicas and the entries seen anywhere.
+type peers struct {
+	mu      sync.Mutex
+	reports map[uint64]peerReport
+	entries map[string]time.Time // last time each entry was seen
+	changed func()
+}
+
+type peerReport struct {
+	status *wirepb.PeerStatus
+	at     time.Time
+}
+
+func newPeers(changed func()) *peers {
+	return &peers{reports: make(map[uint64]peerReport), entries: make(map[string]time.Time), changed: changed}
+}
+
+// report stores what another replica says about its watchers.
+func (p *peers) report(now time.Time, s *wirepb.PeerStatus) {
+	p.mu.Lock()
+	p.reports[s.GetFrom()] = peerReport{status: s, at: now}
+	for _, host := range s.GetEntries() {
+		p.entries[host] = now
+	}
+	p.mu.Unlock()
+	p.changed()
+}
+
+// sawEntries renews entries that watch this replica.
+func (p *peers) sawEntries(now time.Time, hosts []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, host := range hosts {
+		p.entries[host] = now
+	}
+	maps.DeleteFunc(p.entries, func(_ string, seen time.Time) bool { return now.Sub(seen) > entryRetention })
+}
+
+// liveEntries counts the entries that may take requests.
+func (p *peers) liveEntries(now time.Time) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for _, seen := range p.entries {
+		if now.Sub(seen) <= entryRetention {
+			n++
+		}
+	}
+	return n
+}
+
+// fresh returns the reports that still count, by replica.
+func (p *peers) fresh(now time.Time) map[uint64]*wirepb.PeerStatus {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := make(map[uint64]*wirepb.PeerStatus, len(p.reports))
+	for id, r := range p.reports {
+		if now.Sub(r.at) <= peerStatusLease {
+			out[id] = r.status
+		}
+	}
+	return out
+}
+
+// keepOnly drops reports of replicas that are no longer voters.
+func (p *peers) keepOnly(voters []*wirepb.Voter) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	maps.DeleteFunc(p.reports, func(id uint64, _ peerReport) bool {
+		return !slices.ContainsFunc(voters, func(v *wirepb.Voter) bool { return v.GetId() == id })
+	})
+}
--- /dev/null
+++ b/pkg/role/control/proposer.go
@@ -0,0 +1,159 @@
+package control
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/plantainstair/plantainstair/pkg/fault"
+	"github.com/plantainstair/plantainstair/pkg/link"
+	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
+)
+
+const (
+	// attemptTimeout bounds one proposal, so that a leader that is cut off
+	// from its quorum does not use up the whole time of a request.
+	attemptTimeout = 700 * time.Millisecond
+	minRetryDelay  = 10 * time.Millisecond
+	maxRetryDelay  = 100 * time.Millisecond
+)
+
+// proposer brings commands to the leader. Every command may be repeated: claims
+// by their attempt id, the others by their request id.
+type proposer struct {
+	node    Node
+	pool    *link.Pool
+	now     func() time.Time
+	metrics *controlMetrics
+}
+
+// propose returns the result of the command once it is applied. Without an
+// answer until ctx ends, the outcome is unknown.
+func (p *proposer) propose(ctx context.Context, cmd *wirepb.Command) (*wirepb.CommandResult, error) {
+	p.metrics.proposals.Inc()
+	delay := minRetryDelay
+	uncertain := false
+	for {
+		result, err := p.attempt(ctx, cmd)
+		if err == nil {
+			p.metrics.refused(result.GetError())
+			return result, nil
+		}
+		uncertain = uncertain || fault.As(err).Outcome != fault.NotRun
+		if !mayRepeat(err) || !pause(ctx, delay/2+rand.N(delay)) {
+			return nil, noAnswer(err, uncertain)
+		}
+		delay = min(2*delay, maxRetryDelay)
+	}
+}
+
+func noAnswer(err error, uncertain bool) error {
+	if uncertain {
+		return fault.Wrap(err, fault.Unknown, "command was not confirmed").WithOutcome(fault.MayHaveRun)
+	}
+	return fault.Wrap(err, fault.Unavailable, "command was not taken by a leader").
+		WithOutcome(fault.NotRun).WithRetryAfter(time.Second)
+}
+
+func mayRepeat(err error) bool {
+	switch fault.KindOf(err) {
+	case fault.NotLeader, fault.Unavailable, fault.Deadline, fault.Unknown, fault.Overloaded, fault.Cancelled:
+		return true
+	}
+	return false
+}
+
+func (p *proposer) attempt(ctx context.Context, cmd *wirepb.Command) (*wirepb.CommandResult, error) {
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
+	status := p.node.Status()
+	leader := status.leader()
+	if leader == nil || leader.GetId() == status.ID {
+		return p.local(ctx, cmd)
+	}
+	return p.forward(ctx, leader.GetPeerAddress(), cmd)
+}
+
+// local proposes at this replica, with this replica's time.
+func (p *proposer) local(ctx context.Context, cmd *wirepb.Command) (*wirepb.CommandResult, error) {
+	stamped := &wirepb.Command{
+		RequestId:  cmd.GetRequestId(),
+		TimeUnixMs: p.now().UnixMilli(),
+		Operator:   cmd.GetOperator(),
+		Body:       cmd.GetBody(),
+	}
+	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(stamped)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Invalid, "encode command").WithOutcome(fault.NotRun)
+	}
+	v, err := p.node.Propose(ctx, data)
+	if err != nil {
+		return nil, localError(err)
+	}
+	return resultOf(v)
+}
+
+// localError marks proposals that never entered the log as not run.
+func localError(err error) error {
+	e := fault.As(err)
+	if e.Kind == fault.NotLeader && e.Outcome == fault.Unspecified {
+		return e.WithOutcome(fault.NotRun)
+	}
+	return err
+}
+
+func (p *proposer) forward(ctx context.Context, addr string, cmd *wirepb.Command) (*wirepb.CommandResult, error) {
+	frame := &wirepb.Frame{Body: &wirepb.Frame_Forward{Forward: &wirepb.Forward{Command: cmd}}}
+	reply, err := exchange(ctx, p.pool, addr, frame)
+	if err != nil {
+		return nil, err
+	}
+	if e := reply.GetError(); e != nil {
+		return nil, fault.FromWire(e)
+	}
+	if reply.GetResult() == nil {
+		return nil, fault.New(fault.Protocol, "leader answered without a result")
+	}
+	return reply.GetResult(), nil
+}
+
+// exchange sends one request on its own stream and reads the reply.
+func exchange(ctx context.Context, pool *link.Pool, addr string, frame *wirepb.Frame) (*wirepb.ForwardReply, error) {
+	s, err := pool.Open(ctx, addr)
+	if err != nil {
+		return nil, fault.As(err).WithOutcome(fault.NotRun)
+	}
+	defer s.Close()
+	if d, ok := ctx.Deadline(); ok {
+		_ = s.SetDeadline(d)
+	}
+	stop := context.AfterFunc(ctx, func() { _ = s.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+	if err := s.Write(frame); err != nil {
+		return nil, err
+	}
+	f, err := s.Read()
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Unavailable, "answer from %s", addr)
+	}
+	if e := f.GetError(); e != nil {
+		return nil, fault.FromWire(e)
+	}
+	if reply := f.GetForwardReply(); reply != nil {
+		return reply, nil
+	}
+	return nil, fault.New(fault.Protocol, "%s answered with another message", addr)
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/pkg/role/control/register.go
@@ -0,0 +1,134 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/plantainstair/plantainstair/pkg/fault"
+	"github.com/plantainstair/plantainstair/pkg/logs"
+	"github.com/plantainstair/plantainstair/pkg/wire"
+	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
+)
+
+const (
+	// registerWrite ends a registration whose agent does not read.
+	registerWrite = 2 * time.Second
+	roleAgent     = "agent"
+)
+
+// registerStream is the stream of one registration.
+type registerStream struct {
+	stream *wire.Stream
+	done   chan struct{} // closed when the stream has ended
+
+	mu      sync.Mutex
+	pending map[uint64]chan *wirepb.OrderResult // by epoch
+}
+
+func newRegisterStream(s *wire.Stream) *registerStream {
+	return &registerStream{stream: s, done: make(chan struct{}), pending: make(map[uint64]chan *wirepb.OrderResult)}
+}
+
+// serveRegister keeps an upstream registered until it leaves, its stream fails
+// or its lease passes.
+func (c *Control) serveRegister(stream *wire.Stream, first *wirepb.Register) {
+	rs := newRegisterStream(stream)
+	defer close(rs.done)
+	if role := first.GetRole(); role != roleAgent && role != "" {
+		_ = stream.WriteError(fault.New(fault.Invalid, "role %q does not register", role).WithField("role"))
+		return
+	}
+	reg, err := c.registry.Register(c.opts.Now(), first.GetAnnouncement(), rs)
+	if err != nil {
+		c.log.Debug("registration refused", logs.Err(err))
+		_ = stream.WriteError(err)
+		return
+	}
+	if err := c.runRegister(rs, reg); err != nil {
+		c.log.Debug("registration ended", logs.Str("upstream", reg.host), logs.Err(err))
+		_ = stream.WriteError(err)
+	}
+}
+
+// runRegister returns nil when the upstream left. After a failed stream the
+// upstream stays registered until its lease passes, as the agent may connect
+// again.
+func (c *Control) runRegister(rs *registerStream, reg *registration) error {
+	for {
+		_ = rs.stream.SetReadDeadline(time.Now().Add(2 * Lease))
+		f, err := rs.stream.Read()
+		if err != nil {
+			return err
+		}
+		switch body := f.GetBody().(type) {
+		case *wirepb.Frame_Heartbeat:
+			err = c.heartbeat(rs, reg, body.Heartbeat)
+		case *wirepb.Frame_OrderResult:
+			rs.deliver(body.OrderResult)
+		case *wirepb.Frame_Leave:
+			c.registry.Leave(c.opts.Now(), reg)
+			c.log.Info("upstream left", logs.Str("upstream", reg.host), logs.Str("reason", body.Leave.GetReason()))
+			return nil
+		default:
+			err = fault.New(fault.Protocol, "unexpected message on a registration stream")
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+func (c *Control) heartbeat(rs *registerStream, reg *registration, h *wirepb.Heartbeat) error {
+	if err := c.registry.Heartbeat(c.opts.Now(), reg, h.GetAnnouncement()); err != nil {
+		return err
+	}
+	reply := &wirepb.HeartbeatReply{Sequence: h.GetSequence(), LiveEntries: uint32(c.liveEntries())}
+	return rs.write(&wirepb.Frame{Body: &wirepb.Frame_HeartbeatReply{HeartbeatReply: reply}})
+}
+
+func (r *registerStream) write(f *wirepb.Frame) error {
+	_ = r.stream.SetDeadline(time.Now().Add(registerWrite))
+	return r.stream.Write(f)
+}
+
+// sendOrder sends an order and waits for its result.
+func (r *registerStream) sendOrder(ctx context.Context, o *wirepb.Order) (*wirepb.OrderResult, error) {
+	result := make(chan *wirepb.OrderResult, 1)
+	r.mu.Lock()
+	r.pending[o.Epoch] = result
+	r.mu.Unlock()
+	defer func() {
+		r.mu.Lock()
+		delete(r.pending, o.Epoch)
+		r.mu.Unlock()
+	}()
+	if err := r.write(&wirepb.Frame{Body: &wirepb.Frame_Order{Order: o}}); err != nil {
+		return nil, fault.As(err).WithOutcome(fault.MayHaveRun)
+	}
+	select {
+	case res := <-result:
+		return res, nil
+	case <-r.done:
+		return nil, fault.New(fault.Unknown, "registration ended before the result of the order").WithOutcome(fault.MayHaveRun)
+	case <-ctx.Done():
+		return nil, fault.Wrap(ctx.Err(), fault.Unknown, "no result of the order in time").WithOutcome(fault.MayHaveRun)
+	}
+}
+
+func (r *registerStream) deliver(res *wirepb.OrderResult) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if ch, ok := r.pending[res.GetEpoch()]; ok {
+		ch <- res
+		delete(r.pending, res.GetEpoch())
+	}
+}
+
+// end closes the stream with an error. It does not block.
+func (r *registerStream) end(err error) {
+	go func() {
+		_ = r.write(&wirepb.Frame{Body: &wirepb.Frame_Error{Error: fault.ToWire(err)}})
+		_ = r.stream.Close()
+	}()
+}
--- /dev/null
+++ b/pkg/role/control/registry.go
@@ -0,0 +1,287 @@
+package control
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/looplab/fsm"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/plantainstair/plantainstair/pkg/fault"
+	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
+)
+
+const (
+	// Lease is how long an upstream stays registered without a heartbeat.
+	Lease = 1500 * time.Millisecond
+	// sweepInterval bounds how late an expiry is noticed.
+	sweepInterval = 100 * time.Millisecond
+	// departedRetention covers late messages of an upstream that is gone.
+	departedRetention = 10 * time.Minute
+	// maxRegistryEvents bounds the deltas kept for watchers that fall behind.
+	maxRegistryEvents = 32_768
+	maxUpstreams      = 50_000
+	maxAnnouncement   = 64 << 10
+)
+
+// States of an upstream.
+const (
+	stateAnnounced = "announced"
+	stateServing   = "serving"
+	stateDraining  = "draining"
+	stateLeft      = "left"
+	stateEjected   = "ejected"
+)
+
+// registration is one upstream as long as its stream and lease last.
+type registration struct {
+	host   string
+	stream orderStream
+	seen   atomic.Int64 // Unix nanoseconds of the last heartbeat
+	ended  atomic.Bool
+
+	// Guarded by the registry.
+	announcement *wirepb.Announcement
+	state        string
+}
+
+// orderStream is the way back to the agent of an upstream.
+type orderStream interface {
+	sendOrder(ctx context.Context, o *wirepb.Order) (*wirepb.OrderResult, error)
+	end(err error)
+}
+
+type departure struct {
+	incarnation uint64
+	at          time.Time
+}
+
+// Registry knows the upstreams that agents keep registered with this replica.
+// Times are passed in.
+type Registry struct {
+	mu        sync.RWMutex
+	hosts     map[string]*registration
+	departed  map[string]departure
+	version   uint64
+	events    []string // hosts changed; the last one at version
+	lastSweep time.Time
+	// lifecycle is the transition table of all upstreams. One machine serves
+	// them all, because a machine for each takes several kilobytes.
+	lifecycle *fsm.FSM
+	onChange  func()
+}
+
+// NewRegistry returns an empty registry. onChange is called after each change
+// and must not block.
+func NewRegistry(onChange func()) *Registry {
+	live := []string{stateAnnounced, stateServing, stateDraining}
+	return &Registry{
+		hosts:    make(map[string]*registration),
+		departed: make(map[string]departure),
+		onChange: onChange,
+		lifecycle: fsm.NewFSM(stateAnnounced, fsm.Events{
+			{Name: "serve", Src: live, Dst: stateServing},
+			{Name: "drain", Src: live, Dst: stateDraining},
+			{Name: "leave", Src: live, Dst: stateLeft},
+			{Name: "eject", Src: live, Dst: stateEjected},
+		}, nil),
+	}
+}
+
+// Register adds an upstream. An incarnation that is lower than a known one, or
+// that has left or expired, is refused.
+func (r *Registry) Register(now time.Time, a *wirepb.Announcement, stream orderStream) (*registration, error) {
+	if err := checkAnnouncement(a); err != nil {
+		return nil, err
+	}
+	r.mu.Lock()
+	reg, replaced, err := r.add(now, a, stream)
+	r.mu.Unlock()
+	if err != nil {
+		return nil, err
+	}
+	if replaced != nil {
+		replaced.stream.end(fault.New(fault.StaleEpoch, "registration was replaced by a newer one"))
+	}
+	r.onChange()
+	return reg, nil
+}
+
+func (r *Registry) add(now time.Time, a *wirepb.Announcement, stream orderStream) (reg, replaced *registration, err error) {
+	if d, ok := r.departed[a.Host]; ok && a.Incarnation <= d.incarnation {
+		return nil, nil, staleIncarnation(a, d.incarnation, "has left or expired")
+	}
+	replaced = r.hosts[a.Host]
+	if replaced != nil && a.Incarnation < replaced.announcement.Incarnation {
+		return nil, nil, staleIncarnation(a, replaced.announcement.Incarnation, "is registered")
+	}
+	if replaced == nil && len(r.hosts) >= maxUpstreams {
+		return nil, nil, fault.New(fault.Overloaded, "%d upstreams are registered, which is the limit", maxUpstreams)
+	}
+	reg = &registration{host: a.Host, stream: stream, announcement: a, state: stateAnnounced}
+	reg.seen.Store(now.UnixNano())
+	if err := r.move(reg, eventOf(a)); err != nil {
+		return nil, nil, err
+	}
+	if replaced != nil {
+		replaced.ended.Store(true)
+	}
+	r.hosts[a.Host] = reg
+	r.changed(a.Host)
+	return reg, replaced, nil
+}
+
+func staleIncarnation(a *wirepb.Announcement, known uint64, what string) error {
+	err := fault.New(fault.StaleEpoch, "incarnation %d of %s: incarnation %d %s", a.Incarnation, a.Host, known, what)
+	err.Revision = known
+	return err.WithField("announcement.incarnation")
+}
+
+func checkAnnouncement(a *wirepb.Announcement) error {
+	if a.GetHost() == "" {
+		return fault.New(fault.Invalid, "host is missing").WithField("announcement.host")
+	}
+	if a.GetAgentAddress() == "" {
+		return fault.New(fault.Invalid, "agent address is missing").WithField("announcement.agent_address")
+	}
+	if size := proto.Size(a); size > maxAnnouncement {
+		return fault.New(fault.Invalid, "announcement has %d bytes; the limit is %d", size, maxAnnouncement).WithField("announcement")
+	}
+	return nil
+}
+
+func eventOf(a *wirepb.Announcement) string {
+	if a.GetState() == stateDraining {
+		return "drain"
+	}
+	return "serve"
+}
+
+// move takes the transition of one upstream.
+func (r *Registry) move(reg *registration, event string) error {
+	r.lifecycle.SetState(reg.state)
+	err := r.lifecycle.Event(context.Background(), event)
+	var same fsm.NoTransitionError
+	if err != nil && !errors.As(err, &same) {
+		return fault.Wrap(err, fault.Conflict, "upstream %s is %s", reg.host, reg.state)
+	}
+	reg.state = r.lifecycle.Current()
+	return nil
+}
+
+// Heartbeat renews the lease. The announcement is nil when it did not change.
+func (r *Registry) Heartbeat(now time.Time, reg *registration, a *wirepb.Announcement) error {
+	if reg.ended.Load() {
+		return fault.New(fault.StaleEpoch, "registration of %s has ended", reg.host).WithField("announcement.incarnation")
+	}
+	if a == nil {
+		reg.seen.Store(now.UnixNano())
+		return nil
+	}
+	if err := checkAnnouncement(a); err != nil {
+		return err
+	}
+	if err := r.update(now, reg, a); err != nil {
+		return err
+	}
+	r.onChange()
+	return nil
+}
+
+func (r *Registry) update(now time.Time, reg *registration, a *wirepb.Announcement) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if reg.ended.Load() {
+		return staleIncarnation(a, reg.announcement.Incarnation, "has ended")
+	}
+	if a.Host != reg.host || a.Incarnation < reg.announcement.Incarnation {
+		return staleIncarnation(a, reg.announcement.Incarnation, "is registered on this stream")
+	}
+	if err := r.move(reg, eventOf(a)); err != nil {
+		return err
+	}
+	reg.seen.Store(now.UnixNano())
+	reg.announcement = a
+	r.changed(reg.host)
+	return nil
+}
+
+// Leave removes an upstream that takes no more work.
+func (r *Registry) Leave(now time.Time, reg *registration) {
+	r.mu.Lock()
+	removed := r.remove(now, reg, "leave")
+	r.mu.Unlock()
+	if removed {
+		r.onChange()
+	}
+}
+
+// remove ends a registration and remembers its incarnation.
+func (r *Registry) remove(now time.Time, reg *registration, event string) bool {
+	if reg.ended.Load() || r.hosts[reg.host] != reg {
+		return false
+	}
+	if r.move(reg, event) != nil {
+		return false
+	}
+	reg.ended.Store(true)
+	delete(r.hosts, reg.host)
+	r.departed[reg.host] = departure{incarnation: reg.announcement.Incarnation, at: now}
+	r.changed(reg.host)
+	return true
+}
+
+// Sweep removes upstreams whose lease has passed and returns them. A pause of
+// this process does not count against the leases.
+func (r *Registry) Sweep(now time.Time) []*registration {
+	r.mu.Lock()
+	if !r.lastSweep.IsZero() && now.Sub(r.lastSweep) > Lease/2 {
+		r.extend(now.Sub(r.lastSweep))
+	}
+	r.lastSweep = now
+	expired := r.expire(now)
+	r.prune(now)
+	r.mu.Unlock()
+	if len(expired) > 0 {
+		r.onChange()
+	}
+	return expired
+}
+
+func (r *Registry) extend(pause time.Duration) {
+	for _, reg := range r.hosts {
+		reg.seen.Add(int64(pause))
+	}
+}
+
+func (r *Registry) expire(now time.Time) []*registration {
+	var expired []*registration
+	limit := now.Add(-Lease).UnixNano()
+	for _, reg := range r.hosts {
+		if reg.seen.Load() <= limit && r.remove(now, reg, "eject") {
+			expired = append(expired, reg)
+		}
+	}
+	return expired
+}
+
+func (r *Registry) prune(now time.Time) {
+	for host, d := range r.departed {
+		if now.Sub(d.at) > departedRetention {
+			delete(r.departed, host)
+		}
+	}
+}
+
+// changed records that the upstream on the host changed.
+func (r *Registry) changed(host string) {
+	r.version++
+	r.events = append(r.events, host)
+	if len(r.events) > maxRegistryEvents {
+		r.events = slices.Clone(r.events[maxRegistryEvents/2:])
+	}
+}
--- /dev/null
+++ b/pkg/role/control/registry_view.go
@@ -0,0 +1,81 @@
+package control
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
+)
+
+// upstreamDelta moves a watcher to Version.
+type upstreamDelta struct {
+	Version uint64
+	Full    bool
+	Put     []*wirepb.Announcement
+	Removed []string
+}
+
+// Since returns what changed after a version, each upstream once. Full asks
+// for all upstreams.
+func (r *Registry) Since(version uint64, full bool) upstreamDelta {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	d := upstreamDelta{Version: r.version}
+	if !full && version == r.version {
+		return d
+	}
+	if full || r.version-version > uint64(len(r.events)) {
+		d.Full = true
+		for _, reg := range r.hosts {
+			d.Put = append(d.Put, reg.announcement)
+		}
+		return d
+	}
+	seen := make(map[string]bool)
+	for _, host := range r.events[len(r.events)-int(r.version-version):] {
+		if seen[host] {
+			continue
+		}
+		seen[host] = true
+		if reg, ok := r.hosts[host]; ok {
+			d.Put = append(d.Put, reg.announcement)
+		} else {
+			d.Removed = append(d.Removed, host)
+		}
+	}
+	return d
+}
+
+// Version returns the number of changes so far.
+func (r *Registry) Version() uint64 {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.version
+}
+
+// Find returns the registration of a host, or nil.
+func (r *Registry) Find(host string) *registration {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.hosts[host]
+}
+
+// upstreamState is one row of the registry.
+type upstreamState struct {
+	announcement *wirepb.Announcement
+	state        string
+}
+
+// List returns all upstreams, sorted by host.
+func (r *Registry) List() []upstreamState {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	out := make([]upstreamState, 0, len(r.hosts))
+	for _, reg := range r.hosts {
+		out = append(out, upstreamState{reg.announcement, reg.state})
+	}
+	slices.SortFunc(out, func(a, b upstreamState) int {
+		return strings.Compare(a.announcement.Host, b.announcement.Host)
+	})
+	return out
+}
--- /dev/null
+++ b/pkg/role/control/status.go
@@ -0,0 +1,68 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/plantainstair/plantainstair/pkg/core/state"
+	"github.com/plantainstair/plantainstair/pkg/operators"
+	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
+)
+
+// readyWithin is how recent the last confirmation by a quorum must be for the
+// replica to be ready.
+const readyWithin = 2 * time.Second
+
+// Status describes this replica and what it knows of the others. It needs no
+// quorum.
+func (c *Control) Status(context.Context) (*operators.StatusReply, error) {
+	node := c.node.Status()
+	reply := &operators.StatusReply{
+		ID:          node.ID,
+		Host:        c.opts.Host,
+		Role:        node.Role,
+		Term:        node.Term,
+		Leader:      node.Leader,
+		Commit:      node.Commit,
+		Applied:     node.Applied,
+		Current:     c.barrier.currentWithin(readyWithin),
+		LiveEntries: c.liveEntries(),
+		Replicas:    c.replicaStatus(node),
+	}
+	upstreams := c.registry.List()
+	c.machine.Read(func(s *state.Store) {
+		reply.Revision = s.Revision()
+		reply.Claims = s.Counts().Claims
+		for _, u := range upstreams {
+			reply.Upstreams = append(reply.Upstreams, operators.UpstreamStatus{
+				Announcement: operators.Announcement{Value: u.announcement},
+				State:        u.state,
+				OrderEpoch:   s.OrderEpoch(u.announcement.GetHost()),
+			})
+		}
+	})
+	return reply, nil
+}
+
+func (c *Control) replicaStatus(node NodeStatus) []operators.ReplicaStatus {
+	reports := c.peers.fresh(c.opts.Now())
+	reports[node.ID] = c.watchers.progress(c.machine.Revision())
+	var out []operators.ReplicaStatus
+	for _, v := range node.Voters {
+		out = append(out, replicaRow(v, node, reports[v.GetId()]))
+	}
+	return out
+}
+
+func replicaRow(v *wirepb.Voter, node NodeStatus, report *wirepb.PeerStatus) operators.ReplicaStatus {
+	return operators.ReplicaStatus{
+		ID:       v.GetId(),
+		Voter:    operators.Voter{Value: v},
+		Leader:   v.GetId() == node.Leader,
+		Self:     v.GetId() == node.ID,
+		Reports:  report != nil,
+		Revision: report.GetRevision(),
+		Watchers: int(report.GetWatchers()),
+		Lagging:  int(report.GetLaggingTotal()),
+	}
+}
--- /dev/null
+++ b/pkg/role/control/voters.go
@@ -0,0 +1,88 @@
+package control
+
+import (
+	"context"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/plantainstair/plantainstair/pkg/fault"
+	"github.com/plantainstair/plantainstair/pkg/logs"
+	"github.com/plantainstair/plantainstair/pkg/operators"
+	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
+)
+
+// Voters returns the voters and learners that this replica knows after a read
+// index.
+func (c *Control) Voters(ctx context.Context) (*operators.VotersReply, error) {
+	if err := c.barrier.wait(ctx); err != nil {
+		return nil, err
+	}
+	status := c.node.Status()
+	return &operators.VotersReply{Leader: status.Leader, Voters: operators.Messages(status.Voters)}, nil
+}
+
+// ChangeVoter adds, removes or replaces a voter and records the outcome. A
+// replacement adds first, so that the number of voters does not fall.
+func (c *Control) ChangeVoter(ctx context.Context, operator string, req *operators.VoterRequest) (*operators.VotersReply, error) {
+	if err := c.requireLeader(); err != nil {
+		return nil, err
+	}
+	steps := []*wirepb.VoterChange{{Voter: req.Voter.Value, Remove: req.Action == operators.RemoveVoter}}
+	if req.Action == operators.ReplaceVoter {
+		steps = append(steps, &wirepb.VoterChange{Voter: &wirepb.Voter{Id: req.Old}, Remove: true})
+	}
+	for _, step := range steps {
+		if err := c.changeVoter(ctx, operator, req.RequestID, step); err != nil {
+			return nil, err
+		}
+	}
+	status := c.node.Status()
+	return &operators.VotersReply{Leader: status.Leader, Voters: operators.Messages(status.Voters)}, nil
+}
+
+// changeVoter makes one step unless it was made before. A repeated request
+// therefore continues where the first one stopped.
+func (c *Control) changeVoter(ctx context.Context, operator, request string, step *wirepb.VoterChange) error {
+	current := c.node.Status().voter(step.GetVoter().GetId())
+	if step.GetRemove() && current == nil {
+		return nil
+	}
+	if !step.GetRemove() && current != nil && !current.GetLearner() {
+		return sameVoter(current, step.GetVoter())
+	}
+	err := c.node.ChangeVoter(ctx, step.GetVoter(), step.GetRemove())
+	c.recordVoter(operator, request, step, err)
+	return err
+}
+
+func sameVoter(known, wanted *wirepb.Voter) error {
+	if known.GetPeerAddress() == wanted.GetPeerAddress() && known.GetAdminAddress() == wanted.GetAdminAddress() {
+		return nil
+	}
+	return fault.New(fault.Conflict, "voter %d exists with other addresses", known.GetId()).
+		WithField("voter.id").WithOutcome(fault.NotRun)
+}
+
+// recordVoter writes the audit record with its own time, because the request
+// may have used up its own.
+func (c *Control) recordVoter(operator, request string, step *wirepb.VoterChange, cause error) {
+	ctx, cancel := context.WithTimeout(c.ctx, changeTimeout)
+	defer cancel()
+	record := proto.CloneOf(step)
+	suffix := "/add"
+	if record.Remove {
+		suffix = "/remove"
+	}
+	if cause != nil {
+		record.Error = cause.Error()
+		suffix += "/failed"
+	}
+	_, err := c.proposer.propose(ctx, &wirepb.Command{
+		RequestId: request + suffix,
+		Operator:  operator,
+		Body:      &wirepb.Command_Voter{Voter: record},
+	})
+	if err != nil {
+		c.log.Warn("voter change not recorded", logs.Str("operator", operator), logs.Err(err))
+	}
+}
