--- /dev/null
+++ b/pkg/core/raft/replicate.go
@@ -0,0 +1,302 @@
+package raft
+
+import (
+	"slices"
+
+	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
+)
+
+func (n *Node) broadcastAppend() {
+	for _, v := range n.Voters() {
+		n.sendAppends(v.Id, false)
+	}
+	n.acknowledgeSelf()
+}
+
+// sendAppends sends what the follower lacks, as far as the window allows. With
+// force it sends at least an empty append, which finds out what arrived.
+func (n *Node) sendAppends(id uint64, force bool) {
+	p := n.progress[id]
+	if p == nil || id == n.cfg.ID {
+		return
+	}
+	for !p.blocked(n.cfg.MaxInflight) && (force || p.next <= n.log.last()) {
+		force = false
+		if !n.sendAppend(id, p) {
+			return
+		}
+	}
+}
+
+func (n *Node) sendAppend(id uint64, p *progress) bool {
+	prevTerm, held := n.log.term(p.next - 1)
+	if !held {
+		n.requestSnapshot(id, p)
+		return false
+	}
+	entries := n.log.slice(p.next, n.log.last()+1, n.cfg.MaxAppendBytes)
+	n.send(&wirepb.RaftMessage{
+		Type: uint32(MsgAppend), To: id, LogIndex: p.next - 1, LogTerm: prevTerm,
+		Commit: n.log.commit, Entries: entries,
+	})
+	p.sent(p.next+uint64(len(entries))-1, len(entries))
+	return true
+}
+
+func (n *Node) requestSnapshot(id uint64, p *progress) {
+	p.state = snapshotting
+	p.waited = 0
+	p.inflight = nil
+	n.out.Snapshots = append(n.out.Snapshots, findVoter(n.Voters(), id))
+}
+
+// tickSnapshots asks again for followers that did not confirm a snapshot.
+func (n *Node) tickSnapshots() {
+	for id, p := range n.progress {
+		if p.state != snapshotting {
+			continue
+		}
+		p.waited++
+		if p.waited >= n.cfg.SnapshotRetryTicks {
+			p.probe()
+			n.sendAppends(id, true)
+		}
+	}
+}
+
+func (n *Node) broadcastHeartbeat() {
+	for _, v := range n.Voters() {
+		if v.Id == n.cfg.ID {
+			continue
+		}
+		p := n.progress[v.Id]
+		n.send(&wirepb.RaftMessage{
+			Type: uint32(MsgHeartbeat), To: v.Id, Context: n.reads.round,
+			Commit: min(n.log.commit, p.match),
+		})
+	}
+}
+
+func (n *Node) handleAppend(m *wirepb.RaftMessage) {
+	if !n.followLeader(m) {
+		return
+	}
+	reply := &wirepb.RaftMessage{Type: uint32(MsgAppendReply), To: m.From}
+	if m.LogIndex < n.log.commit && !n.log.matches(m.LogIndex, m.LogTerm) {
+		// Committed entries are never replaced; the leader continues after them.
+		reply.LogIndex = n.log.commit
+		n.sendDurable(reply)
+		return
+	}
+	if !n.log.matches(m.LogIndex, m.LogTerm) {
+		reply.Reject = true
+		reply.LogIndex = m.LogIndex
+		reply.RejectHint, reply.LogTerm = n.log.conflictHint(m.LogIndex, m.LogTerm)
+		n.send(reply)
+		return
+	}
+	last, ok := n.appendNew(m)
+	if !ok {
+		return
+	}
+	n.commitTo(min(m.Commit, last))
+	reply.LogIndex = last
+	n.sendDurable(reply)
+}
+
+// appendNew adds the entries that the log lacks and removes those that
+// conflict. It returns the last index that now matches the leader's log.
+func (n *Node) appendNew(m *wirepb.RaftMessage) (uint64, bool) {
+	last := m.LogIndex + uint64(len(m.Entries))
+	if !contiguous(m) {
+		return 0, false
+	}
+	for i, e := range m.Entries {
+		if n.log.matches(e.Index, e.Term) || e.Index <= n.log.base {
+			continue
+		}
+		if e.Index <= n.log.commit {
+			return 0, false
+		}
+		if e.Index <= n.log.last() {
+			n.log.truncate(e.Index)
+			n.truncSeq = n.seq + 1
+			n.dropConfigs(e.Index)
+		}
+		for _, added := range m.Entries[i:] {
+			n.log.append(added)
+			n.noteConfig(added)
+		}
+		break
+	}
+	return last, true
+}
+
+func contiguous(m *wirepb.RaftMessage) bool {
+	for i, e := range m.Entries {
+		if e.Index != m.LogIndex+uint64(i)+1 {
+			return false
+		}
+	}
+	return true
+}
+
+func (n *Node) handleHeartbeat(m *wirepb.RaftMessage) {
+	if !n.followLeader(m) {
+		return
+	}
+	// The leader sends only what this node confirmed, but that node may have
+	// been its predecessor on another disk.
+	n.commitTo(min(m.Commit, n.log.last()))
+	n.send(&wirepb.RaftMessage{Type: uint32(MsgHeartbeatReply), To: m.From, Context: m.Context})
+}
+
+// followLeader accepts the sender as leader of the term.
+func (n *Node) followLeader(m *wirepb.RaftMessage) bool {
+	if n.role == Leader || (n.lead != None && n.lead != m.From) {
+		return false // a term has one leader; the message is forged
+	}
+	if n.role != Follower {
+		n.becomeFollower(n.term, m.From)
+	}
+	n.lead = m.From
+	n.electionElapsed = 0
+	return true
+}
+
+func (n *Node) commitTo(index uint64) { n.log.commit = max(n.log.commit, index) }
+
+// followerOf returns the progress of the sender of an answer.
+func (n *Node) followerOf(m *wirepb.RaftMessage) *progress {
+	p := n.progress[m.From]
+	if n.role != Leader || p == nil {
+		return nil
+	}
+	if p.member != 0 && p.member != m.Member {
+		p.reset(n.log.last())
+	}
+	p.member = m.Member
+	p.active = true
+	return p
+}
+
+func (n *Node) handleAppendReply(m *wirepb.RaftMessage) {
+	p := n.followerOf(m)
+	if p == nil {
+		return
+	}
+	if m.Reject {
+		n.handleReject(m, p)
+		return
+	}
+	if m.LogIndex > n.log.last() {
+		return
+	}
+	news := p.acknowledge(m.LogIndex)
+	if p.state == probing || (p.state == snapshotting && p.match >= n.log.base) {
+		p.replicate()
+	}
+	if news {
+		n.advanceCommit()
+	}
+	n.afterAck(m.From, p)
+}
+
+func (n *Node) afterAck(id uint64, p *progress) {
+	if n.role != Leader {
+		return
+	}
+	n.promote(id, p)
+	n.finishTransfer(id, p)
+	n.sendAppends(id, false)
+}
+
+func (n *Node) handleReject(m *wirepb.RaftMessage, p *progress) {
+	switch {
+	case p.state == snapshotting, m.LogIndex <= p.match && p.match > 0:
+		return
+	case p.state == probing && m.LogIndex != p.next-1:
+		return // answer to an earlier append
+	}
+	hint, _ := n.log.conflictHint(m.RejectHint, m.LogTerm)
+	if hint < n.log.base {
+		hint = m.RejectHint
+	}
+	p.state = probing
+	p.next = max(min(m.LogIndex, hint+1), p.match+1)
+	p.paused = false
+	p.inflight = nil
+	n.sendAppends(m.From, true)
+}
+
+func (n *Node) handleHeartbeatReply(m *wirepb.RaftMessage) {
+	p := n.followerOf(m)
+	if p == nil {
+		return
+	}
+	n.acknowledgeRead(p, m.Context)
+	if p.match >= n.log.last() || p.state == snapshotting {
+		n.afterAck(m.From, p)
+		return
+	}
+	// An append or its answer may have been lost; one more makes the follower
+	// tell where it is.
+	p.paused = false
+	if len(p.inflight) >= n.cfg.MaxInflight {
+		p.inflight = p.inflight[1:]
+	}
+	n.sendAppends(m.From, true)
+}
+
+// advanceCommit commits what a quorum holds durably, if the last of it is of
+// this term.
+func (n *Node) advanceCommit() {
+	index := n.quorumMatch()
+	if index <= n.log.commit || !n.log.matches(index, n.term) {
+		return
+	}
+	n.log.commit = index
+	n.startRead()
+	if !n.isVoter(n.cfg.ID) && n.configs[len(n.configs)-1].index <= index {
+		n.broadcastCommit()
+		n.becomeFollower(n.term, None)
+		return
+	}
+	n.promoteAll()
+	n.broadcastCommit()
+}
+
+// broadcastCommit sends the new commit index along with pending entries, or in
+// an empty append to followers that hold everything.
+func (n *Node) broadcastCommit() {
+	for _, v := range n.Voters() {
+		p := n.progress[v.Id]
+		if p != nil && p.state == replicating {
+			n.sendAppends(v.Id, true)
+		}
+	}
+}
+
+func (n *Node) promoteAll() {
+	for _, v := range n.Voters() {
+		if v.Learner {
+			n.promote(v.Id, n.progress[v.Id])
+		}
+	}
+}
+
+// quorumMatch returns the highest index that a quorum holds durably.
+func (n *Node) quorumMatch() uint64 {
+	var matches []uint64
+	for _, v := range n.Voters() {
+		if !v.Learner {
+			matches = append(matches, n.progress[v.Id].match)
+		}
+	}
+	slices.Sort(matches)
+	return matches[(len(matches)-1)/2]
+}
+
+// committedInTerm reports whether the leader committed an entry of its term,
+// so that it knows everything committed before.
+func (n *Node) committedInTerm() bool { return n.log.matches(n.log.commit, n.term) }
--- /dev/null
+++ b/pkg/core/raft/voters.go
@@ -0,0 +1,206 @@
+package raft
+
+import (
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/plantainstair/plantainstair/pkg/fault"
+	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
+)
+
+// configAt is the configuration that an entry of the log introduced. It is in
+// force as soon as the entry is in the log, committed or not.
+type configAt struct {
+	index  uint64
+	voters []*wirepb.Voter
+}
+
+// catchUpEntries is the distance to the end of the log within which a learner
+// may become a voter. Commits that need its vote then wait for one message.
+const catchUpEntries = 16
+
+// Voters returns the configuration in force, learners included.
+func (n *Node) Voters() []*wirepb.Voter { return n.configs[len(n.configs)-1].voters }
+
+// VotersAt returns the configuration that was in force at index.
+func (n *Node) VotersAt(index uint64) []*wirepb.Voter {
+	for i := len(n.configs) - 1; i > 0; i-- {
+		if n.configs[i].index <= index {
+			return n.configs[i].voters
+		}
+	}
+	return n.configs[0].voters
+}
+
+// EncodeVoters returns the data of an EntryVoters entry.
+func EncodeVoters(voters []*wirepb.Voter) ([]byte, error) {
+	b, err := proto.Marshal(&wirepb.SnapshotMeta{Voters: voters})
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Internal, "encode voters")
+	}
+	return b, nil
+}
+
+// DecodeVoters parses the data of an EntryVoters entry.
+func DecodeVoters(data []byte) ([]*wirepb.Voter, error) {
+	m := &wirepb.SnapshotMeta{}
+	if err := proto.Unmarshal(data, m); err != nil {
+		return nil, fault.Wrap(err, fault.Corrupt, "decode voters")
+	}
+	return m.Voters, nil
+}
+
+func findVoter(voters []*wirepb.Voter, id uint64) *wirepb.Voter {
+	for _, v := range voters {
+		if v.Id == id {
+			return v
+		}
+	}
+	return nil
+}
+
+func (n *Node) isVoter(id uint64) bool {
+	v := findVoter(n.Voters(), id)
+	return v != nil && !v.Learner
+}
+
+// quorumOf reports whether more than half of the voters satisfy ok.
+func (n *Node) quorumOf(ok func(id uint64) bool) bool {
+	voters, good := 0, 0
+	for _, v := range n.Voters() {
+		if v.Learner {
+			continue
+		}
+		voters++
+		if ok(v.Id) {
+			good++
+		}
+	}
+	return good > voters/2
+}
+
+// noteConfig puts the configuration of an appended entry in force.
+func (n *Node) noteConfig(e *wirepb.LogEntry) {
+	if e.Type != EntryVoters {
+		return
+	}
+	voters, err := DecodeVoters(e.Data)
+	if err != nil {
+		// The leader encoded it and checksums cover it on disk and on the way.
+		panic("raft: entry holds no configuration: " + err.Error())
+	}
+	n.configs = append(n.configs, configAt{index: e.Index, voters: voters})
+	n.configChanged()
+}
+
+// dropConfigs takes back the configurations of truncated entries.
+func (n *Node) dropConfigs(from uint64) {
+	changed := false
+	for len(n.configs) > 1 && n.configs[len(n.configs)-1].index >= from {
+		n.configs = n.configs[:len(n.configs)-1]
+		changed = true
+	}
+	if changed {
+		n.configChanged()
+	}
+}
+
+func (n *Node) configChanged() {
+	n.out.Voters = n.Voters()
+	if n.role == Leader {
+		n.trackFollowers()
+	}
+}
+
+// trackFollowers keeps one progress for each member of the configuration.
+func (n *Node) trackFollowers() {
+	for _, v := range n.Voters() {
+		if n.progress[v.Id] != nil {
+			continue
+		}
+		p := &progress{next: n.log.last() + 1, active: true}
+		if v.Id == n.cfg.ID {
+			p.match = n.log.stable
+		}
+		n.progress[v.Id] = p
+	}
+	for id := range n.progress {
+		if findVoter(n.Voters(), id) == nil {
+			delete(n.progress, id)
+		}
+	}
+}
+
+// ChangeVoter starts one change of the configuration: it adds v as a learner,
+// which becomes a voter after it caught up, or removes it. Only one change may
+// be uncommitted, and the leader must have committed an entry of its term.
+func (n *Node) ChangeVoter(v *wirepb.Voter, remove bool) error {
+	if n.role != Leader {
+		return fault.New(fault.NotLeader, "not the leader").WithOutcome(fault.NotRun)
+	}
+	if !n.mayChange() {
+		return fault.New(fault.Conflict, "another voter change is in progress").WithOutcome(fault.NotRun)
+	}
+	known := findVoter(n.Voters(), v.Id)
+	switch {
+	case remove && known == nil, !remove && known != nil:
+		return nil
+	case remove && !known.Learner && n.voterCount() == 1:
+		return fault.New(fault.Invalid, "the last voter cannot be removed").WithOutcome(fault.NotRun)
+	case v.Id == None:
+		return fault.New(fault.Invalid, "voter without id").WithField("id").WithOutcome(fault.NotRun)
+	case remove:
+		return n.appendConfig(without(n.Voters(), v.Id))
+	}
+	added := proto.CloneOf(v)
+	added.Learner = !n.off.catchUp
+	added.Member = 0
+	return n.appendConfig(append(slices.Clone(n.Voters()), added))
+}
+
+func (n *Node) mayChange() bool {
+	return n.configs[len(n.configs)-1].index <= n.log.commit && n.committedInTerm()
+}
+
+func (n *Node) voterCount() int {
+	count := 0
+	for _, v := range n.Voters() {
+		if !v.Learner {
+			count++
+		}
+	}
+	return count
+}
+
+func without(voters []*wirepb.Voter, id uint64) []*wirepb.Voter {
+	return slices.DeleteFunc(slices.Clone(voters), func(v *wirepb.Voter) bool { return v.Id == id })
+}
+
+func (n *Node) appendConfig(voters []*wirepb.Voter) error {
+	data, err := EncodeVoters(voters)
+	if err != nil {
+		return err
+	}
+	n.appendLocal(EntryVoters, data)
+	n.broadcastAppend()
+	return nil
+}
+
+// promote makes a learner that caught up a voter and binds it to its disk.
+func (n *Node) promote(id uint64, p *progress) {
+	v := findVoter(n.Voters(), id)
+	if v == nil || !v.Learner || p.state != replicating || !n.mayChange() {
+		return
+	}
+	if p.match+catchUpEntries < n.log.last() {
+		return
+	}
+	voter := proto.CloneOf(v)
+	voter.Learner = false
+	voter.Member = p.member
+	voters := slices.Clone(n.Voters())
+	voters[slices.Index(voters, v)] = voter
+	// Encoding fails only for invalid UTF-8, which the first entry had excluded.
+	_ = n.appendConfig(voters)
+}
--- /dev/null
+++ b/pkg/replica/snapshots.go
@@ -0,0 +1,57 @@
+package replica
+
+import (
+	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
+)
+
+// saveSnapshot completes the meta of a snapshot that the applier took and
+// hands it to the writer.
+func (r *Replica) saveSnapshot(s *snapshot) {
+	if r.failure.Load() != nil {
+		return
+	}
+	term, held := r.node.TermAt(s.meta.Index)
+	if !held {
+		return // a newer snapshot from the leader replaced the log meanwhile
+	}
+	s.meta.Term = term
+	s.meta.Voters = r.node.VotersAt(s.meta.Index)
+	s.meta.Cluster = r.node.Cluster()
+	r.saving = s
+	r.writer.add(job{save: s})
+}
+
+// snapshotSaved compacts behind a snapshot that became durable. The log keeps
+// what continues the snapshot before it, so that the older one still serves
+// when the newer one turns out to be damaged.
+func (r *Replica) snapshotSaved(index uint64) {
+	for _, s := range []*snapshot{r.installing, r.saving} {
+		if s != nil && s.meta.Index == index && index > r.latest.meta.GetIndex() {
+			previous := r.latest.meta.GetIndex()
+			r.latest = *s
+			r.node.Compact(index - min(index, uint64(r.opts.TrailingEntries)))
+			r.writer.add(job{compact: previous})
+		}
+	}
+}
+
+func (r *Replica) sendSnapshots(to []*wirepb.Voter) {
+	for _, v := range to {
+		if r.latest.meta != nil && v != nil {
+			r.opts.Transport.SendSnapshot(v, r.latest.meta, r.latest.data)
+		}
+	}
+}
+
+// install hands a snapshot from the leader to the node.
+func (r *Replica) install(m *wirepb.SnapshotMeta, from, term uint64, data []byte) {
+	if r.failure.Load() != nil || r.node == nil {
+		return
+	}
+	if !r.node.InstallSnapshot(m, from, term) {
+		return
+	}
+	s := &snapshot{meta: m, data: data}
+	r.installing = s
+	r.applier.add(task{restore: s})
+}
--- /dev/null
+++ b/pkg/snap/snap.go
@@ -0,0 +1,164 @@
+// Package snap keeps snapshots of the state machine in files with checksums.
+package snap
+
+import (
+	"encoding/binary"
+	"fmt"
+	"hash/crc32"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/plantainstair/plantainstair/pkg/fault"
+	"github.com/plantainstair/plantainstair/pkg/wal"
+	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
+)
+
+// Kept is the number of snapshots that stay, so that a damaged newest one does
+// not take all state with it.
+const Kept = 2
+
+// Layout of a file: magic (8), size of the protobuf meta (4), meta, data,
+// CRC32C of everything before it (4).
+const (
+	magic      = "PLNTSNP1"
+	headerSize = 8 + 4
+	suffix     = ".snap"
+)
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+// Store is a directory of snapshots. It is not safe for concurrent use.
+type Store struct {
+	fs  wal.FS
+	dir string
+}
+
+// NewStore uses an existing directory.
+func NewStore(fs wal.FS, dir string) *Store { return &Store{fs: fs, dir: dir} }
+
+// Encode returns the content of a snapshot file.
+func Encode(meta *wirepb.SnapshotMeta, data []byte) ([]byte, error) {
+	m, err := proto.Marshal(meta)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Internal, "encode snapshot meta")
+	}
+	b := make([]byte, 0, headerSize+len(m)+len(data)+crc32.Size)
+	b = append(b, magic...)
+	b = binary.BigEndian.AppendUint32(b, uint32(len(m)))
+	b = append(b, m...)
+	b = append(b, data...)
+	return binary.BigEndian.AppendUint32(b, crc32.Checksum(b, castagnoli)), nil
+}
+
+// Decode parses the content of a snapshot file.
+func Decode(b []byte) (*wirepb.SnapshotMeta, []byte, error) {
+	end := len(b) - crc32.Size
+	if end < headerSize || string(b[:len(magic)]) != magic {
+		return nil, nil, fault.New(fault.Corrupt, "snapshot header is damaged")
+	}
+	if binary.BigEndian.Uint32(b[end:]) != crc32.Checksum(b[:end], castagnoli) {
+		return nil, nil, fault.New(fault.Corrupt, "snapshot checksum does not match")
+	}
+	size := uint64(binary.BigEndian.Uint32(b[len(magic):]))
+	if headerSize+size > uint64(end) {
+		return nil, nil, fault.New(fault.Corrupt, "snapshot meta of %d bytes exceeds the file", size)
+	}
+	meta := &wirepb.SnapshotMeta{}
+	if err := proto.Unmarshal(b[headerSize:headerSize+size], meta); err != nil {
+		return nil, nil, fault.Wrap(err, fault.Corrupt, "decode snapshot meta")
+	}
+	return meta, b[headerSize+size : end], nil
+}
+
+// Save makes a snapshot durable and removes those no longer needed.
+func (s *Store) Save(meta *wirepb.SnapshotMeta, data []byte) error {
+	b, err := Encode(meta, data)
+	if err != nil {
+		return err
+	}
+	if err := wal.WriteFile(s.fs, s.path(meta.Index), b); err != nil {
+		return err
+	}
+	return s.prune()
+}
+
+// Load returns the newest snapshot that is undamaged, or nil when the
+// directory holds none. It fails when all of them are damaged.
+func (s *Store) Load() (*wirepb.SnapshotMeta, []byte, error) {
+	indexes, err := s.list()
+	if err != nil {
+		return nil, nil, err
+	}
+	var damage error
+	for _, index := range slices.Backward(indexes) {
+		meta, data, err := s.read(index)
+		if err == nil {
+			return meta, data, nil
+		}
+		if !fault.Is(err, fault.Corrupt) {
+			return nil, nil, err
+		}
+		damage = err
+	}
+	return nil, nil, damage
+}
+
+func (s *Store) read(index uint64) (*wirepb.SnapshotMeta, []byte, error) {
+	name := s.path(index)
+	b, err := s.fs.Read(name)
+	if err != nil {
+		return nil, nil, fault.Wrap(err, fault.Disk, "read snapshot").WithField(name)
+	}
+	meta, data, err := Decode(b)
+	if err != nil {
+		return nil, nil, fault.As(err).WithField(filepath.Base(name))
+	}
+	if meta.Index != index {
+		return nil, nil, fault.New(fault.Corrupt, "snapshot is of index %d", meta.Index).WithField(filepath.Base(name))
+	}
+	return meta, data, nil
+}
+
+func (s *Store) path(index uint64) string {
+	return filepath.Join(s.dir, fmt.Sprintf("%016x%s", index, suffix))
+}
+
+// list returns the indexes of the snapshots in order.
+func (s *Store) list() ([]uint64, error) {
+	names, err := s.fs.List(s.dir)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Disk, "list snapshots").WithField(s.dir)
+	}
+	var indexes []uint64
+	for _, name := range names {
+		base, ok := strings.CutSuffix(name, suffix)
+		if !ok {
+			continue
+		}
+		if index, err := strconv.ParseUint(base, 16, 64); err == nil {
+			indexes = append(indexes, index)
+		}
+	}
+	slices.Sort(indexes)
+	return indexes, nil
+}
+
+func (s *Store) prune() error {
+	indexes, err := s.list()
+	if err != nil || len(indexes) <= Kept {
+		return err
+	}
+	for _, index := range indexes[:len(indexes)-Kept] {
+		if err := s.fs.Remove(s.path(index)); err != nil {
+			return fault.Wrap(err, fault.Disk, "remove snapshot").WithField(s.path(index))
+		}
+	}
+	if err := s.fs.SyncDir(s.dir); err != nil {
+		return fault.Wrap(err, fault.Disk, "sync snapshot directory").WithField(s.dir)
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/wal/fs.go
@@ -0,0 +1,124 @@
+package wal
+
+import (
+	"io"
+	"os"
+	"path/filepath"
+
+	"github.com/plantainstair/plantainstair/pkg/fault"
+)
+
+// FS is the file system below the log and the snapshots. Tests inject faults
+// through it.
+type FS interface {
+	// Create opens a file for appending and empties it.
+	Create(name string) (File, error)
+	// Append opens an existing file for appending.
+	Append(name string) (File, error)
+	Read(name string) ([]byte, error)
+	// List returns the names of the files in a directory, sorted.
+	List(dir string) ([]string, error)
+	Rename(from, to string) error
+	Remove(name string) error
+	MakeDir(dir string) error
+	// SyncDir makes created, renamed and removed names durable.
+	SyncDir(dir string) error
+}
+
+// File is a file opened for appending.
+type File interface {
+	io.WriteCloser
+	Sync() error
+	Truncate(size int64) error
+}
+
+const (
+	filePerm = 0o600
+	dirPerm  = 0o700
+)
+
+// OS is the file system of the operating system.
+type OS struct{}
+
+// Create implements FS.
+func (OS) Create(name string) (File, error) {
+	return os.OpenFile(name, os.O_CREATE|os.O_TRUNC|os.O_WRONLY|os.O_APPEND, filePerm)
+}
+
+// Append implements FS.
+func (OS) Append(name string) (File, error) {
+	return os.OpenFile(name, os.O_WRONLY|os.O_APPEND, filePerm)
+}
+
+// Read implements FS.
+func (OS) Read(name string) ([]byte, error) { return os.ReadFile(name) }
+
+// List implements FS.
+func (OS) List(dir string) ([]string, error) {
+	entries, err := os.ReadDir(dir)
+	if err != nil {
+		return nil, err
+	}
+	var names []string
+	for _, e := range entries {
+		names = append(names, e.Name())
+	}
+	return names, nil
+}
+
+// Rename implements FS.
+func (OS) Rename(from, to string) error { return os.Rename(from, to) }
+
+// Remove implements FS.
+func (OS) Remove(name string) error { return os.Remove(name) }
+
+// MakeDir implements FS.
+func (OS) MakeDir(dir string) error { return os.MkdirAll(dir, dirPerm) }
+
+// SyncDir implements FS.
+func (OS) SyncDir(dir string) error {
+	d, err := os.Open(dir)
+	if err != nil {
+		return err
+	}
+	defer d.Close()
+	return d.Sync()
+}
+
+// WriteFile replaces a file so that after a crash either the old or the new
+// content is there: it writes and syncs a temporary file, renames it and syncs
+// the directory.
+func WriteFile(fs FS, name string, content []byte) error {
+	temp := name + tempSuffix
+	f, err := fs.Create(temp)
+	if err != nil {
+		return diskFault(err, "create", temp)
+	}
+	if _, err := f.Write(content); err != nil {
+		_ = f.Close()
+		return diskFault(err, "write", temp)
+	}
+	if err := f.Sync(); err != nil {
+		_ = f.Close()
+		return diskFault(err, "sync", temp)
+	}
+	if err := f.Close(); err != nil {
+		return diskFault(err, "close", temp)
+	}
+	if err := fs.Rename(temp, name); err != nil {
+		return diskFault(err, "rename", temp)
+	}
+	if err := fs.SyncDir(filepath.Dir(name)); err != nil {
+		return diskFault(err, "sync directory of", name)
+	}
+	return nil
+}
+
+const tempSuffix = ".tmp"
+
+// IsTemp reports whether a file was left by an interrupted WriteFile.
+func IsTemp(name string) bool { return filepath.Ext(name) == tempSuffix }
+
+func diskFault(err error, action, name string) error {
+	return fault.Wrap(err, fault.Disk, "%s %s", action, filepath.Base(name)).WithField(name)
+}
--- /dev/null
+++ b/pkg/wal/hardstate.go
@@ -0,0 +1,98 @@
+package wal
+
+import (
+	"encoding/binary"
+	"hash/crc32"
+	"path/filepath"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/plantainstair/plantainstair/pkg/fault"
+	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
+)
+
+// HardState is the small state that changes with elections and membership. It
+// lives in a file of its own, replaced as a whole.
+type HardState struct {
+	ID      uint64 // of the replica
+	Member  uint64 // random id of this disk
+	Cluster uint64 // identity of the cluster; zero until known
+	Term    uint64
+	Vote    uint64
+	// Initial is the initial configuration; Formed tells that it is agreed.
+	Initial []*wirepb.Voter
+	Formed  bool
+	// Segment and Offset are the end of the synced log when this was written.
+	Segment uint64
+	Offset  uint64
+}
+
+const (
+	hardStateFile    = "hardstate"
+	hardStateMagic   = "PLNTHST1"
+	hardStateNumbers = 8
+	hardStateHeader  = 8 + hardStateNumbers*8
+)
+
+// Layout: magic (8), eight numbers (8 each), protobuf of the initial
+// configuration, CRC32C (4).
+func (h *HardState) encode() ([]byte, error) {
+	b := []byte(hardStateMagic)
+	formed := uint64(0)
+	if h.Formed {
+		formed = 1
+	}
+	for _, v := range [hardStateNumbers]uint64{
+		h.ID, h.Member, h.Cluster, h.Term, h.Vote, formed, h.Segment, h.Offset,
+	} {
+		b = binary.BigEndian.AppendUint64(b, v)
+	}
+	b, err := proto.MarshalOptions{}.MarshalAppend(b, &wirepb.SnapshotMeta{Voters: h.Initial})
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Internal, "encode hard state")
+	}
+	return binary.BigEndian.AppendUint32(b, crc32.Checksum(b, castagnoli)), nil
+}
+
+func decodeHardState(b []byte) (*HardState, bool) {
+	end := len(b) - crc32.Size
+	if end < hardStateHeader || string(b[:8]) != hardStateMagic {
+		return nil, false
+	}
+	if binary.BigEndian.Uint32(b[end:]) != crc32.Checksum(b[:end], castagnoli) {
+		return nil, false
+	}
+	var v [hardStateNumbers]uint64
+	for i := range v {
+		v[i] = binary.BigEndian.Uint64(b[8+8*i:])
+	}
+	m := &wirepb.SnapshotMeta{}
+	if err := proto.Unmarshal(b[hardStateHeader:end], m); err != nil {
+		return nil, false
+	}
+	return &HardState{
+		ID: v[0], Member: v[1], Cluster: v[2], Term: v[3], Vote: v[4], Formed: v[5] == 1,
+		Segment: v[6], Offset: v[7], Initial: m.Voters,
+	}, true
+}
+
+func readHardState(fs FS, dir string) (*HardState, error) {
+	name := filepath.Join(dir, hardStateFile)
+	b, err := fs.Read(name)
+	if err != nil {
+		return nil, diskFault(err, "read", name)
+	}
+	h, ok := decodeHardState(b)
+	if !ok {
+		return nil, corrupt(name, 0, "hard state is damaged")
+	}
+	return h, nil
+}
+
+func writeHardState(fs FS, dir string, h *HardState) error {
+	b, err := h.encode()
+	if err != nil {
+		return err
+	}
+	return WriteFile(fs, filepath.Join(dir, hardStateFile), b)
+}
