--- a/pkg/core/state/validate.go
+++ b/pkg/core/state/validate.go
@@ -15,7 +15,7 @@
 	maxNameLength    = 128
 	maxCommentLength = 1024
 	maxEdits         = 1000
-	maxChangeBytes   = 512 << 10 // leaves room for the envelope in a frame of 1 MiB
+	maxChangeBytes   = 480 << 10 // leaves room for the envelope in a proposal of 512 KiB
 	maxKeys          = 64
 	maxAdapters      = 256
 	maxMethods       = 16
--- a/pkg/role/control/control.go
+++ b/pkg/role/control/control.go
@@ -97,6 +97,10 @@
 		return err
 	}
 	c.node = node
+	c.transport.setLeaderTerm(func() (uint64, bool) {
+		s := node.Status()
+		return s.Term, s.Leader == s.ID
+	})
 	if voters := node.Status().Voters; len(c.feed.voters.Load().voters) == 0 && len(voters) > 0 {
 		c.feed.setVoters(voters)
 	}
@@ -190,6 +194,9 @@
 
 // Ready reports why the replica cannot serve.
 func (c *Control) Ready() error {
+	if err := c.node.Status().Failed; err != nil {
+		return err
+	}
 	if c.barrier.currentWithin(readyWithin) {
 		return nil
 	}
--- a/pkg/role/control/node.go
+++ b/pkg/role/control/node.go
@@ -31,6 +31,7 @@
 	Commit  uint64
 	Applied uint64
 	Voters  []*wirepb.Voter
+	Failed  error // set once the node stopped for good
 }
 
 // leader returns the voter that leads, or nil.
--- /dev/null
+++ b/pkg/role/control/process.go
@@ -0,0 +1,157 @@
+package control
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/plantainstair/plantainstair/pkg/config"
+	"github.com/plantainstair/plantainstair/pkg/fault"
+	"github.com/plantainstair/plantainstair/pkg/link"
+	"github.com/plantainstair/plantainstair/pkg/logs"
+	"github.com/plantainstair/plantainstair/pkg/operators"
+	"github.com/plantainstair/plantainstair/pkg/platform"
+)
+
+// Run runs the control process with the settings at path until ctx ends.
+func Run(ctx context.Context, path string) error {
+	settings := &Settings{}
+	if err := config.Load(path, settings); err != nil {
+		return err
+	}
+	log, err := logs.New(os.Stderr, settings.LogLevel, roleControl, settings.Host)
+	if err != nil {
+		return err
+	}
+	p, err := startProcess(settings, log)
+	if err != nil {
+		return err
+	}
+	p.log.Info("control process started", logs.Uint("replica", settings.ID), logs.Str("address", p.control.Address()))
+	select {
+	case <-ctx.Done():
+	case err = <-p.failed:
+	}
+	return p.stop(err)
+}
+
+// process is a control process with its admin listener.
+type process struct {
+	settings  *Settings
+	log       logs.Logger
+	control   *Control
+	admin     *http.Server
+	lifecycle *platform.Lifecycle
+	failed    chan error
+}
+
+func startProcess(settings *Settings, log logs.Logger) (*process, error) {
+	tokens, err := settings.OperatorTokens()
+	if err != nil {
+		return nil, err
+	}
+	adminListener, err := listen(settings.AdminAddress, "admin.address")
+	if err != nil {
+		return nil, err
+	}
+	c, err := startControl(settings, log)
+	if err != nil {
+		_ = adminListener.Close()
+		return nil, err
+	}
+	p := &process{
+		settings:  settings,
+		log:       log.Part("process"),
+		control:   c,
+		lifecycle: platform.NewLifecycle(),
+		failed:    make(chan error, 1),
+	}
+	p.admin = operators.NewServer(operators.NewHandler(operators.Options{
+		Service:   c,
+		Operators: tokens,
+		Platform:  platform.Handler(platform.Options{Lifecycle: p.lifecycle, Ready: c.Ready, Metrics: c.metrics.set}),
+		Log:       log.Part("operators"),
+	}))
+	go p.serveAdmin(adminListener)
+	return p, p.lifecycle.Ready()
+}
+
+func startControl(settings *Settings, log logs.Logger) (*Control, error) {
+	voters, err := settings.InitialVoters()
+	if err != nil {
+		return nil, err
+	}
+	identity := link.Identity{
+		Role:        roleControl,
+		Host:        settings.Host,
+		DataCentre:  settings.DataCentre,
+		Incarnation: uint64(time.Now().UnixMilli()),
+	}
+	linkOptions, err := settings.LinkOptions(identity)
+	if err != nil {
+		return nil, err
+	}
+	ln, err := listen(settings.PeerAddress, "replica.peer_address")
+	if err != nil {
+		return nil, err
+	}
+	bootstrap := voters
+	if settings.Join {
+		bootstrap = nil
+	}
+	c, err := Start(Options{
+		ID:       settings.ID,
+		Host:     settings.Host,
+		Listener: ln,
+		Link:     linkOptions,
+		Seeds:    voters,
+		Log:      log,
+		Open: OpenReplica(ReplicaOptions{
+			ID:              settings.ID,
+			Dir:             settings.Dir,
+			Bootstrap:       bootstrap,
+			Join:            settings.Join,
+			ElectionTimeout: settings.ElectionTimeout,
+			Heartbeat:       settings.Heartbeat,
+			SnapshotEntries: settings.SnapshotEntries,
+			Log:             log,
+		}),
+	})
+	if err != nil {
+		_ = ln.Close()
+	}
+	return c, err
+}
+
+func listen(address, field string) (net.Listener, error) {
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Unavailable, "listen on %s", address).WithField(field)
+	}
+	return ln, nil
+}
+
+func (p *process) serveAdmin(ln net.Listener) {
+	if err := p.admin.Serve(ln); err != http.ErrServerClosed {
+		p.failed <- fault.Wrap(err, fault.Unavailable, "serve the admin API")
+	}
+}
+
+// stop lets admin requests end before the replica stops.
+func (p *process) stop(cause error) error {
+	p.lifecycle.Drain()
+	ctx, cancel := context.WithTimeout(context.Background(), p.settings.DrainTimeout)
+	defer cancel()
+	if err := p.admin.Shutdown(ctx); err != nil {
+		p.log.Warn("admin requests were cut off", logs.Err(err))
+		_ = p.admin.Close()
+	}
+	err := p.control.Close()
+	_ = p.lifecycle.Stop()
+	if cause != nil {
+		return cause
+	}
+	return err
+}
--- a/pkg/role/control/proposer.go
+++ b/pkg/role/control/proposer.go
@@ -42,6 +42,9 @@
 			return result, nil
 		}
 		uncertain = uncertain || fault.As(err).Outcome != fault.NotRun
+		if !mayRepeat(err) && !uncertain {
+			return nil, err
+		}
 		if !mayRepeat(err) || !pause(ctx, delay/2+rand.N(delay)) {
 			return nil, noAnswer(err, uncertain)
 		}
--- /dev/null
+++ b/pkg/role/control/replica_node.go
@@ -0,0 +1,76 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/plantainstair/plantainstair/pkg/fault"
+	"github.com/plantainstair/plantainstair/pkg/logs"
+	"github.com/plantainstair/plantainstair/pkg/replica"
+	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
+)
+
+// ReplicaOptions configure the durable replica under a control process.
+type ReplicaOptions struct {
+	ID              uint64
+	Dir             string
+	Bootstrap       []*wirepb.Voter
+	Join            bool
+	ElectionTimeout time.Duration
+	Heartbeat       time.Duration
+	SnapshotEntries int
+	Log             logs.Logger
+}
+
+// OpenReplica returns the function that opens the replica, for Options.Open.
+func OpenReplica(o ReplicaOptions) func(*Machine, *Transport) (Node, error) {
+	return func(m *Machine, t *Transport) (Node, error) {
+		r, err := replica.Open(replica.Options{
+			ID:              o.ID,
+			Dir:             o.Dir,
+			Bootstrap:       o.Bootstrap,
+			Join:            o.Join,
+			StateMachine:    m,
+			Transport:       t,
+			Log:             o.Log,
+			ElectionTimeout: o.ElectionTimeout,
+			Heartbeat:       o.Heartbeat,
+			SnapshotEntries: o.SnapshotEntries,
+		})
+		if err != nil {
+			return nil, err
+		}
+		return replicaNode{r}, nil
+	}
+}
+
+// replicaNode adapts a replica to Node.
+type replicaNode struct{ *replica.Replica }
+
+// Status implements Node.
+func (r replicaNode) Status() NodeStatus {
+	s := r.Replica.Status()
+	return NodeStatus{
+		ID:      s.ID,
+		Role:    string(s.Role),
+		Term:    s.Term,
+		Leader:  s.Leader,
+		Commit:  s.Commit,
+		Applied: s.Applied,
+		Voters:  s.Voters,
+		Failed:  s.Failed,
+	}
+}
+
+// Snapshot implements Node. The replica decides itself when to take snapshots
+// unless it offers a method for it.
+func (r replicaNode) Snapshot(ctx context.Context) (uint64, error) {
+	on, ok := any(r.Replica).(interface {
+		Snapshot(context.Context) (uint64, error)
+	})
+	if !ok {
+		err := fault.New(fault.NotFound, "this replica takes snapshots only by itself")
+		return 0, err.WithOutcome(fault.NotRun)
+	}
+	return on.Snapshot(ctx)
+}
--- a/pkg/role/control/snapshots.go
+++ b/pkg/role/control/snapshots.go
@@ -44,6 +44,13 @@
 }
 
 func (t *Transport) sendChunks(addr string, meta *wirepb.SnapshotMeta, data []byte) error {
+	t.mu.Lock()
+	leaderTerm := t.leaderTerm
+	t.mu.Unlock()
+	term, leads := leaderTerm()
+	if !leads {
+		return fault.New(fault.NotLeader, "leadership was lost before the snapshot was sent")
+	}
 	s, err := t.pool.Open(t.ctx, addr)
 	if err != nil {
 		return err
@@ -55,7 +62,7 @@
 		chunk := &wirepb.SnapshotChunk{
 			Meta:   meta,
 			From:   t.self,
-			Term:   meta.GetTerm(),
+			Term:   term,
 			Offset: uint64(offset),
 			Data:   data[offset:end],
 			Last:   end == len(data),
--- a/pkg/role/control/transport.go
+++ b/pkg/role/control/transport.go
@@ -35,6 +35,8 @@
 	log      logs.Logger
 	dropped  func()
 	onVoters func([]*wirepb.Voter)
+	// leaderTerm returns the term in which this replica leads.
+	leaderTerm func() (uint64, bool)
 
 	mu       sync.Mutex
 	seeds    []*wirepb.Voter
@@ -55,21 +57,29 @@
 func NewTransport(self uint64, seeds []*wirepb.Voter, pool *link.Pool, log logs.Logger) *Transport {
 	ctx, cancel := context.WithCancel(context.Background())
 	t := &Transport{
-		ctx:      ctx,
-		cancel:   cancel,
-		self:     self,
-		pool:     pool,
-		log:      log,
-		dropped:  func() {},
-		onVoters: func([]*wirepb.Voter) {},
-		seeds:    seeds,
-		peers:    make(map[uint64]*peerSender),
-		sending:  make(map[uint64]bool),
+		ctx:        ctx,
+		cancel:     cancel,
+		self:       self,
+		pool:       pool,
+		log:        log,
+		dropped:    func() {},
+		onVoters:   func([]*wirepb.Voter) {},
+		leaderTerm: func() (uint64, bool) { return 0, false },
+		seeds:      seeds,
+		peers:      make(map[uint64]*peerSender),
+		sending:    make(map[uint64]bool),
 	}
 	t.follow(nil)
 	return t
 }
 
+// setLeaderTerm is called once the node runs.
+func (t *Transport) setLeaderTerm(f func() (uint64, bool)) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.leaderTerm = f
+}
+
 // Send queues messages. A message for a full queue is dropped.
 func (t *Transport) Send(msgs []*wirepb.RaftMessage) {
 	for _, m := range msgs {
