--- /dev/null
+++ b/pkg/core/state/model_test.go
@@ -0,0 +1,339 @@
+package state
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/plantainstair/plantainstair/pkg/fault"
+	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
+)
+
+// model is a naive version of the store: it keeps everything and searches.
+type model struct {
+	now, floor, horizon int64
+	revision            uint64
+	entries             map[entryID]string // owner
+	outcomes            map[requestKey]modelOutcome
+	claims              []*modelClaim
+	released            map[string]int64
+	orders              map[string]uint64
+	audits              int
+}
+
+type modelOutcome struct {
+	at     int64
+	body   string
+	result string
+}
+
+type modelClaim struct {
+	id, attempt, digest, answer string
+	created                     int64
+}
+
+func newModel() *model {
+	return &model{
+		horizon:  DefaultClaimHorizon.Milliseconds(),
+		entries:  make(map[entryID]string),
+		outcomes: make(map[requestKey]modelOutcome),
+		released: make(map[string]int64),
+		orders:   make(map[string]uint64),
+	}
+}
+
+func (m *model) apply(cmd *wirepb.Command) string {
+	m.now = max(m.now, cmd.TimeUnixMs)
+	m.floor = max(m.floor, m.now-m.horizon)
+	switch body := cmd.Body.(type) {
+	case *wirepb.Command_Claim:
+		return m.claim(body.Claim)
+	case *wirepb.Command_Resolve:
+		return m.resolve(body.Resolve)
+	case *wirepb.Command_Release:
+		return m.release(body.Release.Claim)
+	}
+	key := requestKey{cmd.Operator, cmd.RequestId}
+	body := fmt.Sprint(cmd.GetChange(), cmd.GetOrder())
+	if first, ok := m.outcomes[key]; ok && first.at >= m.floor {
+		if first.body != body {
+			return "conflict"
+		}
+		return first.result
+	}
+	m.audits++
+	result := m.execute(cmd)
+	m.outcomes[key] = modelOutcome{m.now, body, result}
+	return result
+}
+
+func (m *model) execute(cmd *wirepb.Command) string {
+	if o := cmd.GetOrder(); o != nil {
+		m.orders[o.Host]++
+		return fmt.Sprintf("epoch %d", m.orders[o.Host])
+	}
+	ch := cmd.GetChange()
+	if ch.BaseRevision != m.revision {
+		winner := m.revision
+		if ch.BaseRevision < m.revision {
+			winner = ch.BaseRevision + 1
+		}
+		return fmt.Sprintf("conflict with %d", winner)
+	}
+	for _, e := range ch.Put {
+		if e.Owner == "" {
+			return "invalid put[0].owner"
+		}
+	}
+	for _, n := range ch.Remove {
+		if _, ok := m.entries[entryID{n.Kind, n.Name}]; !ok {
+			return "not_found remove[0].name"
+		}
+		delete(m.entries, entryID{n.Kind, n.Name})
+	}
+	for _, e := range ch.Put {
+		m.entries[idOf(e)] = e.Owner
+		if h := e.GetPolicy().GetClaimHorizonSeconds(); h > 0 {
+			m.horizon = int64(h) * 1000
+		}
+	}
+	m.revision++
+	return fmt.Sprintf("revision %d", m.revision)
+}
+
+// find returns the claim of the key. Claims are kept until the minute of their
+// creation lies before the horizon.
+func (m *model) find(id string) *modelClaim {
+	for _, c := range m.claims {
+		if c.id == id && c.created/bucketMS >= m.floor/bucketMS {
+			return c
+		}
+	}
+	return nil
+}
+
+func (m *model) lookup(c *wirepb.ClaimRequest) (*modelClaim, string) {
+	if c.KeyCreatedUnixMs < m.floor || c.KeyCreatedUnixMs > m.now+MaxKeyAhead.Milliseconds() {
+		return nil, ClaimExpired
+	}
+	known := m.find(claimID(c))
+	if known != nil && (known.digest != string(c.RequestDigest) || known.created != c.KeyCreatedUnixMs) {
+		return nil, ClaimMismatch
+	}
+	return known, ""
+}
+
+func (m *model) claim(c *wirepb.ClaimRequest) string {
+	known, status := m.lookup(c)
+	if status != "" {
+		return status
+	}
+	if known != nil {
+		if known.attempt == c.Attempt && known.answer == "" {
+			return ClaimWon + " " + c.Attempt
+		}
+		return known.status()
+	}
+	if at, gone := m.released[c.Attempt]; gone && at/bucketMS >= m.floor/bucketMS {
+		return ClaimAbsent
+	}
+	m.claims = append(m.claims, &modelClaim{claimID(c), c.Attempt, string(c.RequestDigest), "", c.KeyCreatedUnixMs})
+	return ClaimWon + " " + c.Attempt
+}
+
+func (m *model) resolve(r *wirepb.ClaimResolve) string {
+	known, status := m.lookup(r.Claim)
+	if status != "" {
+		return status
+	}
+	if known == nil {
+		return ClaimAbsent
+	}
+	if known.attempt == r.Claim.Attempt && known.answer == "" {
+		known.answer = string(r.Response.Body)
+	}
+	return known.status()
+}
+
+func (m *model) release(c *wirepb.ClaimRequest) string {
+	if at, gone := m.released[c.Attempt]; !gone || at/bucketMS < m.floor/bucketMS {
+		if c.KeyCreatedUnixMs >= m.floor && c.KeyCreatedUnixMs <= m.now+m.horizon {
+			m.released[c.Attempt] = c.KeyCreatedUnixMs
+		}
+	}
+	known, status := m.lookup(c)
+	if status != "" {
+		return status
+	}
+	if known == nil {
+		return ClaimAbsent
+	}
+	if known.attempt != c.Attempt || known.answer != "" {
+		return known.status()
+	}
+	known.id = "released"
+	return ClaimAbsent
+}
+
+func (c *modelClaim) status() string {
+	if c.answer == "" {
+		return ClaimPending + " " + c.attempt
+	}
+	return ClaimAnswered + " " + c.attempt + " " + c.answer
+}
+
+// describe turns a result of the store into the words of the model.
+func describe(cmd *wirepb.Command, r *wirepb.CommandResult) string {
+	e := r.Error
+	switch {
+	case e != nil && e.Field == "request_id":
+		return "conflict"
+	case e != nil && e.Kind == string(fault.Conflict):
+		return fmt.Sprintf("conflict with %d", e.Revision)
+	case e != nil:
+		return e.Kind + " " + e.Field
+	case r.Claim != nil && r.Claim.Response != nil:
+		return r.Claim.Status + " " + r.Claim.Attempt + " " + string(r.Claim.Response.Body)
+	case r.Claim != nil && r.Claim.Attempt != "":
+		return r.Claim.Status + " " + r.Claim.Attempt
+	case r.Claim != nil:
+		return r.Claim.Status
+	case cmd.GetOrder() != nil:
+		return fmt.Sprintf("epoch %d", r.OrderEpoch)
+	}
+	return fmt.Sprintf("revision %d", r.Revision)
+}
+
+// clock is the time from which commands are drawn.
+func (m *model) clock() int64 { return max(m.now, 1_700_000_000_000) }
+
+// generate draws a command from small pools, so that races, resends and
+// expired keys are frequent.
+func generate(t *rapid.T, m *model) *wirepb.Command {
+	step := rapid.SampledFrom([]time.Duration{0, 0, time.Second, time.Minute, time.Hour, 13 * time.Hour, -time.Hour})
+	cmd := &wirepb.Command{
+		TimeUnixMs: m.clock() + step.Draw(t, "step").Milliseconds(),
+		Operator:   rapid.SampledFrom([]string{"ann", "bob"}).Draw(t, "operator"),
+		RequestId:  fmt.Sprintf("r%d", rapid.IntRange(0, 40).Draw(t, "request")),
+	}
+	switch rapid.IntRange(0, 8).Draw(t, "command") {
+	case 0, 1, 2:
+		cmd.Body = &wirepb.Command_Change{Change: generateChange(t, m)}
+	case 3:
+		host := rapid.SampledFrom([]string{"h1", "h2"}).Draw(t, "host")
+		cmd.Body = &wirepb.Command_Order{Order: &wirepb.OrderChange{Host: host, Order: &wirepb.Order{Action: "drain"}}}
+	case 4, 5, 6:
+		cmd.Body = &wirepb.Command_Claim{Claim: generateClaim(t, m)}
+	case 7:
+		body := rapid.SampledFrom([]string{"x", "y"}).Draw(t, "body")
+		cmd.Body = &wirepb.Command_Resolve{Resolve: &wirepb.ClaimResolve{
+			Claim: generateClaim(t, m), Response: &wirepb.CallResponse{Body: []byte(body)}}}
+	case 8:
+		cmd.Body = &wirepb.Command_Release{Release: &wirepb.ClaimRelease{Claim: generateClaim(t, m)}}
+	}
+	return cmd
+}
+
+func generateChange(t *rapid.T, m *model) *wirepb.Change {
+	base := int64(m.revision) + rapid.SampledFrom([]int64{0, 0, 0, -1, -2, 1}).Draw(t, "base")
+	ch := &wirepb.Change{BaseRevision: uint64(max(base, 0))}
+	name := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "name")
+	switch rapid.IntRange(0, 5).Draw(t, "edit") {
+	case 0:
+		ch.Remove = []*wirepb.EntryName{{Kind: KindService, Name: name}}
+	case 1:
+		hours := rapid.SampledFrom([]uint32{1, 24, 48}).Draw(t, "horizon")
+		ch.Put = []*wirepb.Entry{{Kind: KindPolicy, Name: PolicyName, Owner: "o", Policy: &wirepb.PolicySpec{ClaimHorizonSeconds: hours * 3600}}}
+	default:
+		owner := rapid.SampledFrom([]string{"o", "p", ""}).Draw(t, "owner")
+		ch.Put = []*wirepb.Entry{{Kind: KindService, Name: name, Owner: owner, Service: &wirepb.ServiceSpec{}}}
+	}
+	return ch
+}
+
+func generateClaim(t *rapid.T, m *model) *wirepb.ClaimRequest {
+	age := rapid.SampledFrom([]time.Duration{0, time.Hour, 20 * time.Hour, 30 * time.Hour, -time.Minute, -10 * time.Minute})
+	created := m.clock() - age.Draw(t, "age").Milliseconds()
+	if n := len(m.claims); n > 0 && rapid.Bool().Draw(t, "again") {
+		created = m.claims[rapid.IntRange(0, n-1).Draw(t, "which")].created
+	}
+	digest := make([]byte, digestSize)
+	digest[0] = byte(rapid.SampledFrom([]int{0, 0, 0, 1}).Draw(t, "digest"))
+	return &wirepb.ClaimRequest{
+		Organisation:     rapid.SampledFrom([]string{"org1", "org2"}).Draw(t, "organisation"),
+		Service:          "pay",
+		Key:              rapid.SampledFrom([]string{"k1", "k2", "k3"}).Draw(t, "key"),
+		KeyCreatedUnixMs: created,
+		Attempt:          fmt.Sprintf("a%d", rapid.IntRange(0, 12).Draw(t, "attempt")),
+		RequestDigest:    digest,
+	}
+}
+
+// Guards against a store that forgets, revives or reorders outcomes, and
+// against a snapshot that loses any of the state: a second store is restored
+// from a snapshot before every command.
+func TestStore_AgreesWithModelAcrossRestarts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m, whole, restarted := newModel(), New(), New()
+		for index := uint64(1); index <= 60; index++ {
+			cmd := generate(t, m)
+			want := m.apply(cmd)
+			got := whole.Apply(index, cmd)
+			assert.Equal(t, describe(cmd, got), want, "command %d: %v", index, cmd)
+			assert.Equal(t, describe(cmd, restarted.Apply(index, cmd)), want, "restarted, command %d", index)
+			before, err := whole.Snapshot()
+			assert.NilError(t, err)
+			after, err := restarted.Snapshot()
+			assert.NilError(t, err)
+			assert.Assert(t, bytes.Equal(before, after), "snapshots differ after command %d", index)
+			fresh := New()
+			assert.NilError(t, fresh.Restore(after))
+			restarted = fresh
+			assert.Equal(t, whole.AuditSequence(), uint64(m.audits))
+		}
+	})
+}
+
+// Guards against a watcher that misses an edit: merged deltas from any earlier
+// revision must give the present catalogue.
+func TestStore_DeltasRebuildCatalogue(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m, s := newModel(), New()
+		views := []map[entryID]*wirepb.Entry{{}}
+		for index := uint64(1); index <= 40; index++ {
+			ch := generateChange(t, m)
+			cmd := &wirepb.Command{RequestId: fmt.Sprint(index), Body: &wirepb.Command_Change{Change: ch}}
+			m.apply(cmd)
+			s.Apply(index, cmd)
+			if int(s.Revision()) == len(views) {
+				views = append(views, follow(views[len(views)-1], s.Since(s.Revision()-1)))
+			}
+			from := rapid.IntRange(0, len(views)-1).Draw(t, "from")
+			got := follow(views[from], s.Since(uint64(from)))
+			assert.Equal(t, len(got), len(m.entries))
+			for id, owner := range m.entries {
+				assert.Equal(t, got[id].GetOwner(), owner)
+			}
+		}
+	})
+}
+
+func follow(view map[entryID]*wirepb.Entry, d Delta) map[entryID]*wirepb.Entry {
+	next := make(map[entryID]*wirepb.Entry)
+	for id, e := range view {
+		if !d.Full {
+			next[id] = e
+		}
+	}
+	for _, e := range d.Put {
+		next[idOf(e)] = e
+	}
+	for _, n := range d.Removed {
+		delete(next, entryID{n.Kind, n.Name})
+	}
+	return next
+}
--- a/pkg/core/state/store.go
+++ b/pkg/core/state/store.go
@@ -65,7 +65,7 @@
 	horizon := s.ClaimHorizon().Milliseconds()
 	s.expiredBefore = max(s.expiredBefore, s.now-horizon)
 	s.claims.purge(s.expiredBefore)
-	s.dedup.purge(s.now - horizon)
+	s.dedup.purge(s.expiredBefore)
 }
 
 func (s *Store) dispatch(cmd *wirepb.Command) *wirepb.CommandResult {
