--- a/pkg/core/state/store.go
+++ b/pkg/core/state/store.go
@@ -55,7 +55,9 @@
 	s.applied = index
 	s.advance(cmd.GetTimeUnixMs())
 	result := s.dispatch(cmd)
-	result.Index = index
+	if result.Index == 0 {
+		result.Index = index // a first outcome keeps its own index
+	}
 	return result
 }
 
--- /dev/null
+++ b/pkg/role/control/cluster_test.go
@@ -0,0 +1,192 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	client "github.com/plantainstair/plantainstair/pkg/control"
+	"github.com/plantainstair/plantainstair/pkg/link"
+	"github.com/plantainstair/plantainstair/pkg/logs"
+	"github.com/plantainstair/plantainstair/pkg/operators"
+	"github.com/plantainstair/plantainstair/pkg/replica"
+	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
+)
+
+// cluster runs control processes on real replicas and real sessions. Cuts stop
+// the messages of consensus between two replicas.
+type cluster struct {
+	t       testing.TB
+	voters  []*wirepb.Voter
+	dirs    []string
+	members []*Control // nil while stopped
+
+	mu  sync.Mutex
+	cut map[uint64]bool
+}
+
+// cutTransport drops messages from and to replicas that are cut off.
+type cutTransport struct {
+	*Transport
+	from    uint64
+	cluster *cluster
+}
+
+func (c cutTransport) Send(msgs []*wirepb.RaftMessage) {
+	var pass []*wirepb.RaftMessage
+	for _, m := range msgs {
+		if c.cluster.connected(c.from, m.To) {
+			pass = append(pass, m)
+		}
+	}
+	c.Transport.Send(pass)
+}
+
+func (c cutTransport) SendSnapshot(to *wirepb.Voter, meta *wirepb.SnapshotMeta, data []byte) {
+	if c.cluster.connected(c.from, to.Id) {
+		c.Transport.SendSnapshot(to, meta, data)
+	}
+}
+
+func (c *cluster) connected(a, b uint64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.cut[a] && !c.cut[b]
+}
+
+func (c *cluster) isolate(id uint64, on bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cut[id] = on
+}
+
+func startCluster(t testing.TB, size int) *cluster {
+	t.Helper()
+	c := &cluster{t: t, members: make([]*Control, size), cut: make(map[uint64]bool)}
+	var listeners []net.Listener
+	for i := range size {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		listeners = append(listeners, ln)
+		c.dirs = append(c.dirs, t.TempDir())
+		c.voters = append(c.voters, &wirepb.Voter{
+			Id: uint64(i + 1), PeerAddress: ln.Addr().String(), AdminAddress: fmt.Sprintf("admin-%d", i+1), Host: fmt.Sprintf("c%d", i+1)})
+	}
+	for i, ln := range listeners {
+		c.start(i, ln)
+	}
+	t.Cleanup(func() {
+		for i := range c.members {
+			c.stop(i)
+		}
+	})
+	c.until("a leader", func() bool { return c.leader() >= 0 })
+	return c
+}
+
+func (c *cluster) start(i int, ln net.Listener) {
+	c.t.Helper()
+	if ln == nil {
+		var err error
+		ln, err = net.Listen("tcp", c.voters[i].PeerAddress)
+		assert.NilError(c.t, err)
+	}
+	id := c.voters[i].Id
+	m, err := Start(Options{
+		ID:       id,
+		Host:     c.voters[i].Host,
+		Listener: ln,
+		Link:     link.Options{Identity: link.Identity{Role: roleControl, Host: c.voters[i].Host}},
+		Seeds:    c.voters,
+		Log:      logs.Nop(),
+		Open: func(m *Machine, t *Transport) (Node, error) {
+			r, err := replica.Open(replica.Options{
+				ID: id, Dir: c.dirs[i], Bootstrap: c.voters, StateMachine: m,
+				Transport: cutTransport{t, id, c}, Log: logs.Nop(), SnapshotEntries: 200,
+			})
+			return replicaNode{r}, err
+		},
+	})
+	assert.NilError(c.t, err)
+	c.members[i] = m
+}
+
+func (c *cluster) stop(i int) {
+	if c.members[i] != nil {
+		assert.Check(c.t, c.members[i].Close())
+		c.members[i] = nil
+	}
+}
+
+// leader returns the index of the member that leads, or -1.
+func (c *cluster) leader() int {
+	best, term := -1, uint64(0)
+	for i, m := range c.members {
+		if m == nil {
+			continue
+		}
+		if s := m.node.Status(); s.Leader == s.ID && s.Term > term {
+			best, term = i, s.Term
+		}
+	}
+	return best
+}
+
+func (c *cluster) until(what string, cond func() bool) {
+	c.t.Helper()
+	until(c.t, what, cond)
+}
+
+func until(t testing.TB, what string, cond func() bool) {
+	t.Helper()
+	check := func(poll.LogT) poll.Result {
+		if cond() {
+			return poll.Success()
+		}
+		return poll.Continue("waiting for %s", what)
+	}
+	poll.WaitOn(t, check, poll.WithDelay(5*time.Millisecond), poll.WithTimeout(20*time.Second))
+}
+
+func (c *cluster) client(role, host string) *client.Client {
+	c.t.Helper()
+	var addresses []string
+	for _, v := range c.voters {
+		addresses = append(addresses, v.PeerAddress)
+	}
+	k := client.NewClient(client.Options{
+		Addresses: addresses, Role: role, Host: host, Upstreams: role == roleEntry, Log: logs.Nop(),
+		Link: link.Options{Identity: link.Identity{Role: role, Host: host}},
+	})
+	c.t.Cleanup(k.Close)
+	return k
+}
+
+// run keeps the client watching until the test ends.
+func (c *cluster) run(k *client.Client) *client.Client {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = k.Run(ctx) }()
+	c.t.Cleanup(func() { cancel(); <-done })
+	return k
+}
+
+func service(name, owner string) operators.Entry {
+	return operators.Entry{Value: &wirepb.Entry{Kind: "service", Name: name, Owner: owner, Service: &wirepb.ServiceSpec{}}}
+}
+
+func change(base uint64, request, owner string) *operators.ChangeRequest {
+	return &operators.ChangeRequest{BaseRevision: base, RequestID: request, Put: []operators.Entry{service("pay", owner)}}
+}
+
+func background(t testing.TB) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	t.Cleanup(cancel)
+	return ctx
+}
--- /dev/null
+++ b/pkg/role/control/control_test.go
@@ -0,0 +1,281 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/plantainstair/plantainstair/pkg/core/state"
+	"github.com/plantainstair/plantainstair/pkg/fault"
+	"github.com/plantainstair/plantainstair/pkg/operators"
+	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
+)
+
+// Guards against a wait that returns before watchers of other replicas apply
+// the change, and against entries that are counted by one replica only.
+func TestApply_WaitsForWatchersOfAllReplicas(t *testing.T) {
+	c := startCluster(t, 3)
+	const entries = 6
+	for i := range entries {
+		c.run(c.client(roleEntry, fmt.Sprintf("e%d", i)))
+	}
+	c.until("all entries counted everywhere", func() bool {
+		for _, m := range c.members {
+			if m.liveEntries() != entries {
+				return false
+			}
+		}
+		return true
+	})
+	req := change(0, "first", "o")
+	req.Wait = true
+	reply, err := c.members[0].Apply(background(t), "ann", req)
+	assert.NilError(t, err)
+	assert.Equal(t, reply.Revision, uint64(1))
+	assert.Assert(t, reply.Confirmation.Confirmed, "%+v", reply.Confirmation)
+	assert.Equal(t, reply.Confirmation.Watchers, entries)
+	for _, m := range c.members {
+		assert.Equal(t, m.watchers.progress(1).LaggingTotal, uint32(0))
+	}
+}
+
+// Guards against two operators who both win on one revision.
+func TestApply_RacingOperators(t *testing.T) {
+	c := startCluster(t, 3)
+	const racers = 8
+	for base := range uint64(5) {
+		var wg sync.WaitGroup
+		revisions, errs := make([]uint64, racers), make([]error, racers)
+		for i := range racers {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				// Equal request ids of different operators are different requests.
+				reply, err := c.members[i%3].Apply(background(t), fmt.Sprintf("operator%d", i), change(base, fmt.Sprint(base), "o"))
+				if errs[i] = err; err == nil {
+					revisions[i] = reply.Revision
+				}
+			}()
+		}
+		wg.Wait()
+		won := 0
+		for i, err := range errs {
+			if err == nil {
+				won++
+				assert.Equal(t, revisions[i], base+1)
+				continue
+			}
+			assert.Assert(t, fault.Is(err, fault.Conflict), "%v", err)
+			assert.Equal(t, fault.As(err).Revision, base+1)
+		}
+		assert.Equal(t, won, 1)
+	}
+	audit, err := c.members[0].Audit(background(t), 0, 100)
+	assert.NilError(t, err)
+	assert.Equal(t, len(audit.Records), 5*racers)
+}
+
+// Guards against a change that is made twice, or gets another outcome, when its
+// answer is lost and the leader changes or everything restarts.
+func TestApply_ResendAfterLeaderChangeAndRestart(t *testing.T) {
+	c := startCluster(t, 3)
+	first, err := c.members[0].Apply(background(t), "ann", change(0, "lost", "o"))
+	assert.NilError(t, err)
+	_, err = c.members[1].Apply(background(t), "bob", change(0, "loser", "p"))
+	assert.Assert(t, fault.Is(err, fault.Conflict), "%v", err)
+	resend := func(m *Control) {
+		again, err := m.Apply(background(t), "ann", change(0, "lost", "o"))
+		assert.NilError(t, err)
+		assert.Equal(t, again.Revision, first.Revision)
+		assert.Equal(t, again.Index, first.Index)
+		_, err = m.Apply(background(t), "bob", change(0, "loser", "p"))
+		assert.Assert(t, fault.Is(err, fault.Conflict), "%v", err)
+		_, err = m.Apply(background(t), "ann", change(0, "lost", "other body"))
+		assert.Equal(t, fault.As(err).Field, "request_id")
+	}
+	old := c.leader()
+	c.stop(old)
+	c.until("another leader", func() bool { return c.leader() >= 0 })
+	resend(c.members[(old+1)%3])
+	for i := range c.members {
+		c.stop(i)
+	}
+	for i := range c.members {
+		c.start(i, nil)
+	}
+	c.until("a leader after restart", func() bool { return c.leader() >= 0 })
+	resend(c.members[old])
+	assert.Equal(t, c.members[old].Revision(), uint64(1))
+}
+
+// Revision returns the revision that this replica has applied.
+func (c *Control) Revision() uint64 { return c.machine.Revision() }
+
+// Guards against a watcher that sees a revision go back when its replica is
+// cut off and it changes to another one.
+func TestWatch_NeverGoesBackAcrossReplicas(t *testing.T) {
+	c := startCluster(t, 3)
+	k := c.run(c.client(roleEntry, "e1"))
+	c.until("a first view", func() bool { return k.View() != nil })
+	highest := uint64(0)
+	watch := func() bool {
+		r := k.View().Revision
+		assert.Assert(t, r >= highest, "revision went back from %d to %d", highest, r)
+		highest = r
+		return true
+	}
+	for base := range uint64(6) {
+		watched := c.watched()
+		if base%2 == 1 && watched >= 0 {
+			c.isolate(c.voters[watched].Id, true)
+		}
+		owner := fmt.Sprintf("o%d", base)
+		c.until("an accepted change", func() bool {
+			for i, m := range c.members {
+				if i == watched && base%2 == 1 {
+					continue
+				}
+				ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+				_, err := m.Apply(ctx, "ann", change(base, fmt.Sprint(base), owner))
+				cancel()
+				if err == nil {
+					return true
+				}
+			}
+			return false
+		})
+		c.until("the new revision", func() bool { return watch() && k.View().Revision == base+1 })
+		assert.Equal(t, k.View().Services["pay"].Owner, owner)
+		for _, v := range c.voters {
+			c.isolate(v.Id, false)
+		}
+	}
+}
+
+// watched returns the member that has a watcher, or -1.
+func (c *cluster) watched() int {
+	for i, m := range c.members {
+		if m.watchers.count() > 0 {
+			return i
+		}
+	}
+	return -1
+}
+
+func claimOf(key, attempt string) *wirepb.ClaimRequest {
+	return &wirepb.ClaimRequest{
+		Organisation: "org", Service: "pay", Key: key, KeyCreatedUnixMs: time.Now().UnixMilli(),
+		Attempt: attempt, RequestDigest: make([]byte, 32), Host: "h1",
+	}
+}
+
+// Guards against a call that is dispatched twice because its claim was
+// repeated, raced or arrived after its release.
+func TestClaim_OneWinnerAndLateDuplicates(t *testing.T) {
+	c := startCluster(t, 3)
+	k := c.client(roleAgent, "h1")
+	ctx := background(t)
+	base := claimOf("k", "")
+	const racers = 6
+	statuses := make([]*wirepb.ClaimReply, racers)
+	var wg sync.WaitGroup
+	for i := range racers {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			req := claimOf("k", fmt.Sprintf("a%d", i%3)) // each attempt twice
+			req.KeyCreatedUnixMs = base.KeyCreatedUnixMs
+			reply, err := k.Claim(ctx, req)
+			assert.Check(t, err)
+			statuses[i] = reply
+		}()
+	}
+	wg.Wait()
+	winner := statuses[0].Attempt
+	for i, s := range statuses {
+		want := state.ClaimPending
+		if fmt.Sprintf("a%d", i%3) == winner {
+			want = state.ClaimWon
+		}
+		assert.Equal(t, s.Status, want)
+		assert.Equal(t, s.Attempt, winner)
+	}
+	read := make(chan *wirepb.ClaimReply, 1)
+	go func() {
+		reply, err := k.ReadClaim(ctx, base0(base, "reader"), 10*time.Second)
+		assert.Check(t, err)
+		read <- reply
+	}()
+	_, err := k.Resolve(ctx, &wirepb.ClaimResolve{Claim: base0(base, winner), Response: &wirepb.CallResponse{Status: 200, Body: []byte("done")}})
+	assert.NilError(t, err)
+	assert.Equal(t, string((<-read).GetResponse().GetBody()), "done")
+
+	released := claimOf("k2", "late")
+	_, err = k.Release(ctx, released)
+	assert.NilError(t, err)
+	reply, err := k.Claim(ctx, released)
+	assert.NilError(t, err)
+	assert.Equal(t, reply.Status, state.ClaimAbsent)
+	old := claimOf("k3", "a")
+	old.KeyCreatedUnixMs -= state.DefaultClaimHorizon.Milliseconds() + 1000
+	reply, err = k.Claim(ctx, old)
+	assert.NilError(t, err)
+	assert.Equal(t, reply.Status, state.ClaimExpired)
+}
+
+func base0(c *wirepb.ClaimRequest, attempt string) *wirepb.ClaimRequest {
+	req := claimOf(c.Key, attempt)
+	req.KeyCreatedUnixMs = c.KeyCreatedUnixMs
+	return req
+}
+
+// Guards against orders whose epoch is not higher than that of an earlier
+// leader, and against a repeated request that gives the order twice.
+func TestOrder_EpochsRiseAcrossLeaders(t *testing.T) {
+	c := startCluster(t, 3)
+	agent := c.run(c.client(roleAgent, "h1"))
+	var mu sync.Mutex
+	var epochs []uint64
+	announcement := &wirepb.Announcement{Host: "h1", AgentAddress: "127.0.0.1:1", Incarnation: 1, State: "serving"}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		agent.Register(ctx, func() *wirepb.Announcement { return announcement }, nil, func(o *wirepb.Order) *wirepb.OrderResult {
+			mu.Lock()
+			defer mu.Unlock()
+			epochs = append(epochs, o.Epoch)
+			return &wirepb.OrderResult{Id: o.Id, Epoch: o.Epoch}
+		})
+	}()
+	t.Cleanup(func() { cancel(); <-done })
+	order := func(request string) {
+		c.until("an order by the leader", func() bool {
+			lead := c.leader()
+			if lead < 0 || c.members[lead].registry.Find("h1") == nil {
+				return false
+			}
+			_, err := c.members[lead].Order(background(t), "ann", &operators.OrderRequest{
+				RequestID: request, Host: "h1", Order: operators.Order{Value: &wirepb.Order{Action: "drain"}}})
+			return err == nil
+		})
+	}
+	order("one")
+	order("one")
+	c.stop(c.leader())
+	order("two")
+	mu.Lock()
+	assert.DeepEqual(t, epochs, []uint64{1, 2})
+	mu.Unlock()
+
+	entry := c.run(c.client(roleEntry, "e1"))
+	c.until("the upstream in the view", func() bool { return entry.View() != nil && entry.View().Upstreams["h1"] != nil })
+	left := time.Now()
+	cancel()
+	c.until("the upstream gone", func() bool { return entry.View().Upstreams["h1"] == nil })
+	assert.Assert(t, time.Since(left) < 3*time.Second)
+}
