state: do not report a fresh key as expired on an idle log

A read judged keys by the log time, which stands still without commands, so a key created more than five minutes after the last command was reported as expired. Reads now only apply the limit in the past.

--- a/pkg/core/state/claims.go
+++ b/pkg/core/state/claims.go
@@ -198,19 +198,23 @@
 	return created >= s.expiredBefore && created <= s.now+s.ClaimHorizon().Milliseconds()
 }
 
-// ReadClaim returns the state of the key without changing it.
+// ReadClaim returns the state of the key without changing it. A key ahead of
+// the log time is not expired here: a read carries no time, and the log time
+// stands still while there are no commands.
 func (s *Store) ReadClaim(c *wirepb.ClaimRequest) (*wirepb.ClaimReply, error) {
-	known, reply, err := s.lookup(c)
-	if err != nil {
+	if err := validateClaim(c); err != nil {
 		return nil, err
 	}
-	if reply != nil {
-		return reply, nil
-	}
-	if known == nil {
+	known := s.claims.claims[claimID(c)]
+	switch {
+	case c.GetKeyCreatedUnixMs() < s.expiredBefore:
+		return &wirepb.ClaimReply{Status: ClaimExpired}, nil
+	case known == nil:
 		return &wirepb.ClaimReply{Status: ClaimAbsent}, nil
+	case !known.matches(c):
+		return &wirepb.ClaimReply{Status: ClaimMismatch}, nil
 	}
-	reply, err = known.reply()
+	reply, err := known.reply()
 	if err != nil {
 		return nil, err
 	}
--- a/pkg/core/state/model_test.go
+++ b/pkg/core/state/model_test.go
@@ -337,3 +337,18 @@
 	}
 	return next
 }
+
+// Guards against a read that calls a key expired because no command has moved
+// the log time for more than five minutes.
+func TestReadClaim_OnIdleLog(t *testing.T) {
+	s := New()
+	req := &wirepb.ClaimRequest{Organisation: "o", Service: "s", Key: "k", Attempt: "a", KeyCreatedUnixMs: 1_700_000_000_000, RequestDigest: make([]byte, digestSize)}
+	reply, err := s.ReadClaim(req)
+	assert.NilError(t, err)
+	assert.Equal(t, reply.Status, ClaimAbsent)
+	won := s.Apply(1, &wirepb.Command{TimeUnixMs: req.KeyCreatedUnixMs, Body: &wirepb.Command_Claim{Claim: req}})
+	assert.Equal(t, won.Claim.Status, ClaimWon)
+	reply, err = s.ReadClaim(req)
+	assert.NilError(t, err)
+	assert.Equal(t, reply.Status, ClaimPending)
+}
