--- /dev/null
+++ b/pkg/operators/api_test.go
@@ -0,0 +1,219 @@
+package operators
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/plantainstair/plantainstair/pkg/fault"
+	"github.com/plantainstair/plantainstair/pkg/logs"
+	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
+)
+
+const testToken = "admin token"
+
+// fakeService records calls and answers with settable errors.
+type fakeService struct {
+	Service
+	err      error
+	leader   string // admin address that orders are sent to
+	operator string
+	applied  *ChangeRequest
+	ordered  *OrderRequest
+	refused  []error
+}
+
+func (f *fakeService) Apply(_ context.Context, operator string, req *ChangeRequest) (*ChangeReply, error) {
+	f.operator, f.applied = operator, req
+	if f.err != nil {
+		return nil, f.err
+	}
+	return &ChangeReply{Revision: 1 << 60, Index: 2}, nil
+}
+
+func (f *fakeService) RecordRefused(_ context.Context, _ string, cause error) {
+	f.refused = append(f.refused, cause)
+}
+
+func (f *fakeService) Order(_ context.Context, operator string, req *OrderRequest) (*OrderReply, error) {
+	if f.leader != "" {
+		err := fault.New(fault.NotLeader, "not the leader").WithOutcome(fault.NotRun)
+		err.Leader = f.leader
+		return nil, err
+	}
+	f.operator, f.ordered = operator, req
+	return &OrderReply{ID: req.RequestID, Epoch: 7}, f.err
+}
+
+func serve(t *testing.T, f *fakeService) string {
+	t.Helper()
+	sum := sha256.Sum256([]byte(testToken))
+	h := NewHandler(Options{Service: f, Operators: map[string]string{hex.EncodeToString(sum[:]): "ann"}, Log: logs.Nop()})
+	s := httptest.NewUnstartedServer(nil)
+	s.Config = NewServer(h)
+	s.Start()
+	t.Cleanup(s.Close)
+	return strings.TrimPrefix(s.URL, "http://")
+}
+
+func testContext(t *testing.T) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func send(t *testing.T, addr, token, body string) (int, ErrorBody) {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodPost, "http://"+addr+"/v1/changes", strings.NewReader(body))
+	assert.NilError(t, err)
+	req.Header.Set("Authorization", "Bearer "+token)
+	res, err := http.DefaultClient.Do(req)
+	assert.NilError(t, err)
+	defer res.Body.Close()
+	var e ErrorReply
+	assert.NilError(t, json.NewDecoder(res.Body).Decode(&e))
+	return res.StatusCode, e.Error
+}
+
+// Guards against changes by strangers, unbounded or misspelt bodies, and
+// refused changes that leave no trace.
+func TestAPI_RefusesBadRequests(t *testing.T) {
+	f := &fakeService{}
+	addr := serve(t, f)
+	code, e := send(t, addr, "wrong", `{}`)
+	assert.Equal(t, code, http.StatusUnauthorized)
+	assert.Equal(t, e.Outcome, "not_run")
+	code, _ = send(t, addr, testToken, strings.Repeat(" ", maxChangeBody+1))
+	assert.Equal(t, code, http.StatusBadRequest)
+	for body, want := range map[string]string{
+		`{"request_id":"r","putt":[]}`:                 "putt",
+		`{"request_id":"r","put":[{"knd":"service"}]}`: "knd",
+		`{"put":[]}`:                                   "request_id",
+		`{"request_id":"r","put":[null]}`:              "put",
+		`{"request_id":"r"} {}`:                        "after the JSON value",
+		``:                                             "missing",
+	} {
+		refused := len(f.refused)
+		code, e := send(t, addr, testToken, body)
+		assert.Equal(t, code, http.StatusBadRequest, body)
+		assert.Assert(t, strings.Contains(e.Message, want), "%s: %s", body, e.Message)
+		assert.Equal(t, len(f.refused), refused+1)
+	}
+	assert.Assert(t, f.applied == nil)
+}
+
+// Guards against fields lost between client and server: numbers above 2^53,
+// typed errors with their field and winner, and the name of the operator.
+func TestClient_RoundTrip(t *testing.T) {
+	f := &fakeService{}
+	c := &Client{Addresses: []string{"127.0.0.1:1", serve(t, f)}, Token: testToken}
+	entry := &wirepb.Entry{Kind: "service", Name: "pay", Owner: "o", Revision: 1<<60 + 1, Service: &wirepb.ServiceSpec{}}
+	reply, err := c.Apply(testContext(t), &ChangeRequest{BaseRevision: 1<<60 - 1, Put: []Entry{{entry}}})
+	assert.NilError(t, err)
+	assert.Equal(t, reply.Revision, uint64(1)<<60)
+	assert.Equal(t, f.operator, "ann")
+	assert.Equal(t, f.applied.Put[0].Value.Revision, entry.Revision)
+	assert.Assert(t, f.applied.RequestID != "")
+	conflict := fault.New(fault.Conflict, "lost").WithField("base_revision").WithOutcome(fault.NotRun).WithRetryAfter(time.Second)
+	conflict.Revision = 9
+	f.err = conflict
+	_, err = c.Apply(testContext(t), &ChangeRequest{})
+	got := fault.As(err)
+	assert.Equal(t, got.Kind, fault.Conflict)
+	assert.Equal(t, got.Field, "base_revision")
+	assert.Equal(t, got.Revision, uint64(9))
+	assert.Equal(t, got.RetryAfter, time.Second)
+	assert.Equal(t, got.Outcome, fault.NotRun)
+}
+
+// Guards against a client that calls a change not run although one of its
+// attempts may have run.
+func TestClient_KeepsUnknownOutcome(t *testing.T) {
+	f := &fakeService{err: fault.New(fault.Unknown, "no answer").WithOutcome(fault.MayHaveRun)}
+	c := &Client{Addresses: []string{serve(t, f), "127.0.0.1:1"}, Token: testToken}
+	_, err := c.Apply(testContext(t), &ChangeRequest{})
+	assert.Equal(t, fault.As(err).Outcome, fault.MayHaveRun)
+	c.Addresses = []string{"127.0.0.1:1"}
+	_, err = c.Apply(testContext(t), &ChangeRequest{})
+	assert.Equal(t, fault.As(err).Outcome, fault.NotRun)
+}
+
+// Guards against orders that a follower drops, and against replicas that pass
+// a request on in circles.
+func TestOrders_FollowerPassesToLeader(t *testing.T) {
+	leader := &fakeService{}
+	leaderAddr := serve(t, leader)
+	follower := &fakeService{leader: leaderAddr}
+	c := &Client{Addresses: []string{serve(t, follower)}, Token: testToken}
+	reply, err := c.Drain(testContext(t), "h1", DrainRequest{RequestID: "r"})
+	assert.NilError(t, err)
+	assert.Equal(t, reply.Epoch, uint64(7))
+	assert.Equal(t, leader.operator, "ann")
+	assert.Equal(t, leader.ordered.Host, "h1")
+	assert.Equal(t, leader.ordered.Order.Value.Action, "drain")
+	leader.leader = c.Addresses[0]
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	_, err = c.Drain(ctx, "h1", DrainRequest{RequestID: "r"})
+	assert.Equal(t, fault.KindOf(err), fault.Unavailable)
+}
+
+// Guards against bodies that crash the server or change when they are passed
+// on: what is accepted must survive encoding.
+func FuzzChangeBody(f *testing.F) {
+	f.Add([]byte(`{"base_revision":3,"request_id":"r","put":[{"kind":"policy","name":"default","policy":{"urgent_percent":60}}]}`))
+	f.Add([]byte(`{"request_id":"r","remove":[{"kind":"model","name":"m"}],"wait":true,"wait_ms":5}`))
+	f.Add([]byte(`{"request_id":"r","put":[{"limits":{"body_bytes":"18446744073709551615"}}]}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		req := &ChangeRequest{}
+		if err := decodeChange(body, req); err != nil {
+			assert.Equal(t, fault.As(err).Outcome, fault.NotRun)
+			return
+		}
+		roundTrip(t, req, func(b []byte, v *ChangeRequest) error { return decodeChange(b, v) })
+	})
+}
+
+// Guards against the same faults in orders and voter changes.
+func FuzzOrderAndVoterBody(f *testing.F) {
+	f.Add([]byte(`{"request_id":"r","host":"h","order":{"action":"load_model","model":"m"},"timeout_ms":5}`))
+	f.Add([]byte(`{"request_id":"r","action":"replace","old":1,"voter":{"id":"4","peer_address":"127.0.0.1:1","admin_address":"127.0.0.1:2"}}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		order, voter := &OrderRequest{}, &VoterRequest{}
+		if decode(body, order) == nil && order.validate() == nil {
+			roundTrip(t, order, func(b []byte, v *OrderRequest) error { return decode(b, v) })
+		}
+		if decode(body, voter) == nil && voter.validate() == nil {
+			roundTrip(t, voter, func(b []byte, v *VoterRequest) error { return decode(b, v) })
+		}
+	})
+}
+
+func roundTrip[T any](t *testing.T, v *T, decode func([]byte, *T) error) {
+	t.Helper()
+	first, err := json.Marshal(v)
+	assert.NilError(t, err)
+	again := new(T)
+	assert.NilError(t, decode(first, again), "%s", first)
+	second, err := json.Marshal(again)
+	assert.NilError(t, err)
+	// The protobuf encoder varies its white space.
+	assert.Assert(t, reflect.DeepEqual(compact(t, first), compact(t, second)), "%s\n%s", first, second)
+}
+
+func compact(t *testing.T, b []byte) string {
+	t.Helper()
+	var out bytes.Buffer
+	assert.NilError(t, json.Compact(&out, b))
+	return out.String()
+}
--- a/pkg/operators/types.go
+++ b/pkg/operators/types.go
@@ -28,6 +28,10 @@
 
 // UnmarshalJSON implements json.Unmarshaler. Unknown fields are refused.
 func (m *Message[T, P]) UnmarshalJSON(data []byte) error {
+	if string(data) == "null" {
+		m.Value = nil
+		return nil
+	}
 	value := P(new(T))
 	if err := protojson.Unmarshal(data, value); err != nil {
 		return err
--- a/pkg/role/control/registry.go
+++ b/pkg/role/control/registry.go
@@ -240,7 +240,7 @@
 func (r *Registry) Sweep(now time.Time) []*registration {
 	r.mu.Lock()
 	if !r.lastSweep.IsZero() && now.Sub(r.lastSweep) > Lease/2 {
-		r.extend(now.Sub(r.lastSweep))
+		r.extend(now, now.Sub(r.lastSweep))
 	}
 	r.lastSweep = now
 	expired := r.expire(now)
@@ -252,9 +252,10 @@
 	return expired
 }
 
-func (r *Registry) extend(pause time.Duration) {
+func (r *Registry) extend(now time.Time, pause time.Duration) {
 	for _, reg := range r.hosts {
-		reg.seen.Add(int64(pause))
+		seen := reg.seen.Load()
+		reg.seen.CompareAndSwap(seen, max(seen, min(seen+int64(pause), now.UnixNano())))
 	}
 }
 
