control: find the leader from a removed replica and ignore replicas outside the voters

A leader that removed itself could not record the removal, because it knew no leader any more. A joining replica, which also reports, held back confirmations.

--- a/pkg/role/control/confirm.go
+++ b/pkg/role/control/confirm.go
@@ -88,12 +88,23 @@
 }
 
 // confirmation joins the progress of all replicas. A replica that reports but
-// has not applied the revision counts as lagging itself.
+// has not applied the revision counts as lagging itself. Replicas outside the
+// set of voters serve nobody.
 func (c *Control) confirmation(revision uint64) *operators.Confirmation {
 	reports := c.peers.fresh(c.opts.Now())
 	reports[c.opts.ID] = c.watchers.progress(c.machine.Revision())
+	voters := c.node.Status().Voters
 	out := &operators.Confirmation{Confirmed: true}
-	for id, r := range reports {
+	for _, v := range voters {
+		id := v.GetId()
+		r := reports[id]
+		if r == nil {
+			out.Silent = append(out.Silent, id)
+			continue
+		}
+		if v.GetLearner() && r.GetWatchers() == 0 {
+			continue // still catching up
+		}
 		out.Watchers += int(r.GetWatchers())
 		if r.GetConfirmedRevision() >= revision {
 			continue
@@ -105,11 +116,6 @@
 		}
 		out.Lagging = append(out.Lagging, r.GetLagging()...)
 	}
-	for _, v := range c.node.Status().Voters {
-		if reports[v.GetId()] == nil {
-			out.Silent = append(out.Silent, v.GetId())
-		}
-	}
 	slices.Sort(out.Lagging)
 	out.Lagging = out.Lagging[:min(len(out.Lagging), maxLaggingListed)]
 	return out
--- a/pkg/role/control/linear_test.go
+++ b/pkg/role/control/linear_test.go
@@ -286,7 +286,7 @@
 	case "release":
 		cmd.Body = &wirepb.Command_Release{Release: &wirepb.ClaimRelease{Claim: req}}
 	}
-	result, err := m.proposer.attempt(ctx, cmd)
+	result, err := m.proposer.attempt(ctx, "", cmd)
 	if err != nil {
 		return nil, err
 	}
--- a/pkg/role/control/process.go
+++ b/pkg/role/control/process.go
@@ -25,7 +25,11 @@
 	if err != nil {
 		return err
 	}
-	p, err := startProcess(settings, log)
+	listeners, err := listenAll(settings)
+	if err != nil {
+		return err
+	}
+	p, err := startProcess(settings, listeners, log)
 	if err != nil {
 		return err
 	}
@@ -37,6 +41,27 @@
 	return p.stop(err)
 }
 
+// listeners are the open ports of the process.
+type listeners struct{ peer, admin net.Listener }
+
+func (l listeners) close() {
+	_ = l.peer.Close()
+	_ = l.admin.Close()
+}
+
+func listenAll(settings *Settings) (listeners, error) {
+	peer, err := listen(settings.PeerAddress, "replica.peer_address")
+	if err != nil {
+		return listeners{}, err
+	}
+	admin, err := listen(settings.AdminAddress, "admin.address")
+	if err != nil {
+		_ = peer.Close()
+		return listeners{}, err
+	}
+	return listeners{peer, admin}, nil
+}
+
 // process is a control process with its admin listener.
 type process struct {
 	settings  *Settings
@@ -47,18 +72,16 @@
 	failed    chan error
 }
 
-func startProcess(settings *Settings, log logs.Logger) (*process, error) {
+// startProcess serves the listeners, which it closes when it fails.
+func startProcess(settings *Settings, l listeners, log logs.Logger) (*process, error) {
 	tokens, err := settings.OperatorTokens()
 	if err != nil {
+		l.close()
 		return nil, err
 	}
-	adminListener, err := listen(settings.AdminAddress, "admin.address")
-	if err != nil {
-		return nil, err
-	}
-	c, err := startControl(settings, log)
+	c, err := startControl(settings, l.peer, log)
 	if err != nil {
-		_ = adminListener.Close()
+		l.close()
 		return nil, err
 	}
 	p := &process{
@@ -74,11 +97,11 @@
 		Platform:  platform.Handler(platform.Options{Lifecycle: p.lifecycle, Ready: c.Ready, Metrics: c.metrics.set}),
 		Log:       log.Part("operators"),
 	}))
-	go p.serveAdmin(adminListener)
+	go p.serveAdmin(l.admin)
 	return p, p.lifecycle.Ready()
 }
 
-func startControl(settings *Settings, log logs.Logger) (*Control, error) {
+func startControl(settings *Settings, ln net.Listener, log logs.Logger) (*Control, error) {
 	voters, err := settings.InitialVoters()
 	if err != nil {
 		return nil, err
@@ -93,15 +116,11 @@
 	if err != nil {
 		return nil, err
 	}
-	ln, err := listen(settings.PeerAddress, "replica.peer_address")
-	if err != nil {
-		return nil, err
-	}
 	bootstrap := voters
 	if settings.Join {
 		bootstrap = nil
 	}
-	c, err := Start(Options{
+	return Start(Options{
 		ID:       settings.ID,
 		Host:     settings.Host,
 		Listener: ln,
@@ -119,10 +138,6 @@
 			Log:             log,
 		}),
 	})
-	if err != nil {
-		_ = ln.Close()
-	}
-	return c, err
 }
 
 func listen(address, field string) (net.Listener, error) {
--- a/pkg/role/control/proposer.go
+++ b/pkg/role/control/proposer.go
@@ -35,8 +35,9 @@
 	p.metrics.proposals.Inc()
 	delay := minRetryDelay
 	uncertain := false
-	for {
-		result, err := p.attempt(ctx, cmd)
+	target := ""
+	for tries := 0; ; tries++ {
+		result, err := p.attempt(ctx, target, cmd)
 		if err == nil {
 			p.metrics.refused(result.GetError())
 			return result, nil
@@ -49,9 +50,28 @@
 			return nil, noAnswer(err, uncertain)
 		}
 		delay = min(2*delay, maxRetryDelay)
+		target = p.nextTarget(err, tries)
 	}
 }
 
+// nextTarget returns the replica to try after a failure: the leader that the
+// last one named, or any voter when this replica knows no leader, as after its
+// own removal.
+func (p *proposer) nextTarget(err error, tries int) string {
+	status := p.node.Status()
+	if leader := fault.As(err).Leader; leader != "" {
+		return leader
+	}
+	if status.leader() != nil || len(status.Voters) == 0 {
+		return ""
+	}
+	v := status.Voters[tries%len(status.Voters)]
+	if v.GetId() == status.ID {
+		return ""
+	}
+	return v.GetPeerAddress()
+}
+
 func noAnswer(err error, uncertain bool) error {
 	if uncertain {
 		return fault.Wrap(err, fault.Unknown, "command was not confirmed").WithOutcome(fault.MayHaveRun)
@@ -68,9 +88,13 @@
 	return false
 }
 
-func (p *proposer) attempt(ctx context.Context, cmd *wirepb.Command) (*wirepb.CommandResult, error) {
+// attempt proposes once, at the given address or at the leader.
+func (p *proposer) attempt(ctx context.Context, target string, cmd *wirepb.Command) (*wirepb.CommandResult, error) {
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
+	if target != "" {
+		return p.forward(ctx, target, cmd)
+	}
 	status := p.node.Status()
 	leader := status.leader()
 	if leader == nil || leader.GetId() == status.ID {
