control: share full states between watchers and pace registrations

When a replica starts, thousands of agents register within a second and each registration woke every watcher. The linearizability test restarts replicas as well.

--- a/pkg/role/control/bench_test.go
+++ b/pkg/role/control/bench_test.go
@@ -52,7 +52,7 @@
 func newBench(b *testing.B, watchers int) *bench {
 	m := NewMachine()
 	node := &soloNode{machine: m}
-	t := &bench{machine: m, feed: newFeed(m, NewRegistry(func() {}), func() int { return 0 })}
+	t := &bench{machine: m, feed: newFeed(m, NewRegistry(func(bool) {}), func() int { return 0 })}
 	t.proposer = &proposer{node: node, now: time.Now, metrics: newMetrics()}
 	t.barrier = newBarrier(node, time.Now)
 	for i := range watchers {
@@ -107,10 +107,38 @@
 	}
 }
 
+// Measures the full state of the planned size for each new watcher.
+func BenchmarkWatcherFull(b *testing.B) {
+	for _, organisations := range []int{360, 3600, 18_000} {
+		t := newBench(b, 1)
+		for i := range 11_000 {
+			a := announced(fmt.Sprintf("host-%d", i), 1)
+			a.Models = []*wirepb.ModelHeld{{Model: "model-a", Version: "v1", LastLayer: 40}}
+			_, err := t.feed.registry.Register(time.Now(), a, deadStream{})
+			assert.NilError(b, err)
+		}
+		for i := range organisations {
+			cmd := &wirepb.Command{RequestId: fmt.Sprint(i), Body: &wirepb.Command_Change{Change: &wirepb.Change{
+				BaseRevision: uint64(i), Put: []*wirepb.Entry{{Kind: "organisation", Name: fmt.Sprintf("organisation-%d", i), Owner: "o",
+					Organisation: &wirepb.OrganisationSpec{KeySha256: []string{fmt.Sprintf("%064x", i)}}}}}}}
+			_, err := t.proposer.propose(context.Background(), cmd)
+			assert.NilError(b, err)
+		}
+		b.Run(fmt.Sprintf("organisations=%d", organisations), func(b *testing.B) {
+			bytes := t.conns[0].bytes
+			for b.Loop() {
+				events, _ := t.feed.full(true)
+				assert.NilError(b, t.sessions[0].send(events))
+			}
+			b.ReportMetric(float64(t.conns[0].bytes-bytes)/float64(b.N), "B/watcher")
+		})
+	}
+}
+
 // Measures a heartbeat without the system calls of its connection.
 func BenchmarkHeartbeat(b *testing.B) {
 	for _, hosts := range []int{100, 1000, 11_000} {
-		c := &Control{opts: Options{Now: time.Now}, registry: NewRegistry(func() {})}
+		c := &Control{opts: Options{Now: time.Now}, registry: NewRegistry(func(bool) {})}
 		var regs []*registration
 		var streams []*registerStream
 		for i := range hosts {
--- a/pkg/role/control/cluster_test.go
+++ b/pkg/role/control/cluster_test.go
@@ -22,13 +22,13 @@
 // cluster runs control processes on real replicas and real sessions. Cuts stop
 // the messages of consensus between two replicas.
 type cluster struct {
-	t       testing.TB
-	voters  []*wirepb.Voter
-	dirs    []string
-	members []*Control // nil while stopped
+	t      testing.TB
+	voters []*wirepb.Voter
+	dirs   []string
 
-	mu  sync.Mutex
-	cut map[uint64]bool
+	mu      sync.Mutex
+	members []*Control // nil while stopped
+	cut     map[uint64]bool
 }
 
 // cutTransport drops messages from and to replicas that are cut off.
@@ -114,13 +114,25 @@
 		},
 	})
 	assert.NilError(c.t, err)
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.members[i] = m
 }
 
+// member returns a member, or nil while it is stopped.
+func (c *cluster) member(i int) *Control {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.members[i]
+}
+
 func (c *cluster) stop(i int) {
-	if c.members[i] != nil {
-		assert.Check(c.t, c.members[i].Close())
-		c.members[i] = nil
+	c.mu.Lock()
+	m := c.members[i]
+	c.members[i] = nil
+	c.mu.Unlock()
+	if m != nil {
+		assert.Check(c.t, m.Close())
 	}
 }
 
--- a/pkg/role/control/control.go
+++ b/pkg/role/control/control.go
@@ -52,6 +52,7 @@
 	advanced  *signal       // raised after progress of watchers anywhere
 	unary     atomic.Int64
 	entries   atomic.Int64 // cached number of live entries
+	stale     atomic.Bool  // the registry changed since watchers were notified
 }
 
 // Start opens the node and serves the listener.
@@ -73,7 +74,7 @@
 		report:   make(chan struct{}, 1),
 		advanced: newSignal(),
 	}
-	c.registry = NewRegistry(c.watchers.notify)
+	c.registry = NewRegistry(c.registryChanged)
 	c.peers = newPeers(c.advanced.raise)
 	c.feed = newFeed(c.machine, c.registry, c.liveEntries)
 	c.orders = newOrderBook(c)
@@ -130,6 +131,17 @@
 	c.watchers.notify()
 }
 
+// registryChanged tells watchers at once that an upstream takes no more work.
+// Other changes wait for the next sweep: when a replica starts, thousands of
+// agents register within a second, and each would wake every watcher.
+func (c *Control) registryChanged(urgent bool) {
+	if urgent {
+		c.watchers.notify()
+		return
+	}
+	c.stale.Store(true)
+}
+
 // sweepLoop ends registrations without heartbeats.
 func (c *Control) sweepLoop() {
 	ticker := time.NewTicker(sweepInterval)
@@ -146,6 +158,9 @@
 
 func (c *Control) sweep() {
 	now := c.opts.Now()
+	if c.stale.Swap(false) {
+		c.watchers.notify()
+	}
 	c.entries.Store(int64(c.peers.liveEntries(now)))
 	for _, reg := range c.registry.Sweep(now) {
 		c.metrics.expired.Inc()
@@ -160,6 +175,7 @@
 	ticker := time.NewTicker(peerStatusInterval)
 	defer ticker.Stop()
 	leader := uint64(0)
+	failed := false
 	for {
 		select {
 		case <-c.ctx.Done():
@@ -168,6 +184,10 @@
 		}
 		c.barrier.submit(func(error) {})
 		status := c.node.Status()
+		if status.Failed != nil && !failed {
+			c.log.Error("replica stopped", logs.Err(status.Failed))
+			failed = true
+		}
 		if status.Leader != leader && status.Leader != 0 {
 			c.metrics.leaderChanges.Inc()
 			c.log.Info("leader changed", logs.Uint("leader", status.Leader), logs.Uint("term", status.Term))
--- a/pkg/role/control/control_test.go
+++ b/pkg/role/control/control_test.go
@@ -279,3 +279,30 @@
 	c.until("the upstream gone", func() bool { return entry.View().Upstreams["h1"] == nil })
 	assert.Assert(t, time.Since(left) < 3*time.Second)
 }
+
+// Guards against a catalogue that no longer reaches watchers once it is larger
+// than a frame.
+func TestWatch_CatalogueOverFrameLimit(t *testing.T) {
+	c := startCluster(t, 1)
+	const parts, size = 4, 800
+	for part := range parts {
+		req := &operators.ChangeRequest{BaseRevision: uint64(part), RequestID: fmt.Sprint(part)}
+		for i := range size {
+			name := fmt.Sprintf("organisation-%d-%d", part, i)
+			keys := []string{fmt.Sprintf("%064x", part*size+i), fmt.Sprintf("%063xf", part*size+i+1<<40)}
+			req.Put = append(req.Put, operators.Entry{Value: &wirepb.Entry{
+				Kind: "organisation", Name: name, Owner: "o", Organisation: &wirepb.OrganisationSpec{KeySha256: keys},
+				Limits: &wirepb.Limits{TokensPerSecond: 1000}}})
+		}
+		_, err := c.members[0].Apply(background(t), "ann", req)
+		assert.NilError(t, err)
+	}
+	k := c.run(c.client(roleEntry, "e1"))
+	c.until("the whole catalogue", func() bool { return k.View() != nil && len(k.View().Organisations) == parts*size })
+	c.until("a confirmation", func() bool { return !k.Confirmed().IsZero() })
+	events, _ := c.members[0].feed.full(true)
+	assert.Assert(t, len(events) > 1)
+	for i, e := range events {
+		assert.Equal(t, e.More, i < len(events)-1)
+	}
+}
--- a/pkg/role/control/feed.go
+++ b/pkg/role/control/feed.go
@@ -35,11 +35,13 @@
 	voters      atomic.Pointer[voterList]
 	liveEntries func() int
 
-	mu     sync.Mutex
-	from   cursor
-	to     cursor
-	scope  bool // upstreams included
-	events []*wirepb.WatchEvent
+	mu       sync.Mutex
+	from     cursor
+	to       cursor
+	scope    bool // upstreams included
+	events   []*wirepb.WatchEvent
+	fullAt   [2]cursor // by whether upstreams are included
+	fullSent [2][]*wirepb.WatchEvent
 }
 
 func newFeed(m *Machine, r *Registry, liveEntries func() int) *feed {
@@ -55,17 +57,45 @@
 	f.voters.Store(&voterList{version: f.voters.Load().version + 1, voters: voters})
 }
 
-// full returns events that replace everything a watcher knows.
+// full returns events that replace everything a watcher knows. Watchers that
+// come at the same time, as after the loss of a replica, share them.
 func (f *feed) full(upstreams bool) ([]*wirepb.WatchEvent, cursor) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	slot := 0
+	if upstreams {
+		slot = 1
+	}
+	if f.fullSent[slot] == nil || !f.isCurrent(f.fullAt[slot], upstreams) {
+		f.fullSent[slot], f.fullAt[slot] = f.buildFull(upstreams)
+	}
+	return withLiveEntries(f.fullSent[slot], f.liveEntries()), f.fullAt[slot]
+}
+
+// withLiveEntries replaces the number of live entries in shared events.
+func withLiveEntries(events []*wirepb.WatchEvent, live int) []*wirepb.WatchEvent {
+	first := &wirepb.WatchEvent{
+		Revision:      events[0].Revision,
+		Full:          events[0].Full,
+		Entries:       events[0].Entries,
+		Voters:        events[0].Voters,
+		UpstreamsFull: events[0].UpstreamsFull,
+		Upstreams:     events[0].Upstreams,
+		LiveEntries:   uint32(live),
+		More:          events[0].More,
+	}
+	return append([]*wirepb.WatchEvent{first}, events[1:]...)
+}
+
+func (f *feed) buildFull(upstreams bool) ([]*wirepb.WatchEvent, cursor) {
 	var d state.Delta
 	f.machine.Read(func(s *state.Store) { d = s.Full() })
 	voters := f.voters.Load()
 	event := &wirepb.WatchEvent{
-		Revision:    d.Revision,
-		Full:        true,
-		Entries:     d.Put,
-		Voters:      voters.voters,
-		LiveEntries: uint32(f.liveEntries()),
+		Revision: d.Revision,
+		Full:     true,
+		Entries:  d.Put,
+		Voters:   voters.voters,
 	}
 	c := cursor{revision: d.Revision, voters: voters.version}
 	if upstreams {
--- a/pkg/role/control/linear_test.go
+++ b/pkg/role/control/linear_test.go
@@ -159,8 +159,8 @@
 }
 
 // Guards against stale reads, lost or repeated changes and claims with two
-// winners while replicas are cut off, also the leader.
-func TestHistory_LinearizableWithCuts(t *testing.T) {
+// winners while replicas are cut off or restarted, also the leader.
+func TestHistory_LinearizableWithCutsAndRestarts(t *testing.T) {
 	seed := uint64(time.Now().UnixNano())
 	t.Logf("seed %d", seed)
 	c := startCluster(t, 3)
@@ -179,7 +179,9 @@
 					return
 				default:
 				}
-				work(rec, c.members[rng.IntN(3)], worker, n, rng, created)
+				if m := c.member(rng.IntN(3)); m != nil {
+					work(rec, m, worker, n, rng, created)
+				}
 			}
 		}()
 	}
@@ -213,18 +215,25 @@
 	}
 }
 
-// cutOnce isolates a replica, the leader every other time, until the others
-// made progress, and heals the cut.
+// cutOnce takes a replica away until the others made progress, and brings it
+// back. Half of the times it is the leader, and half of the times it restarts.
 func (c *cluster) cutOnce(rng *rand.Rand) {
 	victim := rng.IntN(3)
 	if lead := c.leader(); lead >= 0 && rng.IntN(2) == 0 {
 		victim = lead
 	}
-	c.isolate(c.voters[victim].Id, true)
+	restart := rng.IntN(2) == 0
+	c.isolate(c.voters[victim].Id, !restart)
+	if restart {
+		c.stop(victim)
+	}
 	other := c.members[(victim+1)%3]
 	at := other.node.Status().Commit
-	c.until("commits without the isolated replica", func() bool { return other.node.Status().Commit > at+60 })
+	c.until("commits without the replica", func() bool { return other.node.Status().Commit > at+60 })
 	c.isolate(c.voters[victim].Id, false)
+	if restart {
+		c.start(victim, nil)
+	}
 	c.until("a leader", func() bool { return c.leader() >= 0 })
 }
 
--- a/pkg/role/control/registry.go
+++ b/pkg/role/control/registry.go
@@ -72,12 +72,12 @@
 	// lifecycle is the transition table of all upstreams. One machine serves
 	// them all, because a machine for each takes several kilobytes.
 	lifecycle *fsm.FSM
-	onChange  func()
+	onChange  func(urgent bool)
 }
 
 // NewRegistry returns an empty registry. onChange is called after each change
-// and must not block.
-func NewRegistry(onChange func()) *Registry {
+// and must not block; a change is urgent when an upstream takes no more work.
+func NewRegistry(onChange func(urgent bool)) *Registry {
 	live := []string{stateAnnounced, stateServing, stateDraining}
 	return &Registry{
 		hosts:    make(map[string]*registration),
@@ -107,7 +107,7 @@
 	if replaced != nil {
 		replaced.stream.end(fault.New(fault.StaleEpoch, "registration was replaced by a newer one"))
 	}
-	r.onChange()
+	r.onChange(a.GetState() == stateDraining)
 	return reg, nil
 }
 
@@ -188,7 +188,7 @@
 	if err := r.update(now, reg, a); err != nil {
 		return err
 	}
-	r.onChange()
+	r.onChange(a.GetState() == stateDraining)
 	return nil
 }
 
@@ -216,7 +216,7 @@
 	removed := r.remove(now, reg, "leave")
 	r.mu.Unlock()
 	if removed {
-		r.onChange()
+		r.onChange(true)
 	}
 }
 
@@ -247,7 +247,7 @@
 	r.prune(now)
 	r.mu.Unlock()
 	if len(expired) > 0 {
-		r.onChange()
+		r.onChange(true)
 	}
 	return expired
 }
--- a/pkg/role/control/registry_test.go
+++ b/pkg/role/control/registry_test.go
@@ -30,7 +30,7 @@
 func TestRegistry_DeltasFollowLeases(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		now := time.Unix(1_700_000_000, 0)
-		r := NewRegistry(func() {})
+		r := NewRegistry(func(bool) {})
 		type expected struct {
 			reg         *registration
 			incarnation uint64
@@ -95,7 +95,7 @@
 // Guards against ejecting every upstream after a pause of the replica itself.
 func TestRegistry_OwnPauseExtendsLeases(t *testing.T) {
 	now := time.Unix(1_700_000_000, 0)
-	r := NewRegistry(func() {})
+	r := NewRegistry(func(bool) {})
 	_, err := r.Register(now, announced("h", 1), deadStream{})
 	assert.NilError(t, err)
 	r.Sweep(now)
--- a/pkg/role/control/watch.go
+++ b/pkg/role/control/watch.go
@@ -71,7 +71,9 @@
 	if err := c.barrier.wait(c.ctx); err != nil {
 		return err
 	}
-	c.watchers.add(s)
+	if err := c.watchers.add(s); err != nil {
+		return err
+	}
 	defer c.progressed()
 	defer c.watchers.remove(s)
 	c.progressed()
--- a/pkg/role/control/watchers.go
+++ b/pkg/role/control/watchers.go
@@ -2,13 +2,19 @@
 
 import (
 	"sync"
+	"time"
 
+	"github.com/plantainstair/plantainstair/pkg/fault"
 	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
 )
 
 // roleEntry is the role of the watchers that count as live entries.
 const roleEntry = "entry"
 
+// maxWatchers bounds the watches of one replica. At the planned size two of
+// three replicas serve 13,100 entries and agents.
+const maxWatchers = 16_384
+
 // watchers is the set of watches that this replica serves.
 type watchers struct {
 	mu       sync.RWMutex
@@ -19,10 +25,14 @@
 	return &watchers{sessions: make(map[*watchSession]struct{})}
 }
 
-func (w *watchers) add(s *watchSession) {
+func (w *watchers) add(s *watchSession) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if len(w.sessions) >= maxWatchers {
+		return fault.New(fault.Overloaded, "%d watches are served, which is the limit", maxWatchers).WithRetryAfter(time.Second)
+	}
 	w.sessions[s] = struct{}{}
+	return nil
 }
 
 func (w *watchers) remove(s *watchSession) {
