--- a/pkg/core/state/store.go
+++ b/pkg/core/state/store.go
@@ -93,6 +93,11 @@
 	if len(cmd.GetRequestId()) > maxNameLength || len(cmd.GetOperator()) > maxNameLength {
 		return s.refuse(fault.New(fault.Invalid, "request id or operator is over %d bytes", maxNameLength).WithField("request_id"))
 	}
+	if body := cmd.GetRefused(); body != nil {
+		// Repeating it adds an audit record and nothing else, and bad requests
+		// must not fill the table of request ids.
+		return s.refused(cmd, body)
+	}
 	first, err := s.dedup.find(cmd)
 	if err != nil {
 		return s.refuse(err)
@@ -115,8 +120,6 @@
 		return s.change(cmd, body.Change)
 	case *wirepb.Command_Order:
 		return s.order(cmd, body.Order)
-	case *wirepb.Command_Refused:
-		return s.refused(cmd, body.Refused)
 	case *wirepb.Command_Voter:
 		return s.voter(cmd, body.Voter)
 	}
--- a/pkg/role/control/control_test.go
+++ b/pkg/role/control/control_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"runtime"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -11,7 +13,9 @@
 
 	"github.com/plantainstair/plantainstair/pkg/core/state"
 	"github.com/plantainstair/plantainstair/pkg/fault"
+	"github.com/plantainstair/plantainstair/pkg/link"
 	"github.com/plantainstair/plantainstair/pkg/operators"
+	"github.com/plantainstair/plantainstair/pkg/wire"
 	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
 )
 
@@ -306,3 +310,66 @@
 		assert.Equal(t, e.More, i < len(events)-1)
 	}
 }
+
+// Guards against work for an upstream whose agent is frozen, and against its
+// return under the incarnation that watchers were told is gone.
+func TestRegister_ExpiryAndReturn(t *testing.T) {
+	c := startCluster(t, 1)
+	entry := c.run(c.client(roleEntry, "e1"))
+	c.until("a view", func() bool { return entry.View() != nil })
+	session, err := link.Dial(background(t), c.members[0].Address(), link.Options{Identity: link.Identity{Role: roleAgent, Host: "h9"}})
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = session.Close() })
+	register := func(incarnation uint64) *wire.Stream {
+		s, err := session.Open()
+		assert.NilError(t, err)
+		first := &wirepb.Register{Announcement: announced("h9", incarnation), Role: roleAgent}
+		assert.NilError(t, s.Write(&wirepb.Frame{Body: &wirepb.Frame_Register{Register: first}}))
+		return s
+	}
+	frozen := register(5)
+	c.until("the upstream", func() bool { return entry.View().Upstreams["h9"] != nil })
+	since := time.Now()
+	f, err := frozen.Read()
+	assert.NilError(t, err)
+	assert.Equal(t, f.GetError().GetKind(), string(fault.StaleEpoch))
+	c.until("the upstream gone", func() bool { return entry.View().Upstreams["h9"] == nil })
+	assert.Assert(t, time.Since(since) < 3*time.Second)
+	f, err = register(5).Read()
+	assert.NilError(t, err)
+	assert.Equal(t, f.GetError().GetRevision(), uint64(5))
+	register(6)
+	c.until("the upstream again", func() bool { return entry.View().Upstreams["h9"].GetIncarnation() == 6 })
+}
+
+// Guards against more loads at once than the store of the weights allows, and
+// against a place that is lost when a waiting order gives up.
+func TestPacer_BoundsLoads(t *testing.T) {
+	p := &pacer{limit: func() int { return 2 }}
+	var running, most atomic.Int64
+	var wg sync.WaitGroup
+	for i := range 200 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			if i%3 == 0 {
+				cancel()
+			}
+			if p.acquire(ctx) != nil {
+				return
+			}
+			if n := running.Add(1); n > most.Load() {
+				most.Store(n)
+			}
+			runtime.Gosched()
+			running.Add(-1)
+			p.release()
+		}()
+	}
+	wg.Wait()
+	assert.Assert(t, most.Load() <= 2)
+	assert.Equal(t, p.running, 0)
+	assert.Equal(t, len(p.queue), 0)
+}
