--- /dev/null
+++ b/pkg/core/route/cost.go
@@ -0,0 +1,109 @@
+package route
+
+import (
+	"time"
+)
+
+const (
+	// expectedTokens caps the generated tokens that a choice is made for;
+	// most answers end well before the caller's maximum.
+	expectedTokens = 256
+	// Round trips assumed between agents that have not measured their link.
+	localLink  = 200 * time.Microsecond
+	remoteLink = 2 * time.Millisecond
+	// maxPrefixBonus bounds the gain of a cached prefix as a part of the time
+	// to the first token. Cache events come late and with gaps, so a wrong
+	// guess may cost at most this much.
+	maxPrefixBonus = 0.5
+	// avoidPenalty makes a data centre to be avoided the last resort.
+	avoidPenalty = 30 * time.Second
+	// defaultFirstToken and defaultInterToken stand in for an engine that has
+	// not reported its speed.
+	defaultFirstToken = 200 * time.Millisecond
+	defaultInterToken = 20 * time.Millisecond
+)
+
+// tokensOf returns the generated tokens that a choice is made for.
+func (n *Need) tokensOf() time.Duration {
+	if n.MaxTokens <= 0 || n.MaxTokens > expectedTokens {
+		return expectedTokens
+	}
+	return time.Duration(n.MaxTokens)
+}
+
+// nodeCost estimates the time that u adds to the request, without its links.
+func (n *Need) nodeCost(u *Upstream, sent int64, weight float64) time.Duration {
+	first, inter := u.speed()
+	work := first + n.tokensOf()*inter
+	cost := n.queueCost(u, sent, work) + work - n.prefixBonus(u, first)
+	if weight < 1 {
+		cost = time.Duration(float64(cost) / max(weight, 0.01))
+	}
+	if n.AvoidDataCentre != "" && u.DataCentre == n.AvoidDataCentre {
+		cost += avoidPenalty
+	}
+	return cost
+}
+
+func (u *Upstream) speed() (first, inter time.Duration) {
+	first, inter = u.FirstToken, u.InterToken
+	if first <= 0 {
+		first = defaultFirstToken
+	}
+	if inter <= 0 {
+		inter = defaultInterToken
+	}
+	return first, inter
+}
+
+// queueCost estimates the wait at u. Requests sent since the report are not in
+// the reported wait: those that fit a free slot cost nothing, the others queue
+// for a slot, each taking work/slots.
+func (n *Need) queueCost(u *Upstream, sent int64, work time.Duration) time.Duration {
+	slots := max(u.Slots, 1)
+	wait := u.Wait[n.Rank] + u.ReportAge
+	excess := int64(u.Running) + sent + 1 - int64(slots)
+	excess = min(excess, sent+1)
+	if excess > 0 {
+		wait += work * time.Duration(excess) / time.Duration(slots)
+	}
+	return wait
+}
+
+// prefixBonus is the part of the first token's time that a cached prefix is
+// expected to save.
+func (n *Need) prefixBonus(u *Upstream, first time.Duration) time.Duration {
+	if len(u.Prefixes) == 0 {
+		return 0
+	}
+	for i := len(n.Prefixes) - 1; i >= 0; i-- {
+		if _, ok := u.Prefixes[n.Prefixes[i]]; ok {
+			part := float64(i+1) / float64(len(n.Prefixes))
+			return time.Duration(float64(first) * part * maxPrefixBonus)
+		}
+	}
+	return 0
+}
+
+// linkCost is the time that the link between two stages adds: one round trip
+// for the prompt and one for each further token.
+func (n *Need) linkCost(from, to *Upstream) time.Duration {
+	return n.tokensOf() * roundTrip(from, to)
+}
+
+func roundTrip(from, to *Upstream) time.Duration {
+	if d, ok := from.Links[to.Host]; ok {
+		return d
+	}
+	if d, ok := to.Links[from.Host]; ok {
+		return d
+	}
+	if from.DataCentre == to.DataCentre {
+		return localLink
+	}
+	return remoteLink
+}
+
+// headCost is the time that the way from this process to the first stage adds.
+// Tokens stream back one way, so it counts once.
+func (n *Need) headCost(u *Upstream) time.Duration { return u.RoundTrip }
--- /dev/null
+++ b/pkg/core/route/sample.go
@@ -0,0 +1,152 @@
+package route
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+const (
+	// samplesPerSet is the number of candidates drawn from each set of hosts
+	// of a range: those in the caller's data centre, those in one random data
+	// centre, those anywhere, and those that the prefix hash points to.
+	samplesPerSet = 2
+	// drawsPerSample bounds the draws before a set is scanned.
+	drawsPerSample = 4
+)
+
+// candidate is a sampled host with its cost.
+type candidate struct {
+	cell *cell
+	up   *Upstream
+	cost time.Duration
+}
+
+// sampler draws candidates for one request.
+type sampler struct {
+	need    *Need
+	rng     *rand.Rand
+	adapter bool // check that the adapter is held
+	rank    int
+	model   string
+	version string
+	first   int
+	last    int
+}
+
+// sample appends candidates of g to out. It finds at least one when g has one.
+func (s *sampler) sample(g *group, remote string, out []candidate) []candidate {
+	start := len(out)
+	out = s.draw(g.dataCentres[s.need.DataCentre], out, start)
+	if remote != s.need.DataCentre {
+		out = s.draw(g.dataCentres[remote], out, start)
+	}
+	out = s.draw(g.all, out, start)
+	out = s.byPrefix(g, out, start)
+	if len(out) == start {
+		out = s.scan(g.all, out, start)
+	}
+	return out
+}
+
+// draw appends up to samplesPerSet random eligible hosts of the set.
+func (s *sampler) draw(set []*cell, out []candidate, start int) []candidate {
+	if len(set) == 0 {
+		return out
+	}
+	if len(set) <= samplesPerSet {
+		for _, c := range set {
+			out = s.consider(c, out, start, true)
+		}
+		return out
+	}
+	found := len(out) + samplesPerSet
+	for range samplesPerSet * drawsPerSample {
+		out = s.consider(set[s.rng.IntN(len(set))], out, start, true)
+		if len(out) >= found {
+			break
+		}
+	}
+	return out
+}
+
+// byPrefix appends the host that the longest prefix hashes to. Requests with
+// the same prefix therefore meet at the same hosts, without an index of all
+// cached prefixes.
+func (s *sampler) byPrefix(g *group, out []candidate, start int) []candidate {
+	if len(s.need.Prefixes) == 0 {
+		return out
+	}
+	set := g.dataCentres[s.need.DataCentre]
+	if len(set) == 0 {
+		set = g.all
+	}
+	for _, p := range []uint64{s.need.Prefixes[0], s.need.Prefixes[len(s.need.Prefixes)-1]} {
+		out = s.consider(set[jumpHash(p, len(set))], out, start, true)
+	}
+	return out
+}
+
+// scan appends the first eligible hosts from a random offset, regardless of
+// their weight as long as it is not zero.
+func (s *sampler) scan(set []*cell, out []candidate, start int) []candidate {
+	offset := s.rng.IntN(len(set))
+	for i := range set {
+		out = s.consider(set[(offset+i)%len(set)], out, start, false)
+		if len(out)-start >= 2*samplesPerSet {
+			break
+		}
+	}
+	return out
+}
+
+// consider appends c if it is eligible and new. With slow, a host of weight w
+// is taken with probability w, which limits its traffic during slow start.
+func (s *sampler) consider(c *cell, out []candidate, start int, slow bool) []candidate {
+	if slices.ContainsFunc(out[start:], func(o candidate) bool { return o.cell == c }) {
+		return out
+	}
+	u := c.up.Load()
+	if !s.eligible(u) {
+		return out
+	}
+	weight := 1.0
+	if s.need.Weight != nil {
+		weight = s.need.Weight(u.Host)
+	}
+	if weight <= 0 || slow && weight < 1 && s.rng.Float64() >= weight {
+		return out
+	}
+	cost := s.need.nodeCost(u, c.sentSinceReport(), weight)
+	return append(out, candidate{cell: c, up: u, cost: cost})
+}
+
+func (s *sampler) eligible(u *Upstream) bool {
+	if u.Draining || u.Stale || s.need.Exclude[u.Host] {
+		return false
+	}
+	return !s.adapter || s.holdsAdapter(u)
+}
+
+func (s *sampler) holdsAdapter(u *Upstream) bool {
+	for i := range u.Models {
+		h := &u.Models[i]
+		if h.Model == s.model && h.Version == s.version &&
+			h.FirstLayer == s.first && h.LastLayer == s.last {
+			return slices.Contains(h.Adapters, s.need.Adapter)
+		}
+	}
+	return false
+}
+
+// jumpHash maps key to one of n buckets; a change of n moves few keys
+// (Lamping and Veach, 2014).
+func jumpHash(key uint64, n int) int {
+	b, j := int64(-1), int64(0)
+	for j < int64(n) {
+		b = j
+		key = key*2862933555777941757 + 1
+		j = int64(float64(b+1) * (float64(int64(1)<<31) / float64((key>>33)+1)))
+	}
+	return int(b)
+}
--- /dev/null
+++ b/pkg/core/route/tracker.go
@@ -0,0 +1,306 @@
+package route
+
+import (
+	"math"
+	"sync"
+	"time"
+)
+
+// TrackerConfig sets the thresholds of a Tracker. Zero values take the
+// defaults.
+type TrackerConfig struct {
+	ErrorRate    float64       // ejects above this rate of recent errors
+	ErrorsInRow  int           // ejects after this many errors in a row
+	SlowFactor   float64       // ejects above this multiple of the median latency
+	MinSamples   float64       // recent samples needed to judge rate or latency
+	Window       time.Duration // time constant of "recent"
+	BaseEjection time.Duration // first ejection; doubled for each failed probe
+	MaxEjection  time.Duration
+	ProbeTimeout time.Duration // a probe without outcome is given up
+	SlowStart    time.Duration // ramp to full weight after the return
+}
+
+// Defaults of TrackerConfig.
+const (
+	DefaultErrorRate    = 0.5
+	DefaultErrorsInRow  = 5
+	DefaultSlowFactor   = 3.0
+	DefaultMinSamples   = 8.0
+	DefaultWindow       = 10 * time.Second
+	DefaultBaseEjection = time.Second
+	DefaultMaxEjection  = 30 * time.Second
+	DefaultProbeTimeout = 5 * time.Second
+	DefaultSlowStart    = 10 * time.Second
+)
+
+const (
+	// startWeight is the weight at the beginning of slow start.
+	startWeight = 0.1
+	// probeWeight makes an ejected host with a due probe a rare candidate.
+	probeWeight = 0.05
+	// medianInterval is the minimum age of a median before it is computed
+	// again; sorting 11,000 latencies takes about a millisecond.
+	medianInterval = time.Second
+	// minForMedian is the number of hosts below which no host is judged slow.
+	minForMedian = 3
+)
+
+// Tracker ejects hosts that fail or are slow compared with their group, lets
+// one probe through at a time, and returns hosts by a slow start. Slowness
+// never ejects more than half of a group; errors may eject all of it.
+type Tracker struct {
+	mu     sync.Mutex
+	cfg    TrackerConfig
+	hosts  map[string]*hostState
+	groups map[string]*groupState
+}
+
+type phase uint8
+
+const (
+	phaseServing phase = iota
+	phaseEjected
+	phaseProbing // one probe is on its way
+	phaseReturning
+)
+
+type hostState struct {
+	group          *groupState
+	phase          phase
+	errors, weight float64 // decayed sums; weight counts samples
+	latency        float64 // decayed mean of successes, seconds
+	samples        float64 // decayed count of successes
+	last           time.Time
+	inRow          int
+	ejections      int // consecutive, for the doubling
+	slow           bool
+	until          time.Time // end of the ejection or of the probe
+	returned       time.Time
+}
+
+type groupState struct {
+	hosts      map[string]*hostState
+	slow       int // hosts ejected for slowness
+	median     float64
+	computed   time.Time
+	latencies  []float64
+	comparable int // hosts that the median was taken over
+}
+
+// NewTracker returns a tracker that knows no host.
+func NewTracker(cfg TrackerConfig) *Tracker {
+	return &Tracker{
+		cfg:    cfg.withDefaults(),
+		hosts:  make(map[string]*hostState),
+		groups: make(map[string]*groupState),
+	}
+}
+
+// SetGroup assigns a host to the group whose median its latency is compared
+// with, such as the hosts with the same accelerator and layer count. Hosts
+// belong to the group "" at first.
+func (t *Tracker) SetGroup(host, group string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	h := t.host(host)
+	g := t.group(group)
+	if h.group == g {
+		return
+	}
+	t.leaveGroup(host, h)
+	h.group = g
+	g.hosts[host] = h
+	if h.slow {
+		g.slow++
+	}
+}
+
+// Forget drops a host that left.
+func (t *Tracker) Forget(host string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if h := t.hosts[host]; h != nil {
+		t.leaveGroup(host, h)
+		delete(t.hosts, host)
+	}
+}
+
+// Observe records the outcome of a request. The latency of a failure is not
+// used.
+func (t *Tracker) Observe(host string, ok bool, latency time.Duration, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	h := t.host(host)
+	switch h.phase {
+	case phaseProbing:
+		t.finishProbe(h, ok, now)
+		return
+	case phaseEjected:
+		return // outcome of a request sent before the ejection
+	}
+	h.record(ok, latency, now, t.cfg.Window)
+	if t.failing(h) {
+		t.eject(h, now, false)
+		return
+	}
+	if ok && t.tooSlow(h, now) {
+		t.eject(h, now, true)
+	}
+}
+
+// Weight returns the share of its normal traffic that a host may receive. An
+// ejected host has weight 0 until a probe is due, and a small weight then; the
+// probe itself needs Admit.
+func (t *Tracker) Weight(host string, now time.Time) float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	h := t.hosts[host]
+	if h == nil {
+		return 1
+	}
+	switch h.phase {
+	case phaseEjected, phaseProbing:
+		if now.Before(h.until) {
+			return 0
+		}
+		return probeWeight
+	case phaseReturning:
+		part := float64(now.Sub(h.returned)) / float64(t.cfg.SlowStart)
+		if part >= 1 {
+			h.phase = phaseServing
+			h.ejections = 0
+			return 1
+		}
+		return startWeight + (1-startWeight)*max(part, 0)
+	}
+	return 1
+}
+
+// Admit is called for each host of a choice just before work is sent. For an
+// ejected host it takes the probe; it reports false while another probe is on
+// its way or none is due, and the caller must then choose again without the
+// host.
+func (t *Tracker) Admit(host string, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	h := t.hosts[host]
+	if h == nil || h.phase == phaseServing || h.phase == phaseReturning {
+		return true
+	}
+	if now.Before(h.until) {
+		return false
+	}
+	h.phase = phaseProbing
+	h.until = now.Add(t.cfg.ProbeTimeout)
+	return true
+}
+
+func (t *Tracker) finishProbe(h *hostState, ok bool, now time.Time) {
+	if !ok {
+		t.eject(h, now, h.slow)
+		return
+	}
+	t.clearSlow(h)
+	h.phase = phaseReturning
+	h.returned = now
+	h.errors, h.weight, h.samples, h.latency = 0, 0, 0, 0
+	h.inRow = 0
+	h.last = now
+}
+
+func (t *Tracker) eject(h *hostState, now time.Time, slow bool) {
+	if slow != h.slow {
+		t.clearSlow(h)
+	}
+	if slow && !h.slow {
+		h.slow = true
+		h.group.slow++
+	}
+	h.phase = phaseEjected
+	h.until = now.Add(t.ejectionTime(h.ejections))
+	h.ejections++
+}
+
+func (t *Tracker) ejectionTime(earlier int) time.Duration {
+	d := t.cfg.BaseEjection
+	for range earlier {
+		if d >= t.cfg.MaxEjection {
+			break
+		}
+		d *= 2
+	}
+	return min(d, t.cfg.MaxEjection)
+}
+
+func (t *Tracker) clearSlow(h *hostState) {
+	if h.slow {
+		h.slow = false
+		h.group.slow--
+	}
+}
+
+func (t *Tracker) failing(h *hostState) bool {
+	if h.inRow >= t.cfg.ErrorsInRow {
+		return true
+	}
+	return h.weight >= t.cfg.MinSamples && h.errors/h.weight > t.cfg.ErrorRate
+}
+
+// tooSlow compares h with the median of its group.
+func (t *Tracker) tooSlow(h *hostState, now time.Time) bool {
+	if h.samples < t.cfg.MinSamples {
+		return false
+	}
+	g := h.group
+	g.refresh(now, t.cfg.MinSamples)
+	if g.comparable < minForMedian || 2*(g.slow+1) > len(g.hosts) {
+		return false
+	}
+	return h.latency > t.cfg.SlowFactor*g.median
+}
+
+// record adds a sample to the decayed sums.
+func (h *hostState) record(ok bool, latency time.Duration, now time.Time, window time.Duration) {
+	if dt := now.Sub(h.last); dt > 0 && !h.last.IsZero() {
+		keep := math.Exp(-float64(dt) / float64(window))
+		h.errors *= keep
+		h.weight *= keep
+		h.samples *= keep
+	}
+	h.last = now
+	h.weight++
+	if !ok {
+		h.errors++
+		h.inRow++
+		return
+	}
+	h.inRow = 0
+	h.samples++
+	h.latency += (latency.Seconds() - h.latency) / h.samples
+}
+
+func (t *Tracker) host(name string) *hostState {
+	h := t.hosts[name]
+	if h == nil {
+		h = &hostState{group: t.group("")}
+		h.group.hosts[name] = h
+		t.hosts[name] = h
+	}
+	return h
+}
+
+func (t *Tracker) group(name string) *groupState {
+	g := t.groups[name]
+	if g == nil {
+		g = &groupState{hosts: make(map[string]*hostState)}
+		t.groups[name] = g
+	}
+	return g
+}
+
+func (t *Tracker) leaveGroup(host string, h *hostState) {
+	delete(h.group.hosts, host)
+	if h.slow {
+		h.group.slow--
+	}
+}
--- /dev/null
+++ b/pkg/core/sched/config.go
@@ -0,0 +1,79 @@
+package sched
+
+import "time"
+
+// Defaults of Config.
+const (
+	DefaultMaxQueued      = 1024
+	DefaultMaxQueuedBytes = 64 << 20
+	DefaultReserveWindow  = 2 * time.Second
+)
+
+// DefaultShares are the minimum shares of urgent, standard and batch.
+var DefaultShares = [Ranks]float64{0.60, 0.25, 0.15}
+
+// Config sets the limits of a scheduler. Zero values take the defaults.
+type Config struct {
+	Slots          int // requests that run at once
+	Shares         [Ranks]float64
+	MaxQueued      int
+	MaxQueuedBytes int64
+	// UrgentReserve is the number of slots that only urgent work may take
+	// while urgent work was seen within ReserveWindow. Zero derives it from
+	// Slots; a negative value turns it off.
+	UrgentReserve int
+	ReserveWindow time.Duration
+}
+
+func (c Config) withDefaults() Config {
+	if c.Slots <= 0 {
+		c.Slots = 1
+	}
+	if c.MaxQueued <= 0 {
+		c.MaxQueued = DefaultMaxQueued
+	}
+	if c.MaxQueuedBytes <= 0 {
+		c.MaxQueuedBytes = DefaultMaxQueuedBytes
+	}
+	if c.ReserveWindow <= 0 {
+		c.ReserveWindow = DefaultReserveWindow
+	}
+	c.Shares = validShares(c.Shares)
+	return c
+}
+
+// validShares returns shares that are not negative and add up to at most 1.
+func validShares(shares [Ranks]float64) [Ranks]float64 {
+	sum := 0.0
+	for r := range shares {
+		shares[r] = max(shares[r], 0)
+		sum += shares[r]
+	}
+	if sum == 0 {
+		return DefaultShares
+	}
+	if sum > 1 {
+		for r := range shares {
+			shares[r] /= sum
+		}
+	}
+	return shares
+}
+
+// slotsPerReserve is the number of slots for each reserved one: an eighth of
+// the slots is reserved, and upstreams with fewer than four slots reserve none.
+const (
+	slotsPerReserve    = 8
+	minSlotsForReserve = 4
+)
+
+// reserve returns the slots that lower ranks must leave free for urgent work.
+func (c *Config) reserve() int {
+	if c.UrgentReserve < 0 || c.Slots < minSlotsForReserve {
+		return 0
+	}
+	if c.UrgentReserve > 0 {
+		return min(c.UrgentReserve, c.Slots-1)
+	}
+	return max(c.Slots/slotsPerReserve, 1)
+}
--- /dev/null
+++ b/pkg/core/sched/ranks.go
@@ -0,0 +1,67 @@
+package sched
+
+import "time"
+
+// pickRank returns the rank whose request runs next. A rank with a positive
+// credit is below its minimum share; the most urgent of these goes first. When
+// no rank is below its minimum, the most urgent queued rank borrows the slot.
+func (s *Scheduler) pickRank(now time.Time) (Rank, bool) {
+	lent, found := Rank(0), false
+	for r := Urgent; r < Ranks; r++ {
+		q := &s.ranks[r]
+		if q.queued == 0 || !s.slotFor(r, now) {
+			continue
+		}
+		if q.credit > 0 {
+			return r, true
+		}
+		if !found {
+			lent, found = r, true
+		}
+	}
+	return lent, found
+}
+
+// slotFor reports whether a request of rank r may take a slot now.
+func (s *Scheduler) slotFor(r Rank, now time.Time) bool {
+	free := s.cfg.Slots - s.running
+	if r != Urgent && s.urgentRecently(now) {
+		free -= s.openReserve()
+	}
+	return free > 0
+}
+
+// openReserve returns the reserved slots that urgent work does not hold yet.
+func (s *Scheduler) openReserve() int {
+	return max(s.cfg.reserve()-s.ranks[Urgent].running, 0)
+}
+
+func (s *Scheduler) urgentRecently(now time.Time) bool {
+	return !s.urgentSeen.IsZero() && now.Sub(s.urgentSeen) < s.cfg.ReserveWindow
+}
+
+func (s *Scheduler) noteUrgent(now time.Time) {
+	q := &s.ranks[Urgent]
+	if q.queued > 0 || q.running > 0 {
+		s.urgentSeen = now
+	}
+}
+
+// charge accounts tokens, which may be negative, to the flow and the rank of
+// it. Every rank earns its share of them. Tokens of a request that ran on lent
+// share are not held against its rank.
+func (s *Scheduler) charge(it *item, tokens int) {
+	it.charged += tokens
+	own := &s.ranks[it.req.Rank]
+	own.advance(it.flow, tokens)
+	if it.entitled {
+		own.credit -= float64(tokens)
+	}
+	for r := range s.ranks {
+		q := &s.ranks[r]
+		q.credit += q.share * float64(tokens)
+		if q.queued == 0 {
+			q.credit = min(q.credit, 0) // an idle rank saves no credit
+		}
+	}
+}
