sched: keep idle ranks out of debt when estimates are refunded

Taking back an unused estimate lowered the credit of ranks that had earned nothing on it, so an idle rank could fall into unbounded debt. Each request now remembers what each rank earned on it.

--- a/pkg/core/route/sample.go
+++ b/pkg/core/route/sample.go
@@ -27,7 +27,6 @@
 	need    *Need
 	rng     *rand.Rand
 	adapter bool // check that the adapter is held
-	rank    int
 	model   string
 	version string
 	first   int
--- a/pkg/core/sched/load.go
+++ b/pkg/core/sched/load.go
@@ -139,6 +139,17 @@
 
 func (m *rateMeter) add(tokens int) { m.tokens += float64(tokens) }
 
+// meanCostPart is the weight of the newest request in the mean cost.
+const meanCostPart = 0.1
+
+func (m *rateMeter) finished(tokens int) {
+	if m.meanCost == 0 {
+		m.meanCost = float64(tokens)
+		return
+	}
+	m.meanCost += meanCostPart * (float64(tokens) - m.meanCost)
+}
+
 func (m *rateMeter) perSecond(slots int) float64 {
 	if m.slotSeconds < minSlotSeconds {
 		return 0
--- a/pkg/core/sched/queue.go
+++ b/pkg/core/sched/queue.go
@@ -16,6 +16,7 @@
 	deadlineIndex int
 	charged       int // tokens charged to the flow and the rank
 	used          int // tokens reported by Charge
+	earned        [Ranks]float64 // credit that each rank earned on charged
 	state         itemState
 	entitled      bool // started on the minimum share of its rank
 }
@@ -85,8 +86,10 @@
 	q.queuedBytes += it.req.Bytes
 	q.queuedTokens += int64(it.req.Cost)
 	if f.queued == 1 {
-		q.activate(f, it.req.Weight)
+		q.activate(f)
 	}
+	q.weights += it.req.Weight - f.weight
+	f.weight = it.req.Weight
 }
 
 func (q *rankQueue) flow(organisation string) *flow {
@@ -98,14 +101,13 @@
 	return f
 }
 
-func (q *rankQueue) activate(f *flow, weight float64) {
+func (q *rankQueue) activate(f *flow) {
 	if f.idle {
 		q.idle.remove(f.index)
 		f.idle = false
 	}
-	f.weight = weight
 	f.virtual = max(f.virtual, q.virtual)
-	q.weights += weight
+	q.weights += f.weight
 	q.backlogged.push(f)
 }
 
--- a/pkg/core/sched/ranks.go
+++ b/pkg/core/sched/ranks.go
@@ -47,9 +47,9 @@
 	}
 }
 
-// charge accounts tokens, which may be negative, to the flow and the rank of
-// it. Every rank earns its share of them. Tokens of a request that ran on lent
-// share are not held against its rank.
+// charge adds tokens to what the flow and the rank of it have received. Every
+// rank earns its share of them; a rank with nothing queued saves no credit.
+// Tokens of a request that ran on lent share are not held against its rank.
 func (s *Scheduler) charge(it *item, tokens int) {
 	it.charged += tokens
 	own := &s.ranks[it.req.Rank]
@@ -59,9 +59,32 @@
 	}
 	for r := range s.ranks {
 		q := &s.ranks[r]
+		before := q.credit
 		q.credit += q.share * float64(tokens)
 		if q.queued == 0 {
-			q.credit = min(q.credit, 0) // an idle rank saves no credit
+			q.credit = min(q.credit, max(before, 0))
 		}
+		it.earned[r] += q.credit - before
 	}
 }
+
+// refund takes back the unused part of the estimate. Each rank loses what it
+// earned on that part, and nothing while it has nothing queued: a rank that
+// earned nothing, or gave up what it earned, must not fall into debt.
+func (s *Scheduler) refund(it *item, tokens int) {
+	own := &s.ranks[it.req.Rank]
+	own.advance(it.flow, -tokens)
+	if it.entitled {
+		own.credit += float64(tokens)
+	}
+	part := float64(tokens) / float64(it.charged)
+	for r := range s.ranks {
+		q := &s.ranks[r]
+		if q.queued > 0 {
+			q.credit -= part * it.earned[r]
+		} else {
+			q.credit = min(q.credit, 0)
+		}
+	}
+	it.charged -= tokens
+}
--- a/pkg/core/sched/sched.go
+++ b/pkg/core/sched/sched.go
@@ -149,10 +149,13 @@
 	s.noteUrgent(now)
 	s.rate.advance(now, s.running)
 	if it.used == 0 {
-		s.rate.add(it.req.Cost)
-	} else if it.used < it.charged {
-		s.charge(it, it.used-it.charged)
+		it.used = it.req.Cost
+		s.rate.add(it.used)
 	}
+	if it.used < it.charged {
+		s.refund(it, it.charged-it.used)
+	}
+	s.rate.finished(it.used)
 	s.running--
 	s.ranks[it.req.Rank].finished(it)
 	s.release(it)
