--- a/pkg/core/sched/config.go
+++ b/pkg/core/sched/config.go
@@ -6,7 +6,10 @@
 const (
 	DefaultMaxQueued      = 1024
 	DefaultMaxQueuedBytes = 64 << 20
-	DefaultReserveWindow  = 2 * time.Second
+	// DefaultReserveWindow is about the time of one long generation. With 2 s,
+	// batch work took the reserve between urgent requests and held it for
+	// longer than the window (see docs/decisions/rank-and-fairness.md).
+	DefaultReserveWindow = 10 * time.Second
 )
 
 // DefaultShares are the minimum shares of urgent, standard and batch.
@@ -18,9 +21,9 @@
 	Shares         [Ranks]float64
 	MaxQueued      int
 	MaxQueuedBytes int64
-	// UrgentReserve is the number of slots that only urgent work may take
-	// while urgent work was seen within ReserveWindow. Zero derives it from
-	// Slots; a negative value turns it off.
+	// UrgentReserve is the number of slots that lower ranks leave free while
+	// urgent work was seen within ReserveWindow. Zero derives it from Slots;
+	// a negative value turns it off.
 	UrgentReserve int
 	ReserveWindow time.Duration
 }
@@ -60,20 +63,18 @@
 	return shares
 }
 
-// slotsPerReserve is the number of slots for each reserved one: an eighth of
-// the slots is reserved, and upstreams with fewer than four slots reserve none.
-const (
-	slotsPerReserve    = 8
-	minSlotsForReserve = 4
-)
+// slotsPerReserve is the number of slots for each reserved one. Upstreams with
+// fewer slots reserve none, because one slot would cost more than an eighth of
+// their throughput.
+const slotsPerReserve = 8
 
 // reserve returns the slots that lower ranks must leave free for urgent work.
 func (c *Config) reserve() int {
-	if c.UrgentReserve < 0 || c.Slots < minSlotsForReserve {
+	if c.UrgentReserve < 0 {
 		return 0
 	}
 	if c.UrgentReserve > 0 {
 		return min(c.UrgentReserve, c.Slots-1)
 	}
-	return max(c.Slots/slotsPerReserve, 1)
+	return c.Slots / slotsPerReserve
 }
--- a/pkg/core/sched/ranks.go
+++ b/pkg/core/sched/ranks.go
@@ -31,9 +31,11 @@
 	return free > 0
 }
 
-// openReserve returns the reserved slots that urgent work does not hold yet.
+// openReserve returns the slots kept free for urgent work that arrives next.
+// Urgent work that already holds its minimum share of the slots gets no more.
 func (s *Scheduler) openReserve() int {
-	return max(s.cfg.reserve()-s.ranks[Urgent].running, 0)
+	minimum := int(s.cfg.Shares[Urgent] * float64(s.cfg.Slots))
+	return max(min(s.cfg.reserve(), minimum-s.ranks[Urgent].running), 0)
 }
 
 func (s *Scheduler) urgentRecently(now time.Time) bool {
