--- /dev/null
+++ b/pkg/core/route/chain_test.go
@@ -0,0 +1,260 @@
+package route
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/plantainstair/plantainstair/pkg/core/sched"
+	"github.com/plantainstair/plantainstair/pkg/fault"
+)
+
+const testLayers = 4
+
+// drawUpstream returns a host with random state, holding up to two ranges.
+func drawUpstream(t *rapid.T, host string) *Upstream {
+	ms := func(label string, most int) time.Duration {
+		return time.Duration(rapid.IntRange(0, most).Draw(t, label)) * time.Millisecond
+	}
+	u := &Upstream{
+		Host:       host,
+		DataCentre: rapid.SampledFrom([]string{"d1", "d2"}).Draw(t, "data centre"),
+		Slots:      rapid.IntRange(1, 4).Draw(t, "slots"),
+		Running:    rapid.IntRange(0, 4).Draw(t, "running"),
+		Wait:       [sched.Ranks]time.Duration{0, ms("wait", 500), ms("wait", 5000)},
+		FirstToken: ms("first", 300),
+		InterToken: ms("inter", 30),
+		RoundTrip:  ms("rtt", 5),
+		Draining:   rapid.IntRange(0, 9).Draw(t, "draining") == 0,
+		Stale:      rapid.IntRange(0, 9).Draw(t, "stale") == 0,
+		Prefixes:   map[uint64]struct{}{uint64(rapid.IntRange(1, 3).Draw(t, "prefix")): {}},
+		Links:      map[string]time.Duration{"h0": ms("link", 20), "h1": ms("link", 20)},
+	}
+	for range rapid.IntRange(1, 2).Draw(t, "ranges") {
+		first := rapid.IntRange(0, testLayers-1).Draw(t, "first layer")
+		held := Held{
+			Model:      "m",
+			Version:    rapid.SampledFrom([]string{"v1", "v2"}).Draw(t, "version"),
+			FirstLayer: first,
+			LastLayer:  rapid.IntRange(first, testLayers-1).Draw(t, "last layer"),
+		}
+		if rapid.Bool().Draw(t, "adapter") {
+			held.Adapters = []string{"a1"}
+		}
+		u.Models = append(u.Models, held)
+	}
+	return u
+}
+
+func drawNeed(t *rapid.T) Need {
+	n := Need{
+		Model:      "m",
+		Version:    rapid.SampledFrom([]string{"", "v1", "v2"}).Draw(t, "need version"),
+		Adapter:    rapid.SampledFrom([]string{"", "", "a1"}).Draw(t, "need adapter"),
+		Layers:     testLayers,
+		Rank:       sched.Rank(rapid.IntRange(0, 2).Draw(t, "rank")),
+		MaxTokens:  rapid.IntRange(0, 300).Draw(t, "max tokens"),
+		Prefixes:   []uint64{1, 2, 3},
+		DataCentre: "d1",
+		Exclude:    map[string]bool{"h2": rapid.Bool().Draw(t, "exclude")},
+	}
+	if rapid.Bool().Draw(t, "avoid") {
+		n.AvoidDataCentre = "d2"
+	}
+	return n
+}
+
+// exhaustive returns the cheapest cost of every chain that n allows.
+func exhaustive(hosts []*Upstream, n *Need) (best time.Duration, found bool) {
+	var walk func(layer int, version string, last *Upstream, used map[string]bool, cost time.Duration)
+	walk = func(layer int, version string, last *Upstream, used map[string]bool, cost time.Duration) {
+		if layer == n.Layers {
+			if !found || cost < best {
+				best, found = cost, true
+			}
+			return
+		}
+		for _, u := range hosts {
+			for _, h := range u.Models {
+				if used[u.Host] || h.FirstLayer != layer || (last != nil && h.Version != version) || !allowed(u, h, n) {
+					continue
+				}
+				link := u.RoundTrip
+				if last != nil {
+					link = n.linkCost(last, u)
+				}
+				used[u.Host] = true
+				walk(h.LastLayer+1, h.Version, u, used, cost+link+n.nodeCost(u, 0, 1))
+				used[u.Host] = false
+			}
+		}
+	}
+	walk(0, "", nil, map[string]bool{}, 0)
+	return best, found
+}
+
+func allowed(u *Upstream, h Held, n *Need) bool {
+	if u.Draining || u.Stale || n.Exclude[u.Host] || (n.Version != "" && n.Version != h.Version) {
+		return false
+	}
+	return n.Adapter == "" || (len(h.Adapters) > 0 && h.Adapters[0] == n.Adapter)
+}
+
+// checkChain returns the cost of a chain after checking that it covers every
+// layer once, on distinct allowed hosts that hold the ranges of one version.
+func checkChain(t *rapid.T, chain []Stage, n *Need) time.Duration {
+	cost, layer, version := time.Duration(0), 0, ""
+	used := map[string]bool{}
+	for i, s := range chain {
+		assert.Equal(t, s.FirstLayer, layer)
+		layer = s.LastLayer + 1
+		assert.Assert(t, !used[s.Host], "host used twice")
+		used[s.Host] = true
+		holds := false
+		for _, h := range s.Models {
+			if h.FirstLayer == s.FirstLayer && h.LastLayer == s.LastLayer && allowed(s.Upstream, h, n) &&
+				(i == 0 || version == h.Version || len(s.Models) > 1) {
+				holds = true
+				version = h.Version
+			}
+		}
+		assert.Assert(t, holds, "stage %d does not hold its range", i)
+		if i == 0 {
+			cost += s.RoundTrip
+		} else {
+			cost += n.linkCost(chain[i-1].Upstream, s.Upstream)
+		}
+		cost += n.nodeCost(s.Upstream, 0, 1)
+	}
+	assert.Equal(t, layer, n.Layers)
+	return cost
+}
+
+// Guards against chains that miss or repeat a layer, mix versions, use a host
+// that is not allowed, are dearer than the cheapest one, or are not found. The
+// table is small enough that the sample holds every host.
+func TestChainAgainstExhaustiveSearch(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tab := NewTable()
+		var hosts []*Upstream
+		for i := range rapid.IntRange(1, 7).Draw(t, "hosts") {
+			u := drawUpstream(t, fmt.Sprint("h", i))
+			hosts = append(hosts, u)
+			tab.Update(u)
+		}
+		n := drawNeed(t)
+		seed := rapid.Uint64().Draw(t, "seed")
+		whole := len(hosts) <= samplesPerSet
+		want, exists := exhaustive(hosts, &n)
+		chain, err := tab.Chain(n, rand.New(rand.NewPCG(seed, 0)))
+		if err != nil {
+			assert.Equal(t, fault.As(err).Outcome, fault.NotRun)
+			assert.Assert(t, !exists || !distinct(hosts) && !whole, "chain not found")
+			return
+		}
+		assert.Assert(t, exists)
+		cost := checkChain(t, chain, &n)
+		assert.Assert(t, cost >= want)
+		if whole && distinct(hosts) {
+			assert.Equal(t, cost, want)
+		}
+	})
+}
+
+// distinct reports whether no host holds two ranges.
+func distinct(hosts []*Upstream) bool {
+	for _, u := range hosts {
+		if len(u.Models) > 1 {
+			return false
+		}
+	}
+	return true
+}
+
+// Guards against a shortest path that is not the cheapest of the sampled
+// graph, or that uses a host twice.
+func TestShortestPathOfSample(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := drawNeed(t)
+		var hosts []*Upstream
+		var nodes []node
+		for first := range testLayers {
+			for range rapid.IntRange(0, 4).Draw(t, "candidates") {
+				u := drawUpstream(t, fmt.Sprint("h", len(hosts)))
+				u.Draining, u.Stale = false, false
+				u.Models = []Held{{Model: "m", FirstLayer: first, LastLayer: rapid.IntRange(first, testLayers-1).Draw(t, "last")}}
+				hosts = append(hosts, u)
+				c := candidate{cell: &cell{host: u.Host}, up: u, cost: n.nodeCost(u, 0, 1)}
+				nodes = append(nodes, node{candidate: c, first: first, last: u.Models[0].LastLayer})
+			}
+		}
+		n.Version, n.Adapter, n.Exclude = "", "", nil
+		want, exists := exhaustive(hosts, &n)
+		p := shortest(nodes, &n)
+		assert.Equal(t, p.nodes != nil, exists)
+		if exists {
+			assert.Equal(t, p.cost, want)
+		}
+	})
+}
+
+// Guards against an index that differs from one built anew: after any updates
+// and removals each range and service lists exactly the hosts that hold it.
+func TestIncrementalIndex(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tab := NewTable()
+		state := map[string]*Upstream{}
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			host := fmt.Sprint("h", rapid.IntRange(0, 5).Draw(t, "host"))
+			if rapid.IntRange(0, 3).Draw(t, "remove") == 0 {
+				delete(state, host)
+				tab.Remove(host)
+				continue
+			}
+			u := drawUpstream(t, host)
+			u.Services = rapid.SampledFrom([][]string{nil, {"s1"}, {"s1", "s2"}}).Draw(t, "services")
+			state[host] = u
+			tab.Update(u)
+		}
+		want := map[string]bool{}
+		for host, u := range state {
+			for _, h := range u.Models {
+				want[fmt.Sprint(h.Version, h.FirstLayer, h.LastLayer, host)] = true
+				want[fmt.Sprint(h.Version, h.FirstLayer, h.LastLayer, host, u.DataCentre)] = true
+			}
+			for _, s := range u.Services {
+				want[fmt.Sprint(s, host)] = true
+				want[fmt.Sprint(s, host, u.DataCentre)] = true
+			}
+		}
+		assert.DeepEqual(t, indexed(tab.index.Load()), want)
+		assert.Equal(t, tab.Len(), len(state))
+	})
+}
+
+func indexed(x *index) map[string]bool {
+	got := map[string]bool{}
+	add := func(prefix string, g *group) {
+		for _, c := range g.all {
+			got[prefix+c.host] = true
+		}
+		for dc, cells := range g.dataCentres {
+			for _, c := range cells {
+				got[prefix+c.host+dc] = true
+			}
+		}
+	}
+	for _, v := range x.models["m"] {
+		for _, r := range v.ranges {
+			add(fmt.Sprint(v.name, r.first, r.last), r.group)
+		}
+	}
+	for name, g := range x.services {
+		add(name, g)
+	}
+	return got
+}
