--- /dev/null
+++ b/pkg/core/route/tracker_test.go
@@ -0,0 +1,135 @@
+package route
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+var testStart = time.Unix(1000, 0)
+
+func observe(t *Tracker, host string, ok bool, latency time.Duration, now time.Time, times int) {
+	for range times {
+		t.Observe(host, ok, latency, now)
+	}
+}
+
+// Guards against a failing host that keeps its traffic, more than one probe at
+// a time, a probe that is lost for ever, and a return at full weight.
+func TestEjectProbeReturn(t *testing.T) {
+	tr := NewTracker(TrackerConfig{})
+	now := testStart
+	observe(tr, "a", false, 0, now, DefaultErrorsInRow-1)
+	assert.Equal(t, tr.Weight("a", now), 1.0)
+	observe(tr, "a", false, 0, now, 1)
+	assert.Equal(t, tr.Weight("a", now), 0.0)
+	assert.Assert(t, !tr.Admit("a", now))
+
+	ejection := DefaultBaseEjection
+	for range 7 { // each failed probe doubles the ejection, up to the maximum
+		assert.Assert(t, !tr.Admit("a", now.Add(ejection-1)))
+		now = now.Add(ejection)
+		assert.Equal(t, tr.Weight("a", now), probeWeight)
+		assert.Assert(t, tr.Admit("a", now))
+		assert.Assert(t, !tr.Admit("a", now), "two probes at a time")
+		assert.Equal(t, tr.Weight("a", now), 0.0)
+		tr.Observe("a", false, 0, now)
+		ejection = min(2*ejection, DefaultMaxEjection)
+	}
+
+	now = now.Add(ejection)
+	assert.Assert(t, tr.Admit("a", now))
+	now = now.Add(DefaultProbeTimeout) // the probe is lost
+	assert.Assert(t, tr.Admit("a", now))
+	tr.Observe("a", true, time.Millisecond, now)
+	last := 0.0
+	for i := range 11 {
+		w := tr.Weight("a", now.Add(time.Duration(i)*DefaultSlowStart/10))
+		assert.Assert(t, w > last && w <= 1, "weight %v after %v", w, last)
+		last = w
+	}
+	assert.Equal(t, last, 1.0)
+}
+
+// Guards against an error rate below the limit of errors in a row that is
+// never noticed.
+func TestEjectByErrorRate(t *testing.T) {
+	tr := NewTracker(TrackerConfig{})
+	for range 12 {
+		observe(tr, "a", true, time.Millisecond, testStart, 1)
+		observe(tr, "a", false, 0, testStart, 3)
+	}
+	assert.Equal(t, tr.Weight("a", testStart), 0.0)
+}
+
+// Guards against slowness that ejects more than half of a group, a slow host
+// that stays, and hosts that are judged by the latency of another group.
+func TestSlowEjection(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tr := NewTracker(TrackerConfig{})
+		now := testStart
+		hosts := rapid.IntRange(1, 9).Draw(t, "hosts")
+		latency := make([]time.Duration, hosts)
+		for i := range latency {
+			latency[i] = rapid.SampledFrom([]time.Duration{10, 12, 100, 1000}).Draw(t, "latency") * time.Millisecond
+			tr.SetGroup(fmt.Sprint("fast", i), "fast")
+			tr.SetGroup(fmt.Sprint("slow", i), "slow")
+		}
+		for range 60 {
+			now = now.Add(100 * time.Millisecond)
+			for i := range latency {
+				tr.Observe(fmt.Sprint("fast", i), true, latency[i], now)
+				tr.Observe(fmt.Sprint("slow", i), true, 3*time.Second, now)
+			}
+			ejected := 0
+			for i := range latency {
+				if tr.Weight(fmt.Sprint("fast", i), now) < 1 {
+					ejected++
+				}
+				assert.Equal(t, tr.Weight(fmt.Sprint("slow", i), now), 1.0)
+			}
+			assert.Assert(t, 2*ejected <= hosts, "%d of %d hosts ejected for slowness", ejected, hosts)
+		}
+	})
+}
+
+// Guards against one slow host among equals that is not ejected.
+func TestOneSlowHost(t *testing.T) {
+	tr := NewTracker(TrackerConfig{})
+	now := testStart
+	for range 30 {
+		now = now.Add(100 * time.Millisecond)
+		for _, host := range []string{"a", "b", "c", "d"} {
+			tr.Observe(host, true, 20*time.Millisecond, now)
+		}
+		tr.Observe("e", true, 200*time.Millisecond, now)
+	}
+	assert.Assert(t, tr.Weight("e", now) < 1)
+	assert.Equal(t, tr.Weight("a", now), 1.0)
+}
+
+// Guards against retries that amplify an overload.
+func TestBudgetBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := NewBudget()
+		now := testStart
+		requests, retries := 0, 0
+		for range rapid.IntRange(1, 300).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(-5, 100).Draw(t, "ms")) * time.Millisecond)
+			if rapid.IntRange(0, 2).Draw(t, "kind") > 0 {
+				b.Request(now)
+				requests++
+			}
+			if b.Retry(now) {
+				retries++
+			}
+			elapsed := max(now.Sub(testStart), 0).Seconds() + 0.005*300 // clock steps back
+			limit := retryBurst + retryPart*float64(requests) + retryFloor*elapsed
+			assert.Assert(t, float64(retries) <= limit+1e-6, "%d retries for %d requests", retries, requests)
+		}
+		assert.Assert(t, retries > 0)
+	})
+}
--- a/pkg/core/session/stream.go
+++ b/pkg/core/session/stream.go
@@ -45,7 +45,10 @@
 	if s.guard.Epoch() != 0 {
 		return Plan{}, fault.New(fault.Internal, "stream was already started")
 	}
-	if err := s.open(chain); err != nil {
+	if err := s.setChain(chain); err != nil {
+		return Plan{}, err
+	}
+	if err := s.guard.Open(1, 0); err != nil {
 		return Plan{}, err
 	}
 	return s.plan(), nil
@@ -57,21 +60,19 @@
 	if s.complete {
 		return fault.New(fault.OutOfOrder, "token after the last one").WithField("position")
 	}
-	if len(s.emitted) >= s.maxTokens {
-		return fault.New(fault.OutOfOrder, "more than %d tokens", s.maxTokens).WithField("position")
-	}
 	if err := s.guard.Step(epoch, position, 1); err != nil {
 		return err
 	}
 	s.emitted = append(s.emitted, token)
-	s.complete = last
+	s.complete = last || len(s.emitted) == s.maxTokens
 	return nil
 }
 
 // Fail decides what follows after the attempt of the given epoch failed.
 // Stage is the index of the failed stage in the chain, or fault.NoStage when
-// the connection to the head was lost. The caller selects a chain without the
-// excluded hosts and passes it to Resume.
+// the connection to the head was lost. The epoch rises at once, so that a late
+// token of the failed attempt is refused. The caller selects a chain without
+// the excluded hosts and passes it to Resume.
 func (s *Stream) Fail(epoch uint64, stage int) (Plan, error) {
 	if epoch != s.guard.Epoch() {
 		return Plan{}, stale(epoch, s.guard.Epoch())
@@ -84,17 +85,18 @@
 		return Plan{}, s.exhausted()
 	}
 	s.repairs++
-	p := s.plan()
-	p.Epoch++
-	return p, nil
+	if err := s.guard.Open(epoch+1, uint32(len(s.emitted))); err != nil {
+		return Plan{}, err
+	}
+	return s.plan(), nil
 }
 
-// Resume begins the next attempt on a new chain.
+// Resume sets the chain of the next attempt.
 func (s *Stream) Resume(p Plan, chain []string) error {
-	if p.Epoch != s.guard.Epoch()+1 {
+	if p.Epoch != s.guard.Epoch() {
 		return stale(p.Epoch, s.guard.Epoch())
 	}
-	return s.open(chain)
+	return s.setChain(chain)
 }
 
 // Emitted returns the tokens accepted so far. The caller must not change them.
@@ -107,7 +109,7 @@
 // Repairs returns the number of repairs begun.
 func (s *Stream) Repairs() int { return s.repairs }
 
-func (s *Stream) open(chain []string) error {
+func (s *Stream) setChain(chain []string) error {
 	if len(chain) == 0 {
 		return fault.New(fault.Invalid, "chain is empty").WithField("chain")
 	}
@@ -117,7 +119,7 @@
 		}
 	}
 	s.chain = slices.Clone(chain)
-	return s.guard.Open(s.guard.Epoch()+1, uint32(len(s.emitted)))
+	return nil
 }
 
 // exclude adds the host of the failed stage; the head when none is named.
