Add catalogue files

Cause: operators edit the catalogue in the same format as the settings.

Change: pkg/catalogue reads and writes INI files with one section for each entry; pkg/config decodes named sections and refuses unknown kinds, repeated names and unknown keys, all in one error.

Conclusion: entries are unchanged after being written and read again.

--- /dev/null
+++ b/pkg/catalogue/catalogue_test.go
@@ -0,0 +1,54 @@
+package catalogue
+
+import (
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+)
+
+const file = `
+[organisation titiwangsa]
+owner = chat team
+class = urgent
+key_sha256 = ab12, cd34
+weight = 2
+tokens_per_second = 5000
+
+[model cartridge]
+layers = 4
+version = v1
+adapters = taps
+
+[service orders]
+repeatable_methods = GET
+timeout = 2s
+
+[policy default]
+urgent_percent = 50
+`
+
+// Guards against entries that change when they are written and read again.
+func TestFormat_RoundTrip(t *testing.T) {
+	entries, err := Parse("a.ini", []byte(file))
+	assert.NilError(t, err)
+	assert.Equal(t, len(entries), 4)
+	assert.DeepEqual(t, entries[0].Organisation.KeySha256, []string{"ab12", "cd34"})
+	assert.Equal(t, entries[2].Service.TimeoutMs, uint32(2000))
+	again, err := Parse("b.ini", []byte(Format(entries)))
+	assert.NilError(t, err)
+	for i := range entries {
+		assert.Assert(t, proto.Equal(entries[i], again[i]), "%v\n%v", entries[i], again[i])
+	}
+}
+
+// Guards against a faulty file that is applied in part.
+func TestParse_ListsFaults(t *testing.T) {
+	_, err := Parse("a.ini", []byte("[model m]\nversion=1\ncolour=red\n[organisation]\n[model m]\nversion=2\n"))
+	assert.Error(t, err, `a.ini: 5 faults in settings
+  [model m] layers: is required
+  [model m] version: is set 2 times
+  [model m] colour: is not a known setting
+  [organisation] : is not a known kind of section
+  [model m] : occurs more than once`)
+}
--- a/pkg/config/config.go
+++ b/pkg/config/config.go
@@ -74,24 +74,65 @@
 	return ini.LoadOptions{AllowNonUniqueSections: true, AllowShadows: true, IgnoreInlineComment: true}
 }
 
-// decoder collects faults while it fills the fields of a struct.
+// Section is one named section of a file in which each section describes one
+// item, decoded into Value.
+type Section struct {
+	Name  string
+	Value any
+}
+
+// ParseSections decodes each section into the struct that newValue returns for
+// its name. The section part of the tags is ignored. A nil value refuses the
+// section, and so does a name that occurs twice.
+func ParseSections(name string, data []byte, newValue func(section string) any) ([]Section, error) {
+	file, err := ini.LoadSources(iniOptions(), data)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Invalid, "read sections").WithField(name)
+	}
+	var sections []Section
+	var faults []Fault
+	seen := make(map[string]bool)
+	for _, s := range file.Sections() {
+		if s.Name() == ini.DefaultSection && len(s.Keys()) == 0 {
+			continue
+		}
+		value := newValue(s.Name())
+		switch {
+		case value == nil:
+			faults = append(faults, Fault{Section: s.Name(), Reason: "is not a known kind of section"})
+			continue
+		case seen[s.Name()]:
+			faults = append(faults, Fault{Section: s.Name(), Reason: "occurs more than once"})
+			continue
+		}
+		seen[s.Name()] = true
+		d := &decoder{file: file, known: make(map[string]bool), only: s.Name()}
+		d.run(value)
+		faults = append(faults, d.faults...)
+		sections = append(sections, Section{Name: s.Name(), Value: value})
+	}
+	if len(faults) > 0 {
+		return nil, &Error{Path: name, Faults: faults}
+	}
+	return sections, nil
+}
+
+// decoder collects faults while it fills the fields of a struct. A non-empty
+// only limits it to one section, whatever section the tags name.
 type decoder struct {
 	file   *ini.File
 	faults []Fault
 	known  map[string]bool
+	only   string
 }
 
 func decode(path string, file *ini.File, settings any) error {
-	d := &decoder{file: file, known: make(map[string]bool)}
 	v := reflect.ValueOf(settings)
 	if v.Kind() != reflect.Pointer || v.Elem().Kind() != reflect.Struct {
 		return fault.New(fault.Internal, "settings must be a pointer to a struct, not %T", settings)
 	}
-	for _, f := range fieldsOf(v.Elem()) {
-		d.known[f.section+"."+f.key] = true
-		d.fill(f)
-	}
-	d.refuseUnknown()
+	d := &decoder{file: file, known: make(map[string]bool)}
+	d.run(settings)
 	if len(d.faults) == 0 {
 		return nil
 	}
@@ -99,6 +140,17 @@
 	return &Error{Path: path, Faults: d.faults}
 }
 
+func (d *decoder) run(settings any) {
+	for _, f := range fieldsOf(reflect.ValueOf(settings).Elem()) {
+		if d.only != "" {
+			f.section = d.only
+		}
+		d.known[f.section+"."+f.key] = true
+		d.fill(f)
+	}
+	d.refuseUnknown()
+}
+
 func (d *decoder) fail(section, key, format string, args ...any) {
 	d.faults = append(d.faults, Fault{Section: section, Key: key, Reason: fmt.Sprintf(format, args...)})
 }
@@ -142,6 +194,9 @@
 
 func (d *decoder) refuseUnknown() {
 	for _, s := range d.file.Sections() {
+		if d.only != "" && s.Name() != d.only {
+			continue
+		}
 		for _, k := range s.Keys() {
 			if !d.known[s.Name()+"."+k.Name()] {
 				d.fail(s.Name(), k.Name(), "is not a known setting")
