upstreams, standin: add the engine HTTP protocol and the stand-ins

The agent needs a client for engines and services and a receiver for their announcements; tests need upstreams whose answers depend on every layer run.

--- /dev/null
+++ b/pkg/standin/engine.go
@@ -0,0 +1,217 @@
+package standin
+
+import (
+	"context"
+	"encoding/binary"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/plantainstair/plantainstair/pkg/fault"
+	"github.com/plantainstair/plantainstair/pkg/upstreams"
+)
+
+// EngineOptions configure a stand-in engine.
+type EngineOptions struct {
+	Name          string
+	Models        []upstreams.Model
+	Layers        uint32 // layers of the whole model
+	Slots         uint32
+	KVTokens      uint64
+	Accelerator   string
+	ChecksFencing bool
+	Timing        Timing
+	NoRecords     bool
+	Report        ReportOptions
+}
+
+// Engine is a stand-in for an engine server.
+type Engine struct {
+	opts     EngineOptions
+	switches *switchboard
+	records  *recorder
+	batch    *batcher
+	slots    *slots
+	cache    *prefixCache
+	sessions *sessionTable
+
+	orderMu    sync.Mutex
+	orderEpoch uint64
+
+	ctx  context.Context
+	stop context.CancelFunc
+}
+
+// NewEngine returns a running engine without a listener.
+func NewEngine(opts EngineOptions) *Engine {
+	ctx, stop := context.WithCancel(context.Background())
+	e := &Engine{
+		opts:     opts,
+		switches: newSwitchboard(),
+		records:  newRecorder(opts.NoRecords),
+		slots:    newSlots(int(opts.Slots)),
+		cache:    newPrefixCache(opts.KVTokens),
+		sessions: newSessionTable(),
+		ctx:      ctx,
+		stop:     stop,
+	}
+	e.batch = newBatcher(opts.Timing, e.switches, e.records)
+	go e.batch.loop(ctx)
+	return e
+}
+
+// Close stops the engine.
+func (e *Engine) Close() { e.stop() }
+
+// SetFaults replaces the faults in force.
+func (e *Engine) SetFaults(f Faults) { e.switches.set(f) }
+
+// Die ends the engine as a crash does.
+func (e *Engine) Die() { e.switches.die() }
+
+// Records returns what the engine executed.
+func (e *Engine) Records() Records {
+	running, waiting := e.slots.usage()
+	r := e.records.snapshot()
+	r.Sessions, r.Waiting = running, waiting
+	return r
+}
+
+// Handler serves the engine HTTP protocol.
+func (e *Engine) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+upstreams.PathGenerate, e.serveGenerate)
+	mux.HandleFunc("POST "+upstreams.PathStage, e.serveStage)
+	mux.HandleFunc("DELETE "+upstreams.PathSessions+"{id}", e.serveCancel)
+	mux.HandleFunc("GET "+upstreams.PathSessions+"{id}/kv", e.serveExport)
+	mux.HandleFunc("PUT "+upstreams.PathSessions+"{id}/kv", e.serveImport)
+	mux.HandleFunc("POST "+upstreams.PathOrders, e.serveOrder)
+	mux.HandleFunc("POST /fault", e.switches.serveFault)
+	mux.HandleFunc("GET /records", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, e.Records()) })
+	return e.gate(mux)
+}
+
+// gate holds all requests but those of the tests while the engine is frozen.
+func (e *Engine) gate(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/fault" && r.URL.Path != "/records" {
+			if e.switches.pass(r.Context()) != nil {
+				panic(http.ErrAbortHandler)
+			}
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// holds reports whether the engine can run the layers.
+func (e *Engine) holds(model, version, adapter string, first, last uint32) error {
+	for _, m := range e.opts.Models {
+		if m.Model != model || m.Version != version {
+			continue
+		}
+		if m.FirstLayer != first || m.LastLayer != last {
+			continue
+		}
+		if adapter == "" || contains(m.Adapters, adapter) {
+			return nil
+		}
+	}
+	return fault.New(fault.NotFound, "layers %d to %d of model %.64q %.64q with adapter %.64q are not held", first, last, model, version, adapter).WithField("model")
+}
+
+func contains(list []string, want string) bool {
+	for _, s := range list {
+		if s == want {
+			return true
+		}
+	}
+	return false
+}
+
+// openSession registers a session and waits for a slot.
+func (e *Engine) openSession(ctx context.Context, s *session, rank string) (release func(), err error) {
+	s.ctx, s.cancel = context.WithCancel(ctx)
+	s.cached = e.cache.lookup(s.prefixes)
+	if len(s.cached) > 0 {
+		e.records.add(func(r *Records) { r.CacheHits++ })
+	}
+	if err := e.sessions.open(s); err != nil {
+		s.cancel()
+		return nil, err
+	}
+	if err := e.slots.acquire(s.ctx, rank); err != nil {
+		e.sessions.close(s)
+		return nil, err
+	}
+	return func() {
+		e.sessions.close(s)
+		e.slots.release()
+	}, nil
+}
+
+// step runs the layers of a session over consecutive positions and returns
+// the hidden state of the last layer held at each.
+func (e *Engine) step(s *session, epoch uint64, position uint32, below []uint64) ([]uint64, error) {
+	prefill := 0
+	if len(below) > 1 {
+		prefill = len(below)
+	}
+	out := make([]uint64, len(below))
+	var refused error
+	err := e.batch.submit(s.ctx, prefill, func() {
+		if s.ctx.Err() != nil {
+			return
+		}
+		if refused = s.check(epoch, position); refused != nil {
+			return
+		}
+		for i, b := range below {
+			out[i] = e.runPosition(s, b)
+		}
+	})
+	if err != nil {
+		return nil, err
+	}
+	return out, refused
+}
+
+func (e *Engine) runPosition(s *session, below uint64) uint64 {
+	hidden := runLayers(s.first, s.kv, below)
+	e.records.layersRan(s.id, s.epoch, s.next, s.first, s.first+uint32(len(s.kv))-1)
+	s.next++
+	if s.next%upstreams.PrefixBlock == 0 {
+		if block := int(s.next/upstreams.PrefixBlock) - 1; block < len(s.prefixes) {
+			e.cache.store(s.prefixes[block], s.kv)
+		}
+	}
+	return hidden
+}
+
+func decodeHidden(hidden [][]byte) ([]uint64, error) {
+	out := make([]uint64, len(hidden))
+	for i, h := range hidden {
+		if len(h) != hiddenSize {
+			return nil, fault.New(fault.Invalid, "activation of %d bytes in place of %d", len(h), hiddenSize).WithField("hidden")
+		}
+		out[i] = binary.LittleEndian.Uint64(h)
+	}
+	return out, nil
+}
+
+func encodeHidden(hidden []uint64) [][]byte {
+	out := make([][]byte, len(hidden))
+	for i, h := range hidden {
+		out[i] = binary.LittleEndian.AppendUint64(nil, h)
+	}
+	return out
+}
+
+func embed(tokens []uint32) []uint64 {
+	out := make([]uint64, len(tokens))
+	for i, token := range tokens {
+		out[i] = uint64(token)
+	}
+	return out
+}
+
+const idleTimeout = 2 * time.Minute
--- /dev/null
+++ b/pkg/standin/enginekv.go
@@ -0,0 +1,81 @@
+package standin
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+
+	"github.com/plantainstair/plantainstair/pkg/fault"
+	"github.com/plantainstair/plantainstair/pkg/upstreams"
+)
+
+// kvState is the exported KV state of one session.
+type kvState struct {
+	FirstLayer uint32   `json:"first_layer"`
+	Position   uint32   `json:"position"` // next position
+	KV         []uint64 `json:"kv"`
+}
+
+func (e *Engine) serveExport(w http.ResponseWriter, r *http.Request) {
+	epoch, err := epochOf(r)
+	if err != nil {
+		upstreams.WriteError(w, err)
+		return
+	}
+	s := e.sessions.liveEpoch(r.PathValue("id"), epoch)
+	if s == nil {
+		upstreams.WriteError(w, fault.New(fault.NotFound, "no live session with epoch %d", epoch).WithField("session"))
+		return
+	}
+	state := kvState{}
+	// The batcher is the only writer of a session's state.
+	err = e.batch.submit(r.Context(), 0, func() {
+		state = kvState{FirstLayer: s.first, Position: s.next, KV: append([]uint64(nil), s.kv...)}
+	})
+	if err != nil {
+		upstreams.WriteError(w, err)
+		return
+	}
+	writeJSON(w, state)
+}
+
+func (e *Engine) serveImport(w http.ResponseWriter, r *http.Request) {
+	epoch, err := epochOf(r)
+	if err != nil {
+		upstreams.WriteError(w, err)
+		return
+	}
+	state := kvState{}
+	if !readJSON(w, r, maxKVBody, &state) {
+		return
+	}
+	s := &session{id: r.PathValue("id"), epoch: epoch, first: state.FirstLayer, kv: state.KV, next: state.Position}
+	s.ctx, s.cancel = context.WithCancel(e.ctx)
+	if err := e.sessions.open(s); err != nil {
+		s.cancel()
+		upstreams.WriteError(w, err)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
+	epoch, err := strconv.ParseUint(r.Header.Get(upstreams.HeaderFencingEpoch), 10, 64)
+	if err != nil {
+		upstreams.WriteError(w, fault.Wrap(err, fault.Invalid, "parse fencing number").WithField(upstreams.HeaderFencingEpoch))
+		return
+	}
+	order := &upstreams.Order{}
+	if !readJSON(w, r, maxOrderBody, order) {
+		return
+	}
+	e.orderMu.Lock()
+	defer e.orderMu.Unlock()
+	if e.opts.ChecksFencing && epoch < e.orderEpoch {
+		upstreams.WriteError(w, staleEpoch(epoch, e.orderEpoch))
+		return
+	}
+	e.orderEpoch = max(e.orderEpoch, epoch)
+	e.records.add(func(r *Records) { r.Orders = append(r.Orders, OrderRecord{ID: order.ID, Epoch: epoch}) })
+	w.WriteHeader(http.StatusNoContent)
+}
--- /dev/null
+++ b/pkg/standin/model.go
@@ -0,0 +1,63 @@
+// Package standin implements the stand-ins used in tests in place of engines
+// and services: an engine that runs a hash-chain model, and a plain service
+// that logs its executions. Faults are switched on over HTTP.
+package standin
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Vocabulary is the number of distinct tokens that the model generates.
+const Vocabulary = 1 << 15
+
+// hiddenSize is the size of one activation in bytes.
+const hiddenSize = 8
+
+// seedFactor spreads the seed over all bits. It is odd, so that different
+// seeds stay different.
+const seedFactor = 0x9E3779B97F4A7C15
+
+// runLayer returns the hidden state of a layer at one position, from the
+// hidden state of the layer below and the layer's KV state, which is its own
+// hidden state at the position before.
+func runLayer(layer uint32, below, kv uint64) uint64 {
+	var buf [20]byte
+	binary.LittleEndian.PutUint32(buf[0:], layer)
+	binary.LittleEndian.PutUint64(buf[4:], below)
+	binary.LittleEndian.PutUint64(buf[12:], kv)
+	return xxhash.Sum64(buf[:])
+}
+
+// runLayers runs the layers from first on at one position. kv holds the state
+// of each layer and moves to the position.
+func runLayers(first uint32, kv []uint64, below uint64) uint64 {
+	for i := range kv {
+		below = runLayer(first+uint32(i), below, kv[i])
+		kv[i] = below
+	}
+	return below
+}
+
+// sample turns the hidden state of the last layer into a token.
+func sample(hidden, seed uint64) uint32 {
+	return uint32((hidden + seed*seedFactor) % Vocabulary)
+}
+
+// Reference generates n tokens with all layers in one loop. It is what every
+// chain of stages must reproduce.
+func Reference(prompt []uint32, layers int, seed uint64, n int) []uint32 {
+	kv := make([]uint64, layers)
+	out := make([]uint32, 0, n)
+	hidden := uint64(0)
+	for _, token := range prompt {
+		hidden = runLayers(0, kv, uint64(token))
+	}
+	for len(out) < n {
+		token := sample(hidden, seed)
+		out = append(out, token)
+		hidden = runLayers(0, kv, uint64(token))
+	}
+	return out
+}
--- /dev/null
+++ b/pkg/standin/server.go
@@ -0,0 +1,220 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/plantainstair/plantainstair/pkg/fault"
+	"github.com/plantainstair/plantainstair/pkg/upstreams"
+)
+
+// Defaults of ReportOptions.
+const (
+	DefaultHeartbeat    = time.Second
+	DefaultLoadInterval = 200 * time.Millisecond
+	reportTimeout       = time.Second
+)
+
+// ReportOptions configure what a stand-in tells its agent.
+type ReportOptions struct {
+	Agent        string        // IP number and port of the agent's receiver; empty for none
+	Heartbeat    time.Duration // between two announcements
+	LoadInterval time.Duration
+	LoadLag      time.Duration // age of the load figures when they are sent
+	CacheDelay   time.Duration // between a cache event and its report
+	CacheLoss    int           // every n-th report of cache events is lost; zero for none
+}
+
+// Server serves a stand-in and announces it.
+type Server struct {
+	ln     net.Listener
+	http   *http.Server
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+}
+
+// ServeEngine serves e on ln and announces it.
+func ServeEngine(e *Engine, ln net.Listener) *Server {
+	s := newServer(ln, e.Handler(), e.switches)
+	a := &upstreams.Announcement{
+		Name: e.opts.Name, Kind: upstreams.KindEngine, Address: ln.Addr().String(), Models: e.opts.Models,
+		Accelerator: e.opts.Accelerator, Slots: e.opts.Slots, KVTokens: e.opts.KVTokens, ChecksFencing: e.opts.ChecksFencing,
+	}
+	load := func() *upstreams.Load {
+		running, queued := e.slots.usage()
+		used := uint64(running) * upstreams.PrefixBlock
+		return &upstreams.Load{Running: uint32(running), Queued: uint32(queued), KVFreeTokens: e.opts.KVTokens - min(used, e.opts.KVTokens)}
+	}
+	s.report(e.opts.Report, a, e.switches, load, e.cache)
+	return s
+}
+
+// ServeService serves v on ln and announces it.
+func ServeService(v *Service, ln net.Listener) *Server {
+	s := newServer(ln, v.Handler(), v.switches)
+	a := &upstreams.Announcement{
+		Name: v.opts.Name, Kind: upstreams.KindService, Address: ln.Addr().String(),
+		Services: v.opts.Services, Slots: v.opts.Slots,
+	}
+	s.report(v.opts.Report, a, v.switches, func() *upstreams.Load { return &upstreams.Load{} }, nil)
+	return s
+}
+
+func newServer(ln net.Listener, handler http.Handler, switches *switchboard) *Server {
+	protocols := &http.Protocols{}
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &Server{
+		ln:     ln,
+		http:   &http.Server{Handler: handler, Protocols: protocols, ReadHeaderTimeout: reportTimeout, IdleTimeout: idleTimeout},
+		cancel: cancel,
+	}
+	s.wg.Add(2)
+	go func() {
+		defer s.wg.Done()
+		_ = s.http.Serve(ln)
+	}()
+	go func() {
+		defer s.wg.Done()
+		select {
+		case <-switches.dead:
+		case <-ctx.Done():
+		}
+		_ = s.http.Close()
+	}()
+	return s
+}
+
+// Address returns the address that the stand-in listens on.
+func (s *Server) Address() string { return s.ln.Addr().String() }
+
+// Close stops the server without a farewell.
+func (s *Server) Close() {
+	s.cancel()
+	s.wg.Wait()
+}
+
+func (s *Server) report(opts ReportOptions, a *upstreams.Announcement, switches *switchboard, load func() *upstreams.Load, cache *prefixCache) {
+	if opts.Agent == "" {
+		return
+	}
+	if opts.Heartbeat <= 0 {
+		opts.Heartbeat = DefaultHeartbeat
+	}
+	if opts.LoadInterval <= 0 {
+		opts.LoadInterval = DefaultLoadInterval
+	}
+	a.Instance = uint64(time.Now().UnixNano())
+	r := &reporter{opts: opts, announcement: a, switches: switches, load: load, cache: cache}
+	ctx, cancel := context.WithCancel(context.Background())
+	stop := s.cancel
+	s.cancel = func() { cancel(); stop() }
+	s.wg.Add(1)
+	go func() {
+		defer s.wg.Done()
+		r.run(ctx)
+	}()
+}
+
+// reporter sends announcements, load reports and cache events.
+type reporter struct {
+	opts         ReportOptions
+	announcement *upstreams.Announcement
+	switches     *switchboard
+	load         func() *upstreams.Load
+	cache        *prefixCache
+
+	lagging  []*upstreams.Load
+	sequence uint64
+	reports  int
+}
+
+func (r *reporter) run(ctx context.Context) {
+	heartbeat := time.NewTicker(r.opts.Heartbeat)
+	defer heartbeat.Stop()
+	loads := time.NewTicker(r.opts.LoadInterval)
+	defer loads.Stop()
+	r.send(ctx, http.MethodPut, upstreams.PathUpstream, r.announcement)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.switches.dead:
+			return
+		case <-heartbeat.C:
+			r.send(ctx, http.MethodPut, upstreams.PathUpstream, r.announcement)
+		case <-loads.C:
+			r.sendLoad(ctx)
+			r.sendCache(ctx)
+		}
+	}
+}
+
+// sendLoad sends the figures taken LoadLag ago.
+func (r *reporter) sendLoad(ctx context.Context) {
+	r.lagging = append(r.lagging, r.load())
+	late := int(r.opts.LoadLag / r.opts.LoadInterval)
+	if len(r.lagging) <= late {
+		return
+	}
+	l := r.lagging[0]
+	r.lagging = r.lagging[1:]
+	l.AgeMS = uint32(r.opts.LoadLag / time.Millisecond)
+	r.send(ctx, http.MethodPost, upstreams.PathLoad, l)
+}
+
+func (r *reporter) sendCache(ctx context.Context) {
+	if r.cache == nil {
+		return
+	}
+	events := r.cache.takeEvents()
+	if len(events) == 0 {
+		return
+	}
+	body := &upstreams.CacheEvents{Sequence: r.sequence, Events: events}
+	r.sequence += uint64(len(events))
+	r.reports++
+	if r.opts.CacheLoss > 0 && r.reports%r.opts.CacheLoss == 0 {
+		return
+	}
+	r.switches.sleep(ctx, r.opts.CacheDelay)
+	r.send(ctx, http.MethodPost, upstreams.PathCache, body)
+}
+
+func (r *reporter) send(ctx context.Context, method, path string, body any) {
+	if r.switches.pass(ctx) != nil {
+		return
+	}
+	data, err := json.Marshal(body)
+	if err != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+r.opts.Agent+path, bytes.NewReader(data))
+	if err != nil {
+		return
+	}
+	if resp, err := http.DefaultClient.Do(req); err == nil {
+		_ = resp.Body.Close()
+	}
+}
+
+// Leave withdraws the announcement at an agent.
+func Leave(ctx context.Context, agent string) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodDelete, "http://"+agent+upstreams.PathUpstream, nil)
+	if err != nil {
+		return fault.Wrap(err, fault.Invalid, "build request").WithField("agent")
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return fault.Wrap(err, fault.Unavailable, "withdraw announcement")
+	}
+	return resp.Body.Close()
+}
--- /dev/null
+++ b/pkg/standin/service.go
@@ -0,0 +1,119 @@
+package standin
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/plantainstair/plantainstair/pkg/fault"
+	"github.com/plantainstair/plantainstair/pkg/upstreams"
+)
+
+const maxCallBody = 1 << 20
+
+// ServiceOptions configure a stand-in service.
+type ServiceOptions struct {
+	Name     string
+	Services []string
+	Slots    uint32
+	Latency  time.Duration
+	Report   ReportOptions
+}
+
+// Service is a stand-in for a plain service that keeps an execution log.
+type Service struct {
+	opts     ServiceOptions
+	switches *switchboard
+	records  *recorder
+}
+
+// ServiceReply is the body of every answer of a Service.
+type ServiceReply struct {
+	RequestID    string `json:"request_id"`
+	Key          string `json:"key,omitempty"`
+	Organisation string `json:"organisation"`
+	Method       string `json:"method"`
+	Path         string `json:"path"`
+	Body         string `json:"body"`
+	Execution    int    `json:"execution"` // how often the key has run
+}
+
+// NewService returns a service without a listener.
+func NewService(opts ServiceOptions) *Service {
+	return &Service{opts: opts, switches: newSwitchboard(), records: newRecorder(false)}
+}
+
+// SetFaults replaces the faults in force.
+func (s *Service) SetFaults(f Faults) { s.switches.set(f) }
+
+// Die ends the service as a crash does.
+func (s *Service) Die() { s.switches.die() }
+
+// Records returns what the service executed.
+func (s *Service) Records() Records { return s.records.snapshot() }
+
+// Handler serves calls of any method and path, and the paths of the tests.
+func (s *Service) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /fault", s.switches.serveFault)
+	mux.HandleFunc("GET /records", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.Records()) })
+	mux.HandleFunc("/", s.serveCall)
+	return mux
+}
+
+func (s *Service) serveCall(w http.ResponseWriter, r *http.Request) {
+	if s.switches.pass(r.Context()) != nil {
+		panic(http.ErrAbortHandler)
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxCallBody))
+	if err != nil {
+		upstreams.WriteError(w, fault.Wrap(err, fault.Invalid, "read body").WithField("body"))
+		return
+	}
+	reply := ServiceReply{
+		RequestID:    r.Header.Get(upstreams.HeaderRequestID),
+		Key:          r.Header.Get(upstreams.HeaderIdempotencyKey),
+		Organisation: r.Header.Get(upstreams.HeaderOrganisation),
+		Method:       r.Method,
+		Path:         r.URL.RequestURI(),
+		Body:         string(body),
+	}
+	reply.Execution = s.records.executed(reply.Key, reply.RequestID)
+	s.switches.sleep(r.Context(), s.opts.Latency)
+	s.answer(w, r, reply)
+}
+
+func (s *Service) answer(w http.ResponseWriter, r *http.Request, reply ServiceReply) {
+	faults := s.switches.get()
+	id := reply.RequestID
+	switch faults.Answer {
+	case AnswerLate:
+		s.switches.sleep(r.Context(), time.Duration(faults.AnswerDelayMS)*time.Millisecond)
+	case AnswerOtherID:
+		id = "other-" + id
+	case AnswerDrop:
+		panic(http.ErrAbortHandler)
+	case AnswerTwice:
+		writeTwice(w, id, reply)
+		return
+	}
+	w.Header().Set(upstreams.HeaderRequestID, id)
+	writeJSON(w, reply)
+}
+
+// writeTwice sends the answer two times on the connection, so that the second
+// one looks like the answer to the next request.
+func writeTwice(w http.ResponseWriter, id string, reply ServiceReply) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	body, _ := json.Marshal(reply)
+	answer := fmt.Appendf(nil, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s",
+		upstreams.HeaderRequestID, id, len(body), body)
+	_, _ = conn.Write(bytes.Repeat(answer, 2))
+	_ = conn.Close()
+}
--- /dev/null
+++ b/pkg/upstreams/client.go
@@ -0,0 +1,312 @@
+package upstreams
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/plantainstair/plantainstair/pkg/fault"
+)
+
+// Defaults of Options.
+const (
+	DefaultConnectTimeout = 500 * time.Millisecond
+	DefaultRequestTimeout = 10 * time.Second
+	DefaultLineTimeout    = 2 * time.Second
+	DefaultMaxKV          = 256 << 20
+	DefaultMaxAnswer      = 256 << 10
+)
+
+const (
+	maxErrorBody = 16 << 10
+	jsonType     = "application/json"
+	ndjsonType   = "application/x-ndjson"
+)
+
+// Options bound what a Client reads in size and time.
+type Options struct {
+	ConnectTimeout time.Duration
+	RequestTimeout time.Duration // orders, cancel and KV transfers
+	LineTimeout    time.Duration // between two lines of a stream
+	MaxLine        int           // bytes
+	MaxKV          int64         // bytes of an exported KV state
+	MaxAnswer      int64         // bytes of a service's answer
+}
+
+func (o Options) withDefaults() Options {
+	setDefault(&o.ConnectTimeout, DefaultConnectTimeout)
+	setDefault(&o.RequestTimeout, DefaultRequestTimeout)
+	setDefault(&o.LineTimeout, DefaultLineTimeout)
+	setDefault(&o.MaxLine, DefaultMaxLine)
+	setDefault(&o.MaxKV, DefaultMaxKV)
+	setDefault(&o.MaxAnswer, DefaultMaxAnswer)
+	return o
+}
+
+func setDefault[T int | int64 | time.Duration](v *T, d T) {
+	if *v <= 0 {
+		*v = d
+	}
+}
+
+// Client calls the upstream beside an agent.
+type Client struct {
+	opts     Options
+	engine   *http.Client // HTTP/2 cleartext
+	reused   *http.Client // HTTP/1.1 for repeatable service calls
+	isolated *http.Client // HTTP/1.1, one connection for each call
+}
+
+// NewClient returns a client. Close releases its connections.
+func NewClient(opts Options) *Client {
+	opts = opts.withDefaults()
+	h2 := &http.Protocols{}
+	h2.SetUnencryptedHTTP2(true)
+	return &Client{
+		opts:     opts,
+		engine:   newHTTPClient(&http.Transport{DialContext: dialer(opts), Protocols: h2}),
+		reused:   newHTTPClient(&http.Transport{DialContext: dialer(opts), MaxIdleConnsPerHost: maxIdleConns}),
+		isolated: newHTTPClient(&http.Transport{DialContext: dialer(opts), DisableKeepAlives: true}),
+	}
+}
+
+const maxIdleConns = 64
+
+// newHTTPClient follows no redirect: a redirect would run the request again,
+// at an address that was not announced.
+func newHTTPClient(t *http.Transport) *http.Client {
+	t.DisableCompression = true
+	t.Proxy = nil
+	return &http.Client{
+		Transport:     t,
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
+// dialError marks a failure before any byte of a request was sent.
+type dialError struct{ cause error }
+
+func (e *dialError) Error() string { return "connect: " + e.cause.Error() }
+func (e *dialError) Unwrap() error { return e.cause }
+
+func dialer(opts Options) func(context.Context, string, string) (net.Conn, error) {
+	d := &net.Dialer{Timeout: opts.ConnectTimeout}
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		conn, err := d.DialContext(ctx, network, addr)
+		if err != nil {
+			return nil, &dialError{cause: err}
+		}
+		return conn, nil
+	}
+}
+
+// Close releases idle connections.
+func (c *Client) Close() {
+	c.engine.CloseIdleConnections()
+	c.reused.CloseIdleConnections()
+	c.isolated.CloseIdleConnections()
+}
+
+// transportError classifies a failed exchange. Only a connection that was
+// never made proves that the upstream did not run the request.
+func transportError(ctx context.Context, err error, what string) *fault.Error {
+	var dial *dialError
+	if errors.As(err, &dial) {
+		return fault.Wrap(err, fault.Unavailable, "%s", what).WithOutcome(fault.NotRun)
+	}
+	if cause := context.Cause(ctx); cause != nil {
+		var f *fault.Error
+		if errors.As(cause, &f) {
+			return f
+		}
+		return fault.Wrap(cause, fault.Cancelled, "%s", what).WithOutcome(fault.MayHaveRun)
+	}
+	return fault.Wrap(err, fault.Upstream, "%s", what).WithOutcome(fault.MayHaveRun)
+}
+
+// Generate runs a whole-model generation. It calls onToken for each token and
+// returns the closing line. An error of onToken stops the generation.
+func (c *Client) Generate(ctx context.Context, address string, r *GenerateRequest, onToken func(position, token uint32) error) (*GenerateLine, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	watchdog := newWatchdog(c.opts.LineTimeout, cancel)
+	defer watchdog.stop()
+	body, err := json.Marshal(r)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Protocol, "encode generate request")
+	}
+	resp, err := c.post(ctx, address, PathGenerate, body)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return c.readTokens(ctx, resp.Body, r.Position, watchdog, onToken)
+}
+
+func (c *Client) readTokens(ctx context.Context, body io.Reader, next uint32, w *watchdog, onToken func(position, token uint32) error) (*GenerateLine, error) {
+	lines := NewLineReader(body, c.opts.MaxLine)
+	for {
+		line, err := readGenerateLine(lines)
+		if err != nil {
+			return nil, streamError(ctx, err, "generate")
+		}
+		w.reset()
+		if line.Error != nil {
+			return nil, line.Error.Fault().WithOutcome(fault.MayHaveRun)
+		}
+		if line.Done {
+			return line, nil
+		}
+		if line.Position != next {
+			return nil, fault.New(fault.Upstream, "engine sent position %d in place of %d", line.Position, next).WithField("position")
+		}
+		next++
+		if err := onToken(line.Position, line.Token); err != nil {
+			return nil, err
+		}
+	}
+}
+
+func readGenerateLine(lines *LineReader) (*GenerateLine, error) {
+	line := &GenerateLine{}
+	if err := lines.ReadJSON(line); err != nil {
+		return nil, err
+	}
+	return line, nil
+}
+
+// streamError turns the end of a stream before its closing line into an error.
+func streamError(ctx context.Context, err error, what string) *fault.Error {
+	if cause := context.Cause(ctx); cause != nil {
+		return transportError(ctx, err, what)
+	}
+	if err == io.EOF {
+		return fault.New(fault.Upstream, "%s: stream ended early", what).WithOutcome(fault.MayHaveRun)
+	}
+	return fault.Wrap(err, fault.Upstream, "%s", what).WithOutcome(fault.MayHaveRun)
+}
+
+func (c *Client) post(ctx context.Context, address, path string, body []byte) (*http.Response, error) {
+	req, err := newRequest(ctx, http.MethodPost, address, path, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	return c.do(c.engine, req)
+}
+
+func newRequest(ctx context.Context, method, address, path string, body io.Reader) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, body)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Invalid, "build request").WithField("path")
+	}
+	req.Header.Set("Content-Type", jsonType)
+	return req, nil
+}
+
+// do sends req and turns a status of 400 or more into an error.
+func (c *Client) do(client *http.Client, req *http.Request) (*http.Response, error) {
+	resp, err := client.Do(req)
+	if err != nil {
+		return nil, transportError(req.Context(), err, req.Method+" "+req.URL.Path)
+	}
+	if resp.StatusCode < http.StatusBadRequest {
+		return resp, nil
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return nil, statusError(resp)
+}
+
+// statusError reads the error of an answer. An engine that refuses with 4xx or
+// 503 has not run the request.
+func statusError(resp *http.Response) *fault.Error {
+	data, err := readAll(resp.Body, maxErrorBody)
+	body := ErrorBody{}
+	if err != nil || decodeJSON(data, &body) != nil || body.Error.Kind == "" {
+		body.Error = Error{Kind: string(fault.Upstream), Message: "status " + resp.Status}
+	}
+	f := body.Error.Fault().WithOutcome(fault.MayHaveRun)
+	if resp.StatusCode < http.StatusInternalServerError || resp.StatusCode == http.StatusServiceUnavailable {
+		f.Outcome = fault.NotRun
+	}
+	return f
+}
+
+// Cancel stops a session of an epoch and frees its slot and KV state. It waits
+// for the engine's answer.
+func (c *Client) Cancel(ctx context.Context, address, session string, epoch uint64) error {
+	resp, err := c.session(ctx, http.MethodDelete, address, sessionPath(session, "", epoch), nil)
+	if err != nil {
+		return err
+	}
+	return resp.Body.Close()
+}
+
+// ExportKV returns the KV state of a session.
+func (c *Client) ExportKV(ctx context.Context, address, session string, epoch uint64) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.opts.RequestTimeout)
+	defer cancel()
+	resp, err := c.session(ctx, http.MethodGet, address, sessionPath(session, "/kv", epoch), nil)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return readAll(resp.Body, c.opts.MaxKV)
+}
+
+// ImportKV stores the KV state of a session under an epoch.
+func (c *Client) ImportKV(ctx context.Context, address, session string, epoch uint64, state []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, c.opts.RequestTimeout)
+	defer cancel()
+	resp, err := c.session(ctx, http.MethodPut, address, sessionPath(session, "/kv", epoch), state)
+	if err != nil {
+		return err
+	}
+	return resp.Body.Close()
+}
+
+func (c *Client) session(ctx context.Context, method, address, path string, body []byte) (*http.Response, error) {
+	req, err := newRequest(ctx, method, address, path, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	return c.do(c.engine, req)
+}
+
+func sessionPath(session, suffix string, epoch uint64) string {
+	return PathSessions + url.PathEscape(session) + suffix + "?epoch=" + strconv.FormatUint(epoch, 10)
+}
+
+// SendOrder delivers an order with its fencing number. It returns once the
+// engine has answered or the connection has ended.
+func (c *Client) SendOrder(ctx context.Context, address string, o *Order) error {
+	body, err := json.Marshal(o)
+	if err != nil {
+		return fault.Wrap(err, fault.Protocol, "encode order")
+	}
+	req, err := newRequest(ctx, http.MethodPost, address, PathOrders, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	req.Header.Set(HeaderFencingEpoch, strconv.FormatUint(o.Epoch, 10))
+	resp, err := c.do(c.engine, req)
+	if err != nil {
+		return err
+	}
+	return resp.Body.Close()
+}
+
+// Probe connects to an upstream and closes the connection.
+func (c *Client) Probe(ctx context.Context, address string) error {
+	conn, err := dialer(c.opts)(ctx, "tcp", address)
+	if err != nil {
+		return fault.Wrap(err, fault.Unavailable, "probe upstream")
+	}
+	return conn.Close()
+}
--- /dev/null
+++ b/pkg/upstreams/stage.go
@@ -0,0 +1,126 @@
+package upstreams
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/plantainstair/plantainstair/pkg/fault"
+)
+
+// Stage is an open stage of one session at an engine. One goroutine uses it.
+type Stage struct {
+	cancel   context.CancelCauseFunc
+	ctx      context.Context
+	out      *io.PipeWriter
+	body     io.ReadCloser
+	lines    *LineReader
+	watchdog *watchdog
+	buf      []byte
+	cached   uint32
+	maxLine  int
+}
+
+// OpenStage opens the full-duplex stream of a stage and waits until the engine
+// is ready, at most for readyTimeout.
+func (c *Client) OpenStage(ctx context.Context, address string, open *StageOpen, readyTimeout time.Duration) (*Stage, error) {
+	first, err := AppendLine(nil, open)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	in, out := io.Pipe()
+	s := &Stage{ctx: ctx, cancel: cancel, out: out, watchdog: newWatchdog(readyTimeout, cancel), maxLine: c.opts.MaxLine}
+	req, err := newRequest(ctx, http.MethodPost, address, PathStage, io.MultiReader(bytes.NewReader(first), in))
+	if err != nil {
+		s.Close()
+		return nil, err
+	}
+	req.Header.Set("Content-Type", ndjsonType)
+	resp, err := c.do(c.engine, req)
+	if err != nil {
+		s.Close()
+		return nil, err
+	}
+	s.body = resp.Body
+	s.lines = NewLineReader(resp.Body, c.opts.MaxLine)
+	if err := s.readReady(); err != nil {
+		s.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *Stage) readReady() error {
+	line, err := s.read()
+	if err != nil {
+		return err
+	}
+	if !line.Ready {
+		return fault.New(fault.Upstream, "engine did not confirm the stage").WithField("ready")
+	}
+	s.cached = line.CachedTokens
+	return nil
+}
+
+// Cached returns the number of prompt tokens whose KV state the engine holds.
+func (s *Stage) Cached() uint32 { return s.cached }
+
+// Step runs one step and returns the engine's answer. The answer is refused
+// unless it names the position after the step's last one.
+func (s *Stage) Step(step *StageStep, timeout time.Duration) (*StageLine, error) {
+	buf, err := appendStep(s.buf[:0], step)
+	if err != nil {
+		return nil, err
+	}
+	s.buf = buf
+	if len(buf) > s.maxLine+1 {
+		return nil, fault.New(fault.Protocol, "step of %d bytes is over the limit of %d", len(buf), s.maxLine)
+	}
+	s.watchdog.extend(timeout)
+	if _, err := s.out.Write(buf); err != nil {
+		return nil, s.writeError(err)
+	}
+	line, err := s.read()
+	if err != nil {
+		return nil, err
+	}
+	want := step.Position + uint32(max(len(step.Tokens), len(step.Hidden)))
+	if line.Position != want {
+		return nil, fault.New(fault.Upstream, "engine answered position %d in place of %d", line.Position, want).WithField("position")
+	}
+	return line, nil
+}
+
+// writeError prefers the error that the engine sent before it stopped reading.
+func (s *Stage) writeError(err error) error {
+	if _, readErr := s.read(); readErr != nil {
+		return readErr
+	}
+	return streamError(s.ctx, err, "stage")
+}
+
+// read returns the next line and stops the watchdog.
+func (s *Stage) read() (*StageLine, error) {
+	line := &StageLine{}
+	if err := s.lines.ReadJSON(line); err != nil {
+		return nil, streamError(s.ctx, err, "stage")
+	}
+	s.watchdog.pause()
+	if line.Error != nil {
+		return nil, line.Error.Fault().WithOutcome(fault.MayHaveRun)
+	}
+	return line, nil
+}
+
+// Close ends the stream. The engine frees the session.
+func (s *Stage) Close() {
+	s.watchdog.stop()
+	_ = s.out.Close()
+	s.cancel(nil)
+	if s.body != nil {
+		_ = s.body.Close()
+	}
+}
--- /dev/null
+++ b/pkg/upstreams/tokens.go
@@ -0,0 +1,50 @@
+package upstreams
+
+import (
+	"encoding/binary"
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// PrefixBlock is the number of tokens between two cached prefix boundaries.
+const PrefixBlock = 16
+
+// Tokenize returns one token for each whitespace-separated word. The id of a
+// token is the lower 32 bits of the xxHash64 of the word.
+func Tokenize(text string) []uint32 {
+	words := strings.Fields(text)
+	tokens := make([]uint32, len(words))
+	for i, word := range words {
+		tokens[i] = uint32(xxhash.Sum64String(word))
+	}
+	return tokens
+}
+
+// Detokenize returns the text of a generated token, for example "t1234 ".
+func Detokenize(id uint32) string {
+	return "t" + strconv.FormatUint(uint64(id), 10) + " "
+}
+
+// PrefixHashes returns the hash of each prefix of tokens whose length is a
+// multiple of PrefixBlock, longest last. The model, version and adapter are
+// part of the hash, because KV state is not shared between them.
+func PrefixHashes(model, version, adapter string, tokens []uint32) []uint64 {
+	blocks := len(tokens) / PrefixBlock
+	if blocks == 0 {
+		return nil
+	}
+	hashes := make([]uint64, blocks)
+	hash := xxhash.Sum64String(model + "\x00" + version + "\x00" + adapter)
+	var buf [8 + 4*PrefixBlock]byte
+	for b := range blocks {
+		binary.LittleEndian.PutUint64(buf[:], hash)
+		for i, token := range tokens[b*PrefixBlock : (b+1)*PrefixBlock] {
+			binary.LittleEndian.PutUint32(buf[8+4*i:], token)
+		}
+		hash = xxhash.Sum64(buf[:])
+		hashes[b] = hash
+	}
+	return hashes
+}
