--- /dev/null
+++ b/pkg/callers/errors.go
@@ -0,0 +1,139 @@
+package callers
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/plantainstair/plantainstair/pkg/fault"
+)
+
+// statusCancelled is logged for a caller that went away; nobody reads it.
+const statusCancelled = 499
+
+// DefaultRetryAfter is the delay given where a retry is safe and the source of
+// the error names none.
+const DefaultRetryAfter = time.Second
+
+// ErrorBody is the body of every error.
+type ErrorBody struct {
+	Error ErrorDetail `json:"error"`
+}
+
+// ErrorDetail has the fields of OpenAI's error object, the outcome, the delay
+// before a retry in milliseconds (zero where a retry makes no sense) and the
+// request id.
+type ErrorDetail struct {
+	Message      string  `json:"message"`
+	Type         string  `json:"type"`
+	Code         string  `json:"code"`
+	Param        *string `json:"param"`
+	Outcome      string  `json:"outcome"`
+	RetryAfterMs int64   `json:"retry_after_ms"`
+	RequestID    string  `json:"request_id"`
+}
+
+// settle returns err with an outcome and a retry delay. An error without an
+// outcome proves nothing.
+func settle(err error) *fault.Error {
+	e := *fault.As(err)
+	if e.Outcome == fault.Unspecified {
+		e.Outcome = fault.MayHaveRun
+	}
+	if !retryable(e.Kind) {
+		e.RetryAfter = 0
+	} else if e.RetryAfter <= 0 {
+		e.RetryAfter = DefaultRetryAfter
+	}
+	return &e
+}
+
+// retryable reports whether the same request can succeed later. The retry is
+// safe in every case: a chat request has no effect besides its answer, and a
+// service call is either repeatable or guarded by its key.
+func retryable(k fault.Kind) bool {
+	switch k {
+	case fault.RateLimited, fault.Overloaded, fault.Deadline, fault.Unavailable, fault.StaleConfig,
+		fault.StaleEpoch, fault.OutOfOrder, fault.Upstream, fault.Protocol, fault.Draining, fault.Unknown, fault.NotLeader:
+		return true
+	}
+	return false
+}
+
+// errorBody returns the body of an error. Its message leaves out the causes,
+// which name addresses of the system.
+func errorBody(e *fault.Error, requestID string) ErrorBody {
+	d := ErrorDetail{
+		Message:      e.Message,
+		Type:         typeOf(e.Kind),
+		Code:         string(e.Kind),
+		Outcome:      fault.OutcomeString(e.Outcome),
+		RetryAfterMs: e.RetryAfter.Milliseconds(),
+		RequestID:    requestID,
+	}
+	if e.Field != "" {
+		d.Param = &e.Field
+	}
+	return ErrorBody{Error: d}
+}
+
+// typeOf returns the closest of OpenAI's error types.
+func typeOf(k fault.Kind) string {
+	switch k {
+	case fault.Invalid, fault.NotFound, fault.Conflict, fault.Expired:
+		return "invalid_request_error"
+	case fault.Unauthenticated:
+		return "authentication_error"
+	case fault.Forbidden:
+		return "permission_error"
+	case fault.RateLimited:
+		return "rate_limit_error"
+	}
+	return "server_error"
+}
+
+func statusOf(e *fault.Error) int {
+	switch e.Kind {
+	case fault.Invalid:
+		return http.StatusBadRequest
+	case fault.Unauthenticated:
+		return http.StatusUnauthorized
+	case fault.Forbidden:
+		return http.StatusForbidden
+	case fault.NotFound:
+		return http.StatusNotFound
+	case fault.Conflict:
+		return http.StatusConflict
+	case fault.Expired:
+		return http.StatusGone
+	case fault.RateLimited:
+		return http.StatusTooManyRequests
+	case fault.Overloaded, fault.Unavailable, fault.StaleConfig, fault.Draining, fault.NotLeader:
+		return http.StatusServiceUnavailable
+	case fault.Deadline:
+		return http.StatusGatewayTimeout
+	case fault.Upstream, fault.Protocol, fault.Unknown, fault.StaleEpoch, fault.OutOfOrder:
+		return http.StatusBadGateway
+	case fault.Cancelled:
+		return statusCancelled
+	}
+	return http.StatusInternalServerError
+}
+
+// retryAfterSeconds rounds up, so that a caller never comes back too early.
+func retryAfterSeconds(e *fault.Error) int {
+	return int((e.RetryAfter + time.Second - 1) / time.Second)
+}
+
+func encodeJSON(v any) ([]byte, error) {
+	b, err := json.Marshal(v)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Internal, "encode answer")
+	}
+	return b, nil
+}
+
+// refuse returns an error about an input field of a request that was not run.
+func refuse(field, format string, args ...any) *fault.Error {
+	return fault.New(fault.Invalid, format, args...).WithField(field).WithOutcome(fault.NotRun)
+}
--- /dev/null
+++ b/pkg/callers/rank.go
@@ -0,0 +1,38 @@
+package callers
+
+import "github.com/plantainstair/plantainstair/pkg/wire/wirepb"
+
+// checkTier refuses unknown service tiers.
+func (q *chatRequest) checkTier() error {
+	switch q.ServiceTier {
+	case "", "auto", "priority", "default", "flex":
+		return nil
+	}
+	return refuse("service_tier", "service_tier must be auto, priority, default or flex")
+}
+
+// effectiveRank lowers the caller's rank to the requested tier. A tier above
+// the caller's rank has no effect.
+func effectiveRank(highest wirepb.Rank, tier string) wirepb.Rank {
+	asked := highest
+	switch tier {
+	case "priority":
+		asked = wirepb.Rank_RANK_URGENT
+	case "default":
+		asked = wirepb.Rank_RANK_STANDARD
+	case "flex":
+		asked = wirepb.Rank_RANK_BATCH
+	}
+	return max(highest, asked) // a higher number is a lower rank
+}
+
+// tierOfRank returns the service tier that served a request.
+func tierOfRank(r wirepb.Rank) string {
+	switch r {
+	case wirepb.Rank_RANK_URGENT:
+		return "priority"
+	case wirepb.Rank_RANK_STANDARD:
+		return "default"
+	}
+	return "flex"
+}
--- /dev/null
+++ b/pkg/callers/server.go
@@ -0,0 +1,51 @@
+package callers
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/plantainstair/plantainstair/pkg/fault"
+)
+
+// Bounds of connections.
+const (
+	headerTimeout  = 5 * time.Second
+	idleTimeout    = 2 * time.Minute // longer than the usual reuse time of balancers
+	maxHeaderBytes = 32 << 10
+)
+
+// Server serves the API on a listener.
+type Server struct {
+	ln   net.Listener
+	http *http.Server
+}
+
+// NewServer listens on addr, an IP address and port, and serves handler.
+func NewServer(addr string, handler http.Handler) (*Server, error) {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Unavailable, "listen for callers").WithField(addr)
+	}
+	s := &Server{ln: ln, http: &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}}
+	go func() { _ = s.http.Serve(ln) }()
+	return s, nil
+}
+
+// Address returns the address that the server listens on.
+func (s *Server) Address() string { return s.ln.Addr().String() }
+
+// Shutdown stops accepting connections and waits for requests in progress.
+func (s *Server) Shutdown(ctx context.Context) error {
+	if err := s.http.Shutdown(ctx); err != nil {
+		_ = s.http.Close()
+		return fault.Wrap(err, fault.Deadline, "stop the caller server")
+	}
+	return nil
+}
