--- a/pkg/agent/client.go
+++ b/pkg/agent/client.go
@@ -85,11 +85,21 @@
 	}
 	if err := k.stream.Write(first); err != nil {
 		k.close()
+		if fault.Is(err, fault.Protocol) {
+			return nil, tooLarge(err)
+		}
 		return nil, k.lost(err)
 	}
 	return k, nil
 }
 
+// tooLarge reports a request that does not fit in a frame. The frame is checked
+// before its first byte is written.
+func tooLarge(err error) *fault.Error {
+	return fault.Wrap(err, fault.Invalid, "request is too large for one frame").
+		WithField("body").WithOutcome(fault.NotRun)
+}
+
 // close ends the stream. An agent that still works on the call cancels it.
 func (k *call) close() {
 	k.stop()
--- /dev/null
+++ b/pkg/role/entry/attempt.go
@@ -0,0 +1,131 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/plantainstair/plantainstair/pkg/fault"
+	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
+)
+
+// attempt runs the generation on the current chain until it is complete or
+// fails. Limit is the timer of the request's deadline.
+func (g *generation) attempt(ctx context.Context, limit *time.Timer) (*wirepb.GenerateDone, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	stall := g.stallTimer(cancel)
+	defer stall.Stop()
+	firstPosition := len(g.stream.Emitted())
+	var first time.Time
+	done, err := g.entry.opts.Agents.Generate(ctx, g.chain[0].Address, g.request(), func(t *wirepb.Token) error {
+		if err := g.accept(t); err != nil {
+			return err
+		}
+		if first.IsZero() {
+			first = g.lastToken
+		}
+		if !g.req.Whole {
+			limit.Stop()
+		}
+		stall.Reset(g.entry.opts.Settings.Stall)
+		if g.emitErr = g.emit(t.Id); g.emitErr != nil {
+			return g.emitErr
+		}
+		return nil
+	})
+	if err == nil {
+		err = g.checkDone(done)
+	}
+	if err != nil && !g.stream.Complete() {
+		return nil, err
+	}
+	if g.emitErr != nil {
+		return nil, g.emitErr
+	}
+	g.observeSuccess(first, len(g.stream.Emitted())-firstPosition)
+	return done, nil
+}
+
+// stallTimer bounds the time between tokens. It runs from the start of an
+// attempt that repairs a begun stream, and else from the first token.
+func (g *generation) stallTimer(cancel context.CancelCauseFunc) *time.Timer {
+	t := time.AfterFunc(g.entry.opts.Settings.Stall, func() {
+		cancel(fault.New(fault.Upstream, "chain produced no token for %s", g.entry.opts.Settings.Stall))
+	})
+	if !g.begun() {
+		t.Stop()
+	}
+	return t
+}
+
+// request returns the message for the current plan. Max_tokens counts from
+// the beginning of the answer, like the positions.
+func (g *generation) request() *wirepb.GenerateRequest {
+	return &wirepb.GenerateRequest{
+		Session:      g.req.RequestID,
+		Epoch:        g.plan.Epoch,
+		Organisation: g.req.Caller.Name(),
+		Rank:         g.req.Rank,
+		DeadlineMs:   g.firstTokenMs(),
+		Model:        g.req.Model,
+		Version:      g.version,
+		Adapter:      g.req.Adapter,
+		Prompt:       g.req.Prompt,
+		Emitted:      g.plan.Emitted,
+		MaxTokens:    uint32(g.req.MaxTokens),
+		Seed:         g.req.Seed,
+		Stages:       stageRefs(g.chain),
+		Revision:     g.rev,
+		Weight:       g.weight,
+	}
+}
+
+// firstTokenMs returns the remaining time to the first token of the attempt.
+func (g *generation) firstTokenMs() uint32 {
+	left := g.req.Deadline.Sub(g.entry.opts.Now())
+	if g.begun() {
+		left = g.entry.opts.Settings.Stall
+	}
+	return uint32(max(1, left.Milliseconds()))
+}
+
+// accept checks that a token belongs to this attempt and is the next one.
+func (g *generation) accept(t *wirepb.Token) error {
+	if t.Session != g.req.RequestID {
+		return fault.New(fault.Protocol, "token of another session").WithField("session").WithStage(0)
+	}
+	if err := g.stream.Accept(t.Epoch, t.Position, t.Id, t.Last); err != nil {
+		return fault.Wrap(err, fault.Protocol, "token out of order").WithStage(0)
+	}
+	now := g.entry.opts.Now()
+	since := g.lastToken
+	if since.IsZero() {
+		since = g.started
+	}
+	g.entry.metrics.token(g.rank, g.lastToken.IsZero(), now.Sub(since))
+	g.lastToken = now
+	g.usage.charge(1)
+	return nil
+}
+
+// checkDone refuses an end that does not match the tokens received, so that a
+// truncated answer is never taken as whole.
+func (g *generation) checkDone(done *wirepb.GenerateDone) error {
+	if g.whole() || int(done.CompletionTokens) == len(g.stream.Emitted()) {
+		return nil
+	}
+	return fault.New(fault.Protocol, "head ended the stream after %d of %d tokens", len(g.stream.Emitted()), done.CompletionTokens).
+		WithStage(0)
+}
+
+// observeSuccess reports the time between tokens, which all hosts of the chain
+// share. An attempt with a single token has none and is not counted.
+func (g *generation) observeSuccess(first time.Time, tokens int) {
+	if tokens < 2 {
+		return
+	}
+	between := g.lastToken.Sub(first) / time.Duration(tokens-1)
+	for _, st := range g.chain {
+		g.entry.tracker.Observe(st.Host, true, between, g.entry.opts.Now())
+	}
+}
--- /dev/null
+++ b/pkg/role/entry/entry.go
@@ -0,0 +1,91 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/plantainstair/plantainstair/pkg/callers"
+	"github.com/plantainstair/plantainstair/pkg/core/route"
+	"github.com/plantainstair/plantainstair/pkg/logs"
+	"github.com/plantainstair/plantainstair/pkg/platform"
+)
+
+// Options configure an entry.
+type Options struct {
+	Settings Settings
+	Control  Control
+	Agents   Agents
+	Log      logs.Logger
+	Now      func() time.Time
+	// Tokenize, Detokenize and PrefixHashes are those of the engine protocol.
+	Tokenize     func(text string) []uint32
+	Detokenize   func(token uint32) string
+	PrefixHashes func(model, version, adapter string, tokens []uint32) []uint64
+}
+
+// Entry performs the requests of callers. It implements callers.Router.
+type Entry struct {
+	opts       Options
+	claimReads chan struct{} // bounds concurrent reads of claims
+	snapshot   atomic.Pointer[snapshot]
+	tracker    *route.Tracker
+	budget     *route.Budget
+	limits     *limiter
+	metrics    *meters
+	lifecycle  *platform.Lifecycle
+	leaving    atomic.Bool
+	owner      sync.WaitGroup
+}
+
+// New returns an entry. Start must be called before it takes requests.
+func New(opts Options) *Entry {
+	if opts.Now == nil {
+		opts.Now = time.Now
+	}
+	if opts.PrefixHashes == nil {
+		opts.PrefixHashes = func(string, string, string, []uint32) []uint64 { return nil }
+	}
+	return &Entry{
+		opts:       opts,
+		claimReads: make(chan struct{}, maxClaimReads),
+		tracker:    route.NewTracker(route.TrackerConfig{}),
+		budget:     route.NewBudget(),
+		limits:     newLimiter(),
+		metrics:    newMeters(),
+		lifecycle:  platform.NewLifecycle(),
+	}
+}
+
+// Start runs the control goroutine until ctx ends.
+func (e *Entry) Start(ctx context.Context) error {
+	o := newOwner(ctx, e)
+	e.owner.Go(o.run)
+	return e.lifecycle.Ready()
+}
+
+// Handler returns the API towards callers.
+func (e *Entry) Handler() http.Handler {
+	s := e.opts.Settings
+	return callers.NewHandler(callers.Options{
+		Router:     e,
+		Tokenize:   e.opts.Tokenize,
+		Detokenize: e.opts.Detokenize,
+		Deadlines:  s.deadlines(),
+		MaxBody:    int64(s.MaxBody),
+		ReadTime:   s.ReadTime,
+		WriteTime:  s.WriteTime,
+		Track:      e.lifecycle.Track,
+		Draining:   e.leaving.Load,
+		Finished:   e.metrics.finished,
+		Log:        e.opts.Log.Part("callers"),
+		Now:        e.opts.Now,
+	})
+}
+
+// PlatformOptions returns the options of the platform endpoints.
+func (e *Entry) PlatformOptions() platform.Options {
+	return platform.Options{Lifecycle: e.lifecycle, Ready: e.Ready, Metrics: e.metrics.set}
+}
--- /dev/null
+++ b/pkg/role/entry/metrics.go
@@ -0,0 +1,114 @@
+package entry
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/plantainstair/plantainstair/pkg/callers"
+	"github.com/plantainstair/plantainstair/pkg/core/sched"
+	"github.com/plantainstair/plantainstair/pkg/fault"
+	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
+)
+
+const (
+	// maxOrganisationLabels bounds the series; further organisations share
+	// the label otherOrganisation.
+	maxOrganisationLabels = 200
+	otherOrganisation     = "other"
+	noOrganisation        = "none"
+)
+
+// meters are the metrics of an entry.
+type meters struct {
+	set        *metrics.Set
+	firstToken [sched.Ranks]*metrics.Histogram
+	interToken [sched.Ranks]*metrics.Histogram
+	repairs    *metrics.Counter
+	retries    *metrics.Counter
+	noBudget   *metrics.Counter
+	ejections  *metrics.Counter
+
+	mu            sync.Mutex
+	organisations map[string]struct{}
+	requests      map[requestLabels]*metrics.Counter
+}
+
+type requestLabels struct {
+	operation, organisation string
+	rank                    wirepb.Rank
+	outcome                 fault.Outcome
+}
+
+func newMeters() *meters {
+	set := metrics.NewSet()
+	m := &meters{
+		set:           set,
+		repairs:       set.NewCounter("plantain_entry_stream_repairs_total"),
+		retries:       set.NewCounter("plantain_entry_retries_total"),
+		noBudget:      set.NewCounter("plantain_entry_retries_denied_total"),
+		ejections:     set.NewCounter("plantain_entry_ejections_total"),
+		organisations: make(map[string]struct{}),
+		requests:      make(map[requestLabels]*metrics.Counter),
+	}
+	for r := range sched.Rank(sched.Ranks) {
+		m.firstToken[r] = set.NewHistogram(fmt.Sprintf("plantain_entry_first_token_seconds{rank=%q}", r.String()))
+		m.interToken[r] = set.NewHistogram(fmt.Sprintf("plantain_entry_inter_token_seconds{rank=%q}", r.String()))
+	}
+	return m
+}
+
+// finished counts a finished request.
+func (m *meters) finished(rec callers.Record) {
+	m.counter(rec).Inc()
+	if rec.Kind != "" {
+		m.set.GetOrCreateCounter(fmt.Sprintf("plantain_entry_errors_total{kind=%q,outcome=%q}",
+			string(rec.Kind), fault.OutcomeString(rec.Outcome))).Inc()
+	}
+}
+
+func (m *meters) counter(rec callers.Record) *metrics.Counter {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	labels := requestLabels{rec.Operation, m.organisation(rec.Organisation), rec.Rank, rec.Outcome}
+	c := m.requests[labels]
+	if c == nil {
+		c = m.set.GetOrCreateCounter(fmt.Sprintf("plantain_entry_requests_total{operation=%q,organisation=%q,rank=%q,outcome=%q}",
+			labels.operation, labels.organisation, rankLabel(labels.rank), fault.OutcomeString(labels.outcome)))
+		m.requests[labels] = c
+	}
+	return c
+}
+
+// organisation returns the label of an organisation.
+func (m *meters) organisation(name string) string {
+	if name == "" {
+		return noOrganisation
+	}
+	if _, ok := m.organisations[name]; ok {
+		return name
+	}
+	if len(m.organisations) >= maxOrganisationLabels {
+		return otherOrganisation
+	}
+	m.organisations[name] = struct{}{}
+	return name
+}
+
+func rankLabel(r wirepb.Rank) string {
+	if rank, ok := schedRank(r); ok {
+		return rank.String()
+	}
+	return "none"
+}
+
+// token records the time to the first token or between two tokens.
+func (m *meters) token(rank sched.Rank, first bool, d time.Duration) {
+	if first {
+		m.firstToken[rank].Update(d.Seconds())
+		return
+	}
+	m.interToken[rank].Update(d.Seconds())
+}
--- /dev/null
+++ b/pkg/role/entry/owner.go
@@ -0,0 +1,193 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/plantainstair/plantainstair/pkg/agent"
+	"github.com/plantainstair/plantainstair/pkg/control"
+	"github.com/plantainstair/plantainstair/pkg/core/route"
+	"github.com/plantainstair/plantainstair/pkg/logs"
+	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
+)
+
+const (
+	// checkInterval is the precision of suspicion and ejection.
+	checkInterval = 50 * time.Millisecond
+	// pauseLimit is a gap between checks that shows that this process itself
+	// was not running.
+	pauseLimit     = 5 * checkInterval
+	eventQueueSize = 4096
+)
+
+// event is news about one upstream. Exactly one of report and roundTrip is set.
+type event struct {
+	peer      *peer
+	report    *wirepb.LoadReport
+	roundTrip time.Duration
+}
+
+// owner is the state of the control goroutine. Nothing else touches it.
+type owner struct {
+	entry     *Entry
+	ctx       context.Context
+	table     *route.Table
+	peers     map[string]*peer
+	view      *control.View
+	events    chan event
+	lastCheck time.Time
+}
+
+func newOwner(ctx context.Context, e *Entry) *owner {
+	return &owner{
+		entry:  e,
+		ctx:    ctx,
+		table:  route.NewTable(),
+		peers:  make(map[string]*peer),
+		events: make(chan event, eventQueueSize),
+	}
+}
+
+// run applies changes of the configuration and reports until ctx ends.
+func (o *owner) run() {
+	ticker := time.NewTicker(checkInterval)
+	defer ticker.Stop()
+	defer o.stopAll()
+	o.follow()
+	for {
+		select {
+		case <-o.ctx.Done():
+			return
+		case <-o.entry.opts.Control.Changed():
+			o.follow()
+		case ev := <-o.events:
+			o.apply(ev)
+		case <-ticker.C:
+			o.check(o.entry.opts.Now())
+		}
+	}
+}
+
+// follow adopts the newest view.
+func (o *owner) follow() {
+	v := o.entry.opts.Control.View()
+	if v == nil || v == o.view {
+		return
+	}
+	o.view = v
+	for host, p := range o.peers {
+		if _, ok := v.Upstreams[host]; !ok {
+			o.remove(p)
+		}
+	}
+	for _, a := range v.Upstreams {
+		o.announce(a)
+	}
+	o.entry.snapshot.Store(&snapshot{view: v, table: o.table})
+}
+
+// announce adds an upstream or applies its changed announcement.
+func (o *owner) announce(a *wirepb.Announcement) {
+	p := o.peers[a.Host]
+	if p != nil && p.announcement == a {
+		return
+	}
+	if p != nil && (p.announcement.AgentAddress != a.AgentAddress || p.announcement.Incarnation != a.Incarnation) {
+		o.remove(p)
+		p = nil
+	}
+	o.entry.tracker.SetGroup(a.Host, groupOf(a))
+	if p != nil {
+		p.announcement = a
+		o.update(p)
+		return
+	}
+	o.start(a)
+}
+
+func (o *owner) start(a *wirepb.Announcement) {
+	ctx, cancel := context.WithCancel(o.ctx)
+	p := &peer{announcement: a, cancel: cancel}
+	o.peers[a.Host] = p
+	send := func(ev event) {
+		select {
+		case o.events <- ev:
+		case <-ctx.Done():
+		}
+	}
+	go o.entry.opts.Agents.Follow(ctx, a.AgentAddress,
+		func(r *wirepb.LoadReport) { send(event{peer: p, report: r}) },
+		func(d time.Duration) { send(event{peer: p, roundTrip: d}) })
+}
+
+// remove forgets an upstream that left or restarted. Streams to one that
+// still reports go on; those to a silent one end at once.
+func (o *owner) remove(p *peer) {
+	p.cancel()
+	if p.state != agent.Alive {
+		o.entry.opts.Agents.Drop(p.announcement.AgentAddress)
+	}
+	host := p.announcement.Host
+	delete(o.peers, host)
+	o.table.Remove(host)
+	o.entry.tracker.Forget(host)
+}
+
+func (o *owner) stopAll() {
+	for _, p := range o.peers {
+		p.cancel()
+	}
+}
+
+// apply takes one report or round trip.
+func (o *owner) apply(ev event) {
+	p := ev.peer
+	if o.peers[p.announcement.Host] != p {
+		return // of an upstream that was removed
+	}
+	if ev.report == nil {
+		p.roundTrip = ev.roundTrip
+		return // the next report carries it into the table
+	}
+	if ev.report.Incarnation != p.announcement.Incarnation {
+		return // another run of the agent; its announcement is on its way
+	}
+	p.report = ev.report
+	p.liveness.Report(o.entry.opts.Now())
+	p.state = agent.Alive
+	o.update(p)
+}
+
+// update writes the state of an upstream that has reported to the table.
+func (o *owner) update(p *peer) {
+	if p.report != nil {
+		o.table.Update(p.upstream())
+	}
+}
+
+// check moves silent upstreams to suspect and ejected.
+func (o *owner) check(now time.Time) {
+	gap := now.Sub(o.lastCheck)
+	paused := !o.lastCheck.IsZero() && gap > pauseLimit
+	o.lastCheck = now
+	for _, p := range o.peers {
+		if paused {
+			p.liveness.Forgive(gap)
+		}
+		o.judge(p, now)
+	}
+}
+
+func (o *owner) judge(p *peer, now time.Time) {
+	state := p.liveness.State(now)
+	if state == p.state || p.report == nil {
+		return
+	}
+	p.state = state
+	o.update(p)
+	if state == agent.Ejected {
+		o.entry.metrics.ejections.Inc()
+		o.entry.opts.Log.Warn("upstream is silent and ejected", logs.Str("upstream", p.announcement.Host))
+		o.entry.opts.Agents.Drop(p.announcement.AgentAddress)
+	}
+}
--- /dev/null
+++ b/pkg/role/entry/repair.go
@@ -0,0 +1,106 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/plantainstair/plantainstair/pkg/core/session"
+	"github.com/plantainstair/plantainstair/pkg/fault"
+	"github.com/plantainstair/plantainstair/pkg/logs"
+)
+
+// recover decides what follows a failed attempt. It returns nil when the next
+// attempt is prepared, and the error for the caller otherwise. See
+// docs/decisions/retry-and-repair.md.
+func (g *generation) recover(ctx context.Context, err *fault.Error) error {
+	if err.Outcome != fault.NotRun {
+		g.ran = true
+	}
+	if g.emitErr != nil {
+		return g.emitErr
+	}
+	if ctx.Err() != nil || !mayMove(err.Kind) {
+		return err
+	}
+	failed := g.failedStage(err)
+	g.entry.observe(g.chain[failed].Host, err)
+	avoid := g.chain[failed].DataCentre
+	plan, planErr := g.stream.Fail(g.plan.Epoch, failed)
+	if planErr != nil {
+		return err // no repair is left; the cause says more than that
+	}
+	if g.whole() {
+		return nil
+	}
+	if !g.begun() && !g.entry.retryAllowed() {
+		return err
+	}
+	g.count()
+	return g.resume(ctx, plan, avoid, err)
+}
+
+// failedStage returns the index of the stage at fault, the head if none is
+// named.
+func (g *generation) failedStage(err *fault.Error) int {
+	if err.FailedStage < 0 || err.FailedStage >= len(g.chain) {
+		return 0
+	}
+	return err.FailedStage
+}
+
+// retryAllowed takes a retry from the budget.
+func (e *Entry) retryAllowed() bool {
+	if e.budget.Retry(e.opts.Now()) {
+		return true
+	}
+	e.metrics.noBudget.Inc()
+	return false
+}
+
+func (g *generation) count() {
+	if g.begun() {
+		g.entry.metrics.repairs.Inc()
+		return
+	}
+	g.entry.metrics.retries.Inc()
+}
+
+// resume chooses the next chain. A begun stream waits for one, because its
+// caller would lose what it has received.
+func (g *generation) resume(ctx context.Context, plan session.Plan, avoid string, cause *fault.Error) error {
+	until := g.entry.opts.Now().Add(g.entry.opts.Settings.RepairWait)
+	for {
+		chain, err := g.choose(plan.Exclude, avoid)
+		if err == nil {
+			g.chain, g.plan = chain, plan
+			g.entry.opts.Log.Info("stream is repaired", logs.Str("request", g.req.RequestID),
+				logs.Uint("epoch", plan.Epoch), logs.Int("position", len(plan.Emitted)), logs.Err(cause))
+			return g.stream.Resume(plan, hostsOf(chain))
+		}
+		if !g.begun() || !g.entry.opts.Now().Before(until) {
+			return cause
+		}
+		if !wait(ctx, repairPoll) {
+			return ended(ctx)
+		}
+	}
+}
+
+// wait reports false if ctx ended first.
+func wait(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+func ended(ctx context.Context) *fault.Error {
+	if e := fault.As(context.Cause(ctx)); e.Kind != fault.Internal {
+		return e
+	}
+	return fault.New(fault.Cancelled, "caller went away").WithOutcome(fault.MayHaveRun)
+}
--- /dev/null
+++ b/pkg/role/entry/settings.go
@@ -0,0 +1,51 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/plantainstair/plantainstair/pkg/callers"
+	"github.com/plantainstair/plantainstair/pkg/config"
+)
+
+// Settings are the settings of an entry.
+type Settings struct {
+	config.Process
+	config.Security
+
+	Listen   string   `ini:"callers.listen" required:"true" format:"address" help:"Address of the API towards callers."`
+	Platform string   `ini:"platform.listen" required:"true" format:"address" help:"Address of health, readiness and metrics."`
+	Control  []string `ini:"control.addresses" required:"true" format:"address" help:"Peer addresses of control replicas to start from."`
+
+	MaxBody     int           `ini:"callers.max_body_bytes" default:"1048576" min:"1024" max:"1048576" help:"Largest request body; the limit of an organisation takes precedence. It must fit in one frame."`
+	ReadTime    time.Duration `ini:"callers.read_timeout" default:"10s" min:"100ms" max:"5m" help:"Time to receive the body of a request."`
+	WriteTime   time.Duration `ini:"callers.write_timeout" default:"10s" min:"1s" max:"5m" help:"Time for one write to a caller that does not read."`
+	Urgent      time.Duration `ini:"deadline.urgent" default:"15s" min:"10ms" max:"1h" help:"Deadline of urgent requests that name none."`
+	Standard    time.Duration `ini:"deadline.standard" default:"1m" min:"10ms" max:"1h" help:"Deadline of standard requests that name none."`
+	Batch       time.Duration `ini:"deadline.batch" default:"10m" min:"10ms" max:"1h" help:"Deadline of batch requests that name none."`
+	Stall       time.Duration `ini:"streams.stall_timeout" default:"10s" min:"100ms" max:"5m" help:"Longest time between two tokens before the stream is repaired."`
+	RepairWait  time.Duration `ini:"streams.repair_wait" default:"5s" min:"0s" max:"5m" help:"How long a broken stream waits for a chain to become available."`
+	MaxRepairs  int           `ini:"streams.max_repairs" default:"4" min:"0" max:"20" help:"Largest number of repairs of one stream, including retries before its first token."`
+	MaxAttempts int           `ini:"services.max_attempts" default:"3" min:"1" max:"10" help:"Largest number of attempts of one service call."`
+
+	ConfigGrace  time.Duration `ini:"control.config_grace" default:"4s" min:"1s" max:"1m" help:"How long the entry takes work without confirming that its configuration is current."`
+	DrainDelay   time.Duration `ini:"drain.delay" default:"2s" min:"0s" max:"5m" help:"Time between turning readiness off and refusing requests, for the balancer to notice."`
+	DrainTimeout time.Duration `ini:"drain.timeout" default:"10m" min:"1s" max:"2h" help:"Longest wait for requests in progress at a shutdown."`
+}
+
+// LoadSettings reads settings from an INI file.
+func LoadSettings(path string) (Settings, error) {
+	var s Settings
+	err := config.Load(path, &s)
+	return s, err
+}
+
+// ParseSettings reads settings from memory; name stands for the file in errors.
+func ParseSettings(name string, data []byte) (Settings, error) {
+	var s Settings
+	err := config.Parse(name, data, &s)
+	return s, err
+}
+
+func (s Settings) deadlines() callers.Deadlines {
+	return callers.Deadlines{Urgent: s.Urgent, Standard: s.Standard, Batch: s.Batch}
+}
