--- a/pkg/role/entry/process.go
+++ b/pkg/role/entry/process.go
@@ -11,6 +11,7 @@
 	"github.com/plantainstair/plantainstair/pkg/link"
 	"github.com/plantainstair/plantainstair/pkg/logs"
 	"github.com/plantainstair/plantainstair/pkg/platform"
+	"github.com/plantainstair/plantainstair/pkg/upstreams"
 )
 
 // Role is the name of the role in handshakes and logs.
@@ -24,7 +25,7 @@
 const closeTimeout = time.Second
 
 // Run runs an entry process until ctx ends and the requests in progress are
-// finished. The options need no Control and Agents.
+// finished. Only the settings and the log of the options are used.
 func Run(ctx context.Context, opts Options) error {
 	s := opts.Settings
 	linkOpts, err := s.LinkOptions(link.Identity{
@@ -49,6 +50,9 @@
 	})
 	opts.Control = client
 	opts.Agents = agent.NewClient(pool)
+	opts.Tokenize = upstreams.Tokenize
+	opts.Detokenize = upstreams.Detokenize
+	opts.PrefixHashes = upstreams.PrefixHashes
 	e := New(opts)
 	// The watch and the load reports go on until the last request is done.
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
