raft: property test against a naive model

Generated schedules with lost, repeated and reordered messages, cuts, crashes with loss of unsynced data, freezes and voter changes.

--- /dev/null
+++ b/pkg/core/raft/model_test.go
@@ -0,0 +1,297 @@
+package raft
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
+)
+
+// model runs nodes over a faulty network and faulty disks, and compares what
+// they do with a naive record of what was decided.
+type model struct {
+	rng       *rand.Rand
+	peers     []*peer
+	flight    []*wirepb.RaftMessage
+	transfers []transfer
+	cut       map[[2]uint64]bool
+	leaders   map[uint64]uint64           // by term
+	decided   map[uint64]*wirepb.LogEntry // by index
+	highest   uint64                      // highest index known to be committed
+	proposals int
+	reads     uint64
+	off       mechanisms
+	err       error
+}
+
+// peer is a node with its disk. The queue holds writes that are not synced.
+type peer struct {
+	id      uint64
+	node    *Node
+	frozen  bool
+	hard    HardState
+	cluster uint64
+	snap    *wirepb.SnapshotMeta
+	entries []*wirepb.LogEntry
+	queue   []*Write
+	floors  map[uint64]uint64 // by read context: what the read must cover
+}
+
+type transfer struct {
+	to, from, term uint64
+	meta           *wirepb.SnapshotMeta
+}
+
+const testCluster = 77
+
+func newModel(seed uint64, size int, off mechanisms) *model {
+	m := &model{
+		rng: rand.New(rand.NewPCG(seed, 1)), cut: map[[2]uint64]bool{}, off: off,
+		leaders: map[uint64]uint64{}, decided: map[uint64]*wirepb.LogEntry{},
+	}
+	var voters []*wirepb.Voter
+	for id := uint64(1); id <= uint64(size); id++ {
+		voters = append(voters, &wirepb.Voter{Id: id, Member: id})
+	}
+	for range voters {
+		m.addPeer(&wirepb.SnapshotMeta{Voters: voters}, testCluster)
+	}
+	return m
+}
+
+func (m *model) addPeer(snap *wirepb.SnapshotMeta, cluster uint64) *peer {
+	p := &peer{id: uint64(len(m.peers)) + 1, snap: snap, cluster: cluster}
+	m.peers = append(m.peers, p)
+	m.restart(p)
+	return p
+}
+
+func (m *model) restart(p *peer) {
+	var entries []*wirepb.LogEntry
+	if n := len(p.entries); n > 0 && p.entries[n-1].Index >= p.snap.Index && p.entries[0].Index <= p.snap.Index+1 {
+		entries = p.entries
+	}
+	p.entries = slices.Clone(entries)
+	p.queue, p.floors = nil, map[uint64]uint64{}
+	p.node = New(Config{
+		ID: p.id, Member: p.id, Cluster: p.cluster, Random: m.rng.IntN, HardState: p.hard,
+		Snapshot: p.snap, Entries: entries, MaxAppendBytes: 200, MaxInflight: 4, SnapshotRetryTicks: 20,
+	})
+	p.node.off = m.off
+	m.process(p)
+}
+
+func (m *model) fail(format string, args ...any) {
+	if m.err == nil {
+		m.err = fmt.Errorf(format, args...)
+	}
+}
+
+// process takes the output of a node and checks it.
+func (m *model) process(p *peer) {
+	out := p.node.Take()
+	for _, msg := range out.Messages {
+		m.flight = append(m.flight, proto.CloneOf(msg))
+	}
+	if out.Write != nil {
+		p.queue = append(p.queue, out.Write)
+	}
+	for _, v := range out.Snapshots {
+		if p.snap.Index > 0 {
+			m.transfers = append(m.transfers, transfer{to: v.Id, from: p.id, term: p.node.term, meta: p.snap})
+		}
+	}
+	for _, r := range out.Reads {
+		if !r.Rejected && r.Index < p.floors[r.Context] {
+			m.fail("read at node %d returned %d although %d was committed before", p.id, r.Index, p.floors[r.Context])
+		}
+	}
+	m.checkLeader(p)
+	for _, e := range out.Committed {
+		m.checkCommitted(p, e)
+	}
+}
+
+// checkLeader checks election safety and leader completeness.
+func (m *model) checkLeader(p *peer) {
+	if p.node.role != Leader {
+		return
+	}
+	known, seen := m.leaders[p.node.term]
+	if seen && known != p.id {
+		m.fail("nodes %d and %d lead term %d", known, p.id, p.node.term)
+	}
+	if seen {
+		return
+	}
+	m.leaders[p.node.term] = p.id
+	for index, e := range m.decided {
+		if index > p.node.log.base && !p.node.log.matches(index, e.Term) {
+			m.fail("leader %d of term %d lacks committed entry %d of term %d", p.id, p.node.term, index, e.Term)
+		}
+	}
+}
+
+// checkCommitted checks state machine safety, and that a leader commits only
+// what is durable at a quorum.
+func (m *model) checkCommitted(p *peer, e *wirepb.LogEntry) {
+	known := m.decided[e.Index]
+	if known != nil && !proto.Equal(known, e) {
+		m.fail("node %d commits %v, %v was committed before", p.id, e, known)
+	}
+	if known != nil {
+		return
+	}
+	m.decided[e.Index] = e
+	m.highest = max(m.highest, e.Index)
+	// The configuration may have changed in the same step, after the commit.
+	if !m.durable(e, p.node.Voters()) && !m.durable(e, p.node.VotersAt(e.Index)) {
+		m.fail("node %d commits entry %d, which is not durable at a quorum", p.id, e.Index)
+	}
+}
+
+// durable reports whether a quorum of the voters has an entry on disk.
+func (m *model) durable(e *wirepb.LogEntry, voters []*wirepb.Voter) bool {
+	count, good := 0, 0
+	for _, v := range voters {
+		if v.Learner {
+			continue
+		}
+		count++
+		if m.peers[v.Id-1].holds(e) {
+			good++
+		}
+	}
+	return good > count/2
+}
+
+// holds reports whether an entry is on the peer's disk.
+func (p *peer) holds(e *wirepb.LogEntry) bool {
+	if e.Index <= p.snap.Index {
+		return true
+	}
+	if len(p.entries) == 0 || e.Index < p.entries[0].Index {
+		return false
+	}
+	at := e.Index - p.entries[0].Index
+	return at < uint64(len(p.entries)) && p.entries[at].Term == e.Term
+}
+
+// sync makes the first count queued writes durable.
+func (p *peer) sync(count int) {
+	for _, w := range p.queue[:count] {
+		if w.HardState != nil {
+			p.hard = *w.HardState
+			p.cluster = p.node.cluster
+		}
+		if w.Snapshot != nil {
+			p.snap, p.entries = w.Snapshot, nil
+		}
+		if len(w.Entries) > 0 {
+			p.entries = slices.DeleteFunc(p.entries, func(e *wirepb.LogEntry) bool { return e.Index >= w.Entries[0].Index })
+			p.entries = append(p.entries, w.Entries...)
+		}
+	}
+	p.queue = p.queue[count:]
+}
+
+func (m *model) persist(p *peer) {
+	if len(p.queue) == 0 {
+		return
+	}
+	count := 1 + m.rng.IntN(len(p.queue))
+	seq := p.queue[count-1].Seq
+	p.sync(count)
+	p.node.Persisted(seq)
+	m.process(p)
+}
+
+// crash loses the writes that were not synced, except for a random number that
+// reached the disk without being acknowledged.
+func (m *model) crash(p *peer) {
+	p.sync(m.rng.IntN(len(p.queue) + 1))
+	p.node = nil
+}
+
+// snapshot makes a snapshot of what was committed and compacts the log.
+func (m *model) snapshot(p *peer) {
+	index := p.node.log.applied
+	term, held := p.node.TermAt(index)
+	if index <= p.snap.Index || !held {
+		return
+	}
+	p.snap = &wirepb.SnapshotMeta{Index: index, Term: term, Voters: p.node.VotersAt(index), Cluster: p.cluster}
+	p.node.Compact(index - min(index, uint64(m.rng.IntN(4))))
+	m.process(p)
+}
+
+func (m *model) deliver(msg *wirepb.RaftMessage) {
+	p := m.peers[msg.To-1]
+	if p.node == nil || m.cut[[2]uint64{msg.From, msg.To}] {
+		return
+	}
+	p.node.Step(msg)
+	m.process(p)
+}
+
+func (m *model) install(t transfer) {
+	p := m.peers[t.to-1]
+	if p.node == nil || m.cut[[2]uint64{t.from, t.to}] {
+		return
+	}
+	p.node.InstallSnapshot(t.meta, t.from, t.term)
+	m.process(p)
+}
+
+func (m *model) read(p *peer) {
+	m.reads++
+	p.floors[m.reads] = m.highest
+	p.node.ReadIndex(m.reads)
+	m.process(p)
+}
+
+func (m *model) propose(p *peer) {
+	m.proposals++
+	p.node.Propose([][]byte{fmt.Appendf(nil, "command %d", m.proposals)})
+	m.process(p)
+}
+
+// changeVoters adds a new node or removes a random one.
+func (m *model) changeVoters(p *peer) {
+	if p.node.role != Leader || !p.node.mayChange() {
+		return
+	}
+	if m.rng.IntN(2) == 0 && len(m.peers) < 8 {
+		added := m.addPeer(&wirepb.SnapshotMeta{}, 0)
+		_ = p.node.ChangeVoter(&wirepb.Voter{Id: added.id}, false)
+	} else if voters := p.node.Voters(); len(voters) > 2 {
+		_ = p.node.ChangeVoter(voters[m.rng.IntN(len(voters))], true)
+	}
+	m.process(p)
+}
+
+// checkLogs checks log matching for all pairs of nodes.
+func (m *model) checkLogs() {
+	for _, a := range m.peers {
+		for _, b := range m.peers {
+			if a.node != nil && b.node != nil && a.id < b.id {
+				m.checkPair(a, b)
+			}
+		}
+	}
+}
+
+func (m *model) checkPair(a, b *peer) {
+	la, lb := a.node.log, b.node.log
+	equal := false
+	for i := min(la.last(), lb.last()); i > max(la.base, lb.base); i-- {
+		ea, eb := la.entries[i-la.base-1], lb.entries[i-lb.base-1]
+		equal = equal || ea.Term == eb.Term
+		if equal && !proto.Equal(ea, eb) {
+			m.fail("nodes %d and %d agree after entry %d but differ in it", a.id, b.id, i)
+		}
+	}
+}
