Test repairs, refusals, limits and the drain of the entry

Change: property test over failing attempts, a table of refusals and their outcomes, budget, limits, stale configuration and drain.

--- /dev/null
+++ b/pkg/role/entry/refusal_test.go
@@ -0,0 +1,328 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"gotest.tools/v3/assert"
+
+	"github.com/plantainstair/plantainstair/pkg/callers"
+	"github.com/plantainstair/plantainstair/pkg/control"
+	"github.com/plantainstair/plantainstair/pkg/fault"
+	"github.com/plantainstair/plantainstair/pkg/platform"
+	"github.com/plantainstair/plantainstair/pkg/wire"
+	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
+)
+
+type answer struct {
+	status int
+	header http.Header
+	body   callers.ErrorBody
+	raw    string
+}
+
+func (s *system) do(method, path, body string, headers ...string) answer {
+	s.tb.Helper()
+	req, err := http.NewRequest(method, s.server.URL+path, bytes.NewBufferString(body))
+	assert.NilError(s.tb, err)
+	req.Header.Set("Authorization", "Bearer "+testKey)
+	for i := 0; i < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	resp, err := http.DefaultClient.Do(req)
+	assert.NilError(s.tb, err)
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(resp.Body)
+	assert.NilError(s.tb, err)
+	a := answer{status: resp.StatusCode, header: resp.Header, raw: string(raw)}
+	_ = json.Unmarshal(raw, &a.body)
+	assert.Assert(s.tb, resp.Header.Get("X-Request-Id") != "")
+	assert.Assert(s.tb, resp.Header.Get("Plantain-Outcome") != "")
+	return a
+}
+
+const chatBody = `{"model":"m","max_tokens":4,"seed":1,"messages":[{"role":"user","content":"hi"}]}`
+
+func keyed() []string { return []string{"Idempotency-Key", uuid.Must(uuid.NewV7()).String()} }
+
+// point is one place where a request can fail.
+type point struct {
+	name    string
+	behave  behaviour
+	prepare func(s *system)
+	path    string // chat if empty
+	keyed   bool
+	claim   string // status of the claim; absent if empty
+	status  int
+	code    fault.Kind
+	outcome string
+	sends   int64
+}
+
+func agentSays(kind fault.Kind, o fault.Outcome) behaviour {
+	return refusing(0, fault.New(kind, "agent says so").WithOutcome(o))
+}
+
+func dead(s *system) {
+	// The table still lists the agent, but nothing listens any more.
+	_ = s.agents[0].server.Close()
+}
+
+func points() []point {
+	stale := func(s *system) { s.control.stale.Store(true) }
+	drained := func(s *system) { s.entry.lifecycle.Drain() }
+	empty := func(s *system) {
+		s.control.set(testView(nil, nil))
+		until(s.tb, "the table is empty", func() bool { return s.entry.snapshot.Load().table.Len() == 0 })
+	}
+	call := "/services/orders/1"
+	return []point{
+		{name: "chat stale", prepare: stale, status: 503, code: fault.StaleConfig, outcome: "not_run"},
+		{name: "chat draining", prepare: drained, status: 503, code: fault.Draining, outcome: "not_run"},
+		{name: "chat no upstream", prepare: empty, status: 503, code: fault.Unavailable, outcome: "not_run"},
+		{name: "chat dial fails", prepare: dead, status: 503, code: fault.Unavailable, outcome: "not_run"},
+		{name: "chat agent proves", behave: agentSays(fault.Overloaded, fault.NotRun), status: 503, code: fault.Overloaded, outcome: "not_run", sends: 1},
+		{name: "chat agent unsure", behave: agentSays(fault.Upstream, fault.MayHaveRun), status: 502, code: fault.Upstream, outcome: "unknown", sends: 1},
+		{name: "chat agent silent on outcome", behave: agentSays(fault.Overloaded, fault.Unspecified), status: 503, code: fault.Overloaded, outcome: "unknown", sends: 1},
+		{name: "chat connection lost", behave: cutting(0), status: 503, code: fault.Unavailable, outcome: "unknown", sends: 1},
+		{name: "chat after tokens", behave: refusing(2, fault.New(fault.Overloaded, "x").WithOutcome(fault.NotRun)), status: 503, code: fault.Overloaded, outcome: "unknown", sends: 1},
+		{name: "chat wrong frame", behave: func(_ *fakeAgent, s *wire.Stream, _ *wirepb.Frame) {
+			_ = s.Write(&wirepb.Frame{Body: &wirepb.Frame_Ping{Ping: &wirepb.Ping{}}})
+		}, status: 502, code: fault.Protocol, outcome: "unknown", sends: 1},
+
+		{name: "call stale", prepare: stale, path: call, status: 503, code: fault.StaleConfig, outcome: "not_run"},
+		{name: "call dial fails", prepare: dead, path: call, status: 503, code: fault.Unavailable, outcome: "not_run"},
+		{name: "call lost", behave: cutting(0), path: call, status: 503, code: fault.Unavailable, outcome: "unknown", sends: 1},
+		{name: "call crossed answer", behave: func(_ *fakeAgent, s *wire.Stream, _ *wirepb.Frame) {
+			_ = s.Write(&wirepb.Frame{Body: &wirepb.Frame_CallResponse{CallResponse: &wirepb.CallResponse{RequestId: "another", Status: 200}}})
+		}, path: call, status: 502, code: fault.Protocol, outcome: "unknown", sends: 1},
+
+		{name: "keyed stale", prepare: stale, path: call, keyed: true, status: 503, code: fault.StaleConfig, outcome: "unknown"},
+		{name: "keyed draining", prepare: drained, path: call, keyed: true, status: 503, code: fault.Draining, outcome: "unknown"},
+		{name: "keyed no upstream", prepare: empty, path: call, keyed: true, status: 503, code: fault.Unavailable, outcome: "not_run"},
+		{name: "keyed no upstream, claimed", prepare: empty, path: call, keyed: true, claim: control.ClaimPending, status: 503, code: fault.Unavailable, outcome: "unknown"},
+		{name: "keyed no upstream, answered", prepare: empty, path: call, keyed: true, claim: control.ClaimAnswered, status: 503, code: fault.Unavailable, outcome: "unknown"},
+		{name: "keyed dial fails, no control", prepare: func(s *system) { dead(s); s.control.claim.Store("") }, path: call, keyed: true, status: 503, code: fault.Unavailable, outcome: "unknown"},
+		{name: "keyed agent proves", behave: agentSays(fault.Overloaded, fault.NotRun), path: call, keyed: true, claim: control.ClaimPending, status: 503, code: fault.Overloaded, outcome: "not_run", sends: 1},
+		{name: "keyed lost", behave: cutting(0), path: call, keyed: true, status: 503, code: fault.Unavailable, outcome: "unknown", sends: 1},
+		{name: "keyed expired", behave: agentSays(fault.Expired, fault.NotRun), path: call, keyed: true, status: 410, code: fault.Expired, outcome: "not_run", sends: 1},
+	}
+}
+
+// Guards against a refusal that says not_run without proof, at every point
+// where a request can fail, and against a retry of a call that may have run.
+func TestRefusals_NotRunOnlyIfProved(t *testing.T) {
+	for _, p := range points() {
+		t.Run(p.name, func(t *testing.T) {
+			behave := p.behave
+			if behave == nil {
+				behave = honest
+			}
+			agents := startAgents(t, 1, always(behave))
+			s := newSystem(t, agents, nil, "[streams]\nrepair_wait=0s")
+			if p.claim != "" {
+				s.control.claim.Store(p.claim)
+			}
+			if p.prepare != nil {
+				p.prepare(s)
+			}
+			method, path, body := http.MethodPost, "/v1/chat/completions", chatBody
+			var headers []string
+			if p.path != "" {
+				method, path, body = http.MethodGet, p.path, ""
+			}
+			if p.keyed {
+				method, headers = http.MethodPost, keyed()
+			}
+			a := s.do(method, path, body, headers...)
+			assert.Equal(t, a.status, p.status, a.raw)
+			assert.Equal(t, a.body.Error.Code, string(p.code))
+			assert.Equal(t, a.body.Error.Outcome, p.outcome)
+			assert.Equal(t, a.header.Get("Plantain-Outcome"), p.outcome)
+			assert.Equal(t, a.header.Get("Retry-After") != "", p.code != fault.Expired)
+			assert.Equal(t, agents[0].requests.Load(), p.sends)
+		})
+	}
+}
+
+// Guards against a keyed call that is sent again although its outcome is
+// unknown, and against a repeatable or refused one that is given up too early.
+func TestCall_RetriesOnlyWhereSafe(t *testing.T) {
+	cases := []struct {
+		name   string
+		fail   behaviour
+		keyed  bool
+		sends  int64
+		status int
+	}{
+		{"repeatable, lost", cutting(0), false, 2, 200},
+		{"keyed, lost", cutting(0), true, 1, 503},
+		{"keyed, refused", agentSays(fault.Draining, fault.NotRun), true, 2, 200},
+		{"keyed, expired", agentSays(fault.Expired, fault.NotRun), true, 1, 410},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			agents := startAgents(t, 3, inTurn(c.fail))
+			s := newSystem(t, agents, nil, "")
+			method, headers := http.MethodGet, []string(nil)
+			if c.keyed {
+				method, headers = http.MethodPost, keyed()
+			}
+			a := s.do(method, "/services/orders/a%2Fb?x=1", "", headers...)
+			assert.Equal(t, a.status, c.status)
+			if c.status == http.StatusOK {
+				assert.Equal(t, a.raw, method+" /a%2Fb?x=1")
+			}
+			var sends int64
+			for _, agent := range agents {
+				sends += agent.requests.Load()
+			}
+			assert.Equal(t, sends, c.sends)
+		})
+	}
+}
+
+// Guards against retries that multiply the load when everything fails.
+func TestBudget_UnderTotalFailure(t *testing.T) {
+	agents := startAgents(t, 3, always(agentSays(fault.Overloaded, fault.NotRun)))
+	s := newSystem(t, agents, nil, "")
+	const requests = 100
+	for range requests {
+		a := s.do(http.MethodPost, "/v1/chat/completions", chatBody)
+		assert.Equal(t, a.body.Error.Outcome, "not_run")
+	}
+	var sends int64
+	for _, a := range agents {
+		sends += a.requests.Load()
+	}
+	// A tenth of the requests, the burst of 10, and the floor of one in 10 s.
+	assert.Assert(t, sends <= requests+requests/10+10+2, "%d sends for %d requests", sends, requests)
+	assert.Assert(t, s.entry.metrics.noBudget.Get() > 0)
+}
+
+// Guards against limits that are not enforced or not divided by the entries.
+func TestLimits(t *testing.T) {
+	agents := startAgents(t, 1, always(holding(1)))
+	s := newSystem(t, agents, &wirepb.Limits{ConcurrentRequests: 4}, "")
+	view := *s.control.View()
+	view.LiveEntries = 2
+	s.control.set(&view)
+	until(t, "the view", func() bool { return s.entry.snapshot.Load().view == &view })
+	for range 2 {
+		st, err := s.client.CreateChatCompletionStream(context.Background(), chatRequest(5, 1))
+		assert.NilError(t, err)
+		defer st.Close()
+	}
+	a := s.do(http.MethodPost, "/v1/chat/completions", chatBody)
+	assert.Equal(t, a.status, http.StatusTooManyRequests)
+	assert.Equal(t, *a.body.Error.Param, "concurrent_requests")
+	assert.Equal(t, a.body.Error.Outcome, "not_run")
+	assert.Equal(t, a.header.Get("Retry-After"), "1")
+}
+
+// Guards against a token rate that is exceeded over time, or that starves an
+// organisation once its debt is paid.
+func TestLimits_TokenRate(t *testing.T) {
+	l := newLimiter()
+	org := &wirepb.Entry{Name: "o", Limits: &wirepb.Limits{TokensPerSecond: 100}}
+	now := time.Unix(1000, 0)
+	served, last := 0, time.Time{}
+	for step := range 10000 {
+		now = now.Add(time.Duration(step%7) * time.Millisecond)
+		u, err := l.acquire(org, 2, 10, now)
+		if err != nil {
+			assert.Equal(t, fault.As(err).Outcome, fault.NotRun)
+			assert.Assert(t, fault.As(err).RetryAfter > 0)
+			continue
+		}
+		u.charge(40)
+		u.release()
+		served += 50
+		last = now
+	}
+	rate := float64(served) / last.Sub(time.Unix(1000, 0)).Seconds()
+	assert.Assert(t, rate > 45 && rate < 60, "%.1f tokens per second, the share is 50", rate)
+}
+
+// Guards against new work on a stale configuration, and against stopping the
+// work in progress with it.
+func TestStaleView(t *testing.T) {
+	agents := startAgents(t, 2, inTurn(holding(2)))
+	s := newSystem(t, agents, nil, "[streams]\nstall_timeout=300ms")
+	st, err := s.client.CreateChatCompletionStream(context.Background(), chatRequest(6, 1))
+	assert.NilError(t, err)
+	defer st.Close()
+	s.control.stale.Store(true)
+	assert.Assert(t, fault.Is(s.entry.Ready(), fault.StaleConfig))
+	a := s.do(http.MethodPost, "/v1/chat/completions", chatBody)
+	assert.Equal(t, a.body.Error.Code, string(fault.StaleConfig))
+	text := ""
+	for {
+		chunk, err := st.Recv()
+		if err == io.EOF {
+			break
+		}
+		assert.NilError(t, err)
+		text += chunk.Choices[0].Delta.Content
+	}
+	assert.Equal(t, text, expected(6, 1))
+	s.control.stale.Store(false)
+	assert.NilError(t, s.entry.Ready())
+}
+
+// Guards against a shutdown that interrupts requests in progress or refuses
+// work before the balancer has seen that the entry is not ready.
+func TestDrain(t *testing.T) {
+	release := make(chan struct{})
+	slow := func(a *fakeAgent, s *wire.Stream, f *wirepb.Frame) {
+		if a.generate(s, f.GetGenerate(), 2) {
+			<-release
+			a.mu.Lock()
+			delete(a.epochs, f.GetGenerate().Session)
+			a.mu.Unlock()
+			f.GetGenerate().Emitted = []uint32{0, 0}
+			honest(a, s, f)
+		}
+	}
+	s := newSystem(t, startAgents(t, 1, inTurn(slow)), nil, "[drain]\ndelay=300ms")
+	plat, err := platform.NewServer("127.0.0.1:0", s.entry.PlatformOptions())
+	assert.NilError(t, err)
+	defer plat.Close(context.Background())
+	server, err := callers.NewServer("127.0.0.1:0", s.entry.Handler())
+	assert.NilError(t, err)
+	st, err := s.client.CreateChatCompletionStream(context.Background(), chatRequest(6, 1))
+	assert.NilError(t, err)
+	defer st.Close()
+	drained := make(chan error, 1)
+	go func() { drained <- s.entry.Drain(context.Background(), server) }()
+	until(t, "readiness is off", func() bool {
+		resp, err := http.Get(fmt.Sprintf("http://%s/readyz", plat.Address()))
+		assert.NilError(t, err)
+		defer resp.Body.Close()
+		return resp.StatusCode == http.StatusServiceUnavailable
+	})
+	assert.Equal(t, s.do(http.MethodPost, "/v1/chat/completions", chatBody).status, http.StatusOK)
+	until(t, "new work is refused", func() bool {
+		return s.do(http.MethodPost, "/v1/chat/completions", chatBody).body.Error.Code == string(fault.Draining)
+	})
+	close(release)
+	text := ""
+	for {
+		chunk, err := st.Recv()
+		if err == io.EOF {
+			break
+		}
+		assert.NilError(t, err)
+		text += chunk.Choices[0].Delta.Content
+	}
+	assert.Equal(t, text, expected(6, 1))
+	assert.NilError(t, <-drained)
+	assert.Equal(t, s.entry.lifecycle.State(), platform.Stopped)
+}
--- a/pkg/role/entry/stream_test.go
+++ b/pkg/role/entry/stream_test.go
@@ -4,10 +4,17 @@
 	"context"
 	"errors"
 	"io"
+	"net/http"
+	"slices"
 	"testing"
 
 	openai "github.com/sashabaranov/go-openai"
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/plantainstair/plantainstair/pkg/fault"
+	"github.com/plantainstair/plantainstair/pkg/wire"
+	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
 )
 
 // Guards against answers that an OpenAI client cannot read, in both forms.
@@ -25,3 +32,150 @@
 	assert.NilError(t, err)
 	assert.Equal(t, models.Models[0].ID, "m")
 }
+
+// failures are the ways in which an attempt may end too early or wrongly.
+func failures(after uint32) map[string]behaviour {
+	wrong := func(change func(t *wirepb.Token)) behaviour {
+		return func(a *fakeAgent, s *wire.Stream, f *wirepb.Frame) {
+			req := f.GetGenerate()
+			end := uint32(len(req.Emitted)) + after
+			if !a.generate(s, req, end) || end >= req.MaxTokens {
+				return
+			}
+			bad := token(req, end, 1)
+			change(bad)
+			_ = sendToken(s, bad)
+			_, _ = s.Read()
+		}
+	}
+	return map[string]behaviour{
+		"stage failed":  refusing(after, fault.New(fault.Upstream, "engine died").WithStage(0).WithOutcome(fault.MayHaveRun)),
+		"refused":       refusing(after, fault.New(fault.Overloaded, "queue is full").WithOutcome(fault.NotRun)),
+		"head lost":     cutting(after),
+		"duplicate":     wrong(func(t *wirepb.Token) { t.Position-- }),
+		"gap":           wrong(func(t *wirepb.Token) { t.Position++ }),
+		"late epoch":    wrong(func(t *wirepb.Token) { t.Epoch-- }),
+		"other session": wrong(func(t *wirepb.Token) { t.Session = "another" }),
+		"early end": func(a *fakeAgent, s *wire.Stream, f *wirepb.Frame) {
+			req := f.GetGenerate()
+			if a.generate(s, req, uint32(len(req.Emitted))+after) {
+				_ = s.Write(&wirepb.Frame{Body: &wirepb.Frame_GenerateDone{GenerateDone: &wirepb.GenerateDone{CompletionTokens: req.MaxTokens}}})
+			}
+		},
+	}
+}
+
+// Guards against a gap, a repeated or a changed token after any sequence of
+// failures, in any place of the answer.
+func TestChat_ContinuesOverFailures(t *testing.T) {
+	var names []string
+	for name := range failures(0) {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	rapid.Check(t, func(rt *rapid.T) {
+		var list []behaviour
+		for range rapid.IntRange(1, 4).Draw(rt, "failures") {
+			after := rapid.Uint32Range(0, 6).Draw(rt, "after")
+			list = append(list, failures(after)[rapid.SampledFrom(names).Draw(rt, "kind")])
+		}
+		var cleanup []func()
+		tb := &rapidTB{TB: t, cleanup: &cleanup}
+		defer tb.run()
+		s := newSystem(tb, startAgents(tb, 6, inTurn(list...)), nil, "")
+		text, err := s.stream(context.Background(), 24, 3)
+		assert.Assert(rt, errors.Is(err, io.EOF), "%v", err)
+		assert.Equal(rt, text, expected(24, 3))
+	})
+}
+
+// rapidTB runs clean-ups at the end of one case.
+type rapidTB struct {
+	testing.TB
+	cleanup *[]func()
+}
+
+func (t *rapidTB) Cleanup(f func()) { *t.cleanup = append(*t.cleanup, f) }
+
+func (t *rapidTB) run() {
+	for _, f := range slices.Backward(*t.cleanup) {
+		f()
+	}
+}
+
+// Guards against a stream that hangs on a frozen head: its reports stop, and
+// it is ejected within a second although its connection stays open.
+func TestChat_FrozenHead(t *testing.T) {
+	agents := startAgents(t, 3, inTurn(holding(5)))
+	s := newSystem(t, agents, nil, "")
+	st, err := s.client.CreateChatCompletionStream(context.Background(), chatRequest(12, 1))
+	assert.NilError(t, err)
+	defer st.Close()
+	text := ""
+	for n := 0; ; n++ {
+		chunk, err := st.Recv()
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		assert.NilError(t, err)
+		text += chunk.Choices[0].Delta.Content
+		if n == 4 {
+			for _, a := range agents {
+				a.silent.Store(a.requests.Load() > 0)
+			}
+		}
+	}
+	assert.Equal(t, text, expected(12, 1))
+	until(t, "the ejection is counted", func() bool { return s.entry.metrics.ejections.Get() == 1 })
+}
+
+// Guards against work that goes on for a caller who left.
+func TestChat_DisconnectCancels(t *testing.T) {
+	agents := startAgents(t, 1, always(holding(2)))
+	s := newSystem(t, agents, nil, "")
+	ctx, cancel := context.WithCancel(context.Background())
+	st, err := s.client.CreateChatCompletionStream(ctx, chatRequest(10, 1))
+	assert.NilError(t, err)
+	_, err = st.Recv()
+	assert.NilError(t, err)
+	cancel()
+	until(t, "the agent sees the cancel", func() bool { return agents[0].cancelled.Load() == 1 })
+	until(t, "the request ends", func() bool { return s.entry.lifecycle.InFlight() == 0 })
+	assert.Equal(t, agents[0].requests.Load(), int64(1))
+}
+
+// Guards against a truncated answer that looks complete when no upstream is
+// left to repair it.
+func TestChat_TruncatedIsNotComplete(t *testing.T) {
+	agents := startAgents(t, 1, always(cutting(3)))
+	s := newSystem(t, agents, nil, "[streams]\nrepair_wait=0s")
+	text, err := s.stream(context.Background(), 10, 1)
+	var api *openai.APIError
+	assert.Assert(t, errors.As(err, &api), "%v", err)
+	assert.Equal(t, api.Code, "unavailable")
+	assert.Equal(t, text, expected(3, 1))
+	_, err = s.client.CreateChatCompletion(context.Background(), chatRequest(10, 1))
+	assert.Assert(t, errors.As(err, &api), "%v", err)
+	assert.Equal(t, api.HTTPStatusCode, http.StatusServiceUnavailable)
+}
+
+// Guards against a request that is lost or answered twice when its head dies
+// before the first token.
+func TestChat_HeadDiesBeforeFirstToken(t *testing.T) {
+	agents := startAgents(t, 2, inTurn(cutting(0)))
+	s := newSystem(t, agents, nil, "")
+	text, err := s.stream(context.Background(), 8, 2)
+	assert.Assert(t, errors.Is(err, io.EOF), "%v", err)
+	assert.Equal(t, text, expected(8, 2))
+	assert.Equal(t, s.entry.metrics.retries.Get(), uint64(1))
+	assert.Equal(t, agents[0].requests.Load()+agents[1].requests.Load(), int64(2))
+}
+
+// Guards against a stall without any error: the engine hangs while its agent
+// keeps reporting.
+func TestChat_StallIsRepaired(t *testing.T) {
+	s := newSystem(t, startAgents(t, 2, inTurn(holding(4))), nil, "[streams]\nstall_timeout=200ms")
+	text, err := s.stream(context.Background(), 9, 2)
+	assert.Assert(t, errors.Is(err, io.EOF), "%v", err)
+	assert.Equal(t, text, expected(9, 2))
+}
