--- a/pkg/role/entry/harness_test.go
+++ b/pkg/role/entry/harness_test.go
@@ -302,7 +302,7 @@
 
 func chatRequest(maxTokens, seed int) openai.ChatCompletionRequest {
 	return openai.ChatCompletionRequest{
-		Model: "m", MaxTokens: maxTokens, Seed: &seed,
+		Model: "m", MaxCompletionTokens: maxTokens, Seed: &seed,
 		Messages: []openai.ChatCompletionMessage{{Role: "user", Content: "where is my order"}},
 	}
 }
