raft, replica: removal by the only holder, tests of replicas under faults

A leader that removed itself and lost the election race could be the only node whose log held the removal, and nobody else could win. It may now campaign until the removal is committed.

--- a/pkg/core/raft/election.go
+++ b/pkg/core/raft/election.go
@@ -21,9 +21,17 @@
 	return n.role == Leader || (n.lead != None && n.electionElapsed < n.cfg.ElectionTicks)
 }
 
+// mayCampaign reports whether this node is a voter, or is one until its
+// removal is committed: it may be the only node whose log holds the removal,
+// and then no other could win.
+func (n *Node) mayCampaign() bool {
+	v := findVoter(n.VotersAt(n.log.commit), n.cfg.ID)
+	return n.isVoter(n.cfg.ID) || (v != nil && !v.Learner)
+}
+
 // campaign starts with a pre-vote unless skipPreVote is set.
 func (n *Node) campaign(skipPreVote bool) {
-	if !n.isVoter(n.cfg.ID) {
+	if !n.mayCampaign() {
 		return
 	}
 	n.lead = None
--- /dev/null
+++ b/pkg/replica/faulty_test.go
@@ -0,0 +1,56 @@
+package replica
+
+import (
+	"sync/atomic"
+	"syscall"
+
+	"github.com/plantainstair/plantainstair/pkg/wal"
+)
+
+// faultyFS is the real file system with syncs that can be held up or fail.
+type faultyFS struct {
+	wal.OS
+	hold    atomic.Pointer[chan struct{}] // syncs wait until it is closed
+	broken  atomic.Bool
+	waiting atomic.Int32 // syncs held up now
+	syncs   atomic.Int64
+}
+
+type faultyFile struct {
+	wal.File
+	fs *faultyFS
+}
+
+func (f *faultyFS) Create(name string) (wal.File, error) { return f.wrap(f.OS.Create(name)) }
+
+func (f *faultyFS) Append(name string) (wal.File, error) { return f.wrap(f.OS.Append(name)) }
+
+func (f *faultyFS) wrap(file wal.File, err error) (wal.File, error) {
+	if err != nil {
+		return nil, err
+	}
+	return &faultyFile{File: file, fs: f}, nil
+}
+
+func (f *faultyFile) Sync() error {
+	f.fs.syncs.Add(1)
+	if c := f.fs.hold.Load(); c != nil {
+		f.fs.waiting.Add(1)
+		<-*c
+		f.fs.waiting.Add(-1)
+	}
+	if f.fs.broken.Load() {
+		return syscall.EIO
+	}
+	return f.File.Sync()
+}
+
+// holdSyncs makes syncs wait until the returned function is called.
+func (f *faultyFS) holdSyncs() (release func()) {
+	c := make(chan struct{})
+	f.hold.Store(&c)
+	return func() {
+		f.hold.Store(nil)
+		close(c)
+	}
+}
--- a/pkg/replica/loop.go
+++ b/pkg/replica/loop.go
@@ -126,8 +126,8 @@
 		r.write(out.Write)
 		r.apply(out.Committed)
 		r.finishReads(out.Reads)
-		r.checkLeadership()
 		r.finishChanges()
+		r.checkLeadership()
 	}
 	r.publish()
 }
--- a/pkg/replica/replica_test.go
+++ b/pkg/replica/replica_test.go
@@ -1,11 +1,14 @@
 package replica
 
 import (
+	"context"
 	"fmt"
+	"os"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/plantainstair/plantainstair/pkg/core/raft"
 	"github.com/plantainstair/plantainstair/pkg/fault"
 	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
 )
@@ -68,3 +71,141 @@
 		return err == nil
 	})
 }
+
+// Guards against losing acknowledged writes when a second host is lost right
+// after the replacement of the first one was reported as finished.
+func TestSecondHostLostAfterReplacement(t *testing.T) {
+	c := newCluster(t, 3, nil)
+	const writes = 200
+	for i := range writes {
+		c.mustPropose(fmt.Sprint("a", i))
+	}
+	lead := c.leader().opts.ID
+	lost, second := lead%3+1, (lead+1)%3+1
+	c.stop(lost)
+	assert.NilError(t, os.RemoveAll(c.path(lost)))
+	c.start(4, func(o *Options) { o.Join = true; o.Bootstrap = nil })
+	c.change(voter(4), false)
+	c.change(voter(lost), true)
+	c.mustPropose("last")
+	c.stop(second)
+	assert.NilError(t, os.RemoveAll(c.path(second)))
+	c.mustPropose("after")
+	_, err := c.replica(4).ReadIndex(testContext(t))
+	assert.NilError(t, err)
+	assert.Equal(t, c.machines[4].get(), "after")
+	assert.Equal(t, c.machines[4].applied(), c.machines[lead].applied())
+	assert.Assert(t, c.machines[4].applied() >= writes+2)
+}
+
+// Guards against a replica that lost its disk and votes again under its old
+// identity: together with a replica that lacks them it could undo
+// acknowledged writes.
+func TestWipedDiskCannotVote(t *testing.T) {
+	c := newCluster(t, 3, nil)
+	lead := c.leader().opts.ID
+	behind, wiped := lead%3+1, (lead+1)%3+1
+	c.net.isolate(behind, true)
+	c.mustPropose("kept", behind)
+	c.stop(wiped)
+	c.stop(lead)
+	assert.NilError(t, os.RemoveAll(c.path(wiped)))
+	c.net.isolate(behind, false)
+	for _, join := range []bool{false, true} {
+		r := c.start(wiped, func(o *Options) {
+			o.Join = join
+			if join {
+				o.Bootstrap = nil
+			}
+		})
+		term := c.replica(behind).Status().Term
+		c.waitAttempts(behind)
+		assert.Equal(t, c.replica(behind).Status().Term, term)
+		assert.Assert(t, join || r.Status().Failed != nil)
+		assert.Assert(t, c.replica(behind).Status().Role != raft.Leader)
+		c.stop(wiped)
+		assert.NilError(t, os.RemoveAll(c.path(wiped)))
+	}
+	c.start(lead, nil)
+	c.mustPropose("more")
+	c.waitValue(behind, "more")
+}
+
+// waitAttempts waits until a replica asked for votes several times.
+func (c *cluster) waitAttempts(id uint64) {
+	const attempts = 5
+	before := c.net.sent(id, raft.MsgPreVote)
+	eventually(c.t, "no attempts", func() bool { return c.net.sent(id, raft.MsgPreVote) > before+2*attempts })
+}
+
+// Guards against a leader that loses its followers because its own sync is
+// slow, and against proposals that then stall although a quorum is fast.
+func TestSlowSyncKeepsLeader(t *testing.T) {
+	files := map[uint64]*faultyFS{1: {}, 2: {}, 3: {}}
+	c := newCluster(t, 3, func(o *Options) { o.FS = files[o.ID] })
+	c.mustPropose("before")
+	lead := c.leader()
+	term := lead.Status().Term
+	release := files[lead.opts.ID].holdSyncs()
+	_, err := lead.Propose(testContext(t), []byte("during"))
+	assert.NilError(t, err)
+	beats := c.net.sent(lead.opts.ID, raft.MsgHeartbeat)
+	eventually(t, "no heartbeats", func() bool { return c.net.sent(lead.opts.ID, raft.MsgHeartbeat) > beats+40 })
+	assert.Equal(t, files[lead.opts.ID].waiting.Load(), int32(1))
+	assert.Equal(t, lead.Status().Role, raft.Leader)
+	assert.Equal(t, lead.Status().Term, term)
+	release()
+}
+
+// Guards against acknowledging writes whose sync did not finish or failed.
+func TestNoAcknowledgeWithoutSync(t *testing.T) {
+	files := map[uint64]*faultyFS{1: {}, 2: {}, 3: {}}
+	c := newCluster(t, 3, func(o *Options) { o.FS = files[o.ID] })
+	c.mustPropose("before")
+	lead := c.leader()
+	var releases []func()
+	for id, f := range files {
+		if id != lead.opts.ID {
+			releases = append(releases, f.holdSyncs())
+		}
+	}
+	ctx, cancel := context.WithCancel(testContext(t))
+	result := make(chan error, 1)
+	go func() {
+		_, err := lead.Propose(ctx, []byte("held"))
+		result <- err
+	}()
+	for id, f := range files {
+		eventually(t, "no sync waits", func() bool { return id == lead.opts.ID || f.waiting.Load() == 1 })
+	}
+	beats := c.net.sent(lead.opts.ID, raft.MsgHeartbeat)
+	eventually(t, "no heartbeats", func() bool { return c.net.sent(lead.opts.ID, raft.MsgHeartbeat) > beats+10 })
+	assert.Equal(t, len(result), 0)
+	cancel()
+	assert.Equal(t, fault.KindOf(<-result), fault.Unknown)
+	for _, release := range releases {
+		release()
+	}
+	c.waitValue(lead.opts.ID, "held")
+	files[lead.opts.ID].broken.Store(true)
+	_, err := lead.Propose(testContext(t), []byte("failed"))
+	eventually(t, "leader did not stop", func() bool { return lead.Status().Failed != nil })
+	assert.Assert(t, err == nil || fault.Is(err, fault.Unknown), "%v", err)
+	_, err = lead.Propose(testContext(t), []byte("refused"))
+	assert.Equal(t, fault.KindOf(err), fault.Disk)
+	assert.Equal(t, fault.As(err).Outcome, fault.NotRun)
+	c.mustPropose("after", lead.opts.ID)
+}
+
+// Guards against proposals that hang, or claim not to have run, when the
+// leader is cut off.
+func TestLeadershipLostIsUnknown(t *testing.T) {
+	c := newCluster(t, 3, nil)
+	lead := c.leader()
+	c.net.isolate(lead.opts.ID, true)
+	_, err := lead.Propose(testContext(t), []byte("cut off"))
+	assert.Equal(t, fault.KindOf(err), fault.Unknown)
+	assert.Equal(t, fault.As(err).Outcome, fault.MayHaveRun)
+	_, err = lead.Propose(testContext(t), []byte("refused"))
+	assert.Equal(t, fault.KindOf(err), fault.NotLeader)
+}
