--- /dev/null
+++ b/pkg/replica/bench_test.go
@@ -0,0 +1,121 @@
+package replica
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const benchValueSize = 256
+
+// BenchmarkPropose measures proposals with sync on three replicas that share
+// one disk, at several numbers of concurrent proposers, beside the rate of
+// plain syncs of one small file on the same disk.
+func BenchmarkPropose(b *testing.B) {
+	b.Run("disk", benchmarkDisk)
+	for _, proposers := range []int{1, 8, 64} {
+		b.Run(fmt.Sprintf("proposers=%d", proposers), func(b *testing.B) { benchmarkProposers(b, proposers) })
+	}
+}
+
+func benchmarkDisk(b *testing.B) {
+	f, err := os.Create(filepath.Join(b.TempDir(), "file"))
+	assert.NilError(b, err)
+	defer f.Close()
+	value := make([]byte, benchValueSize)
+	for b.Loop() {
+		_, err := f.Write(value)
+		assert.NilError(b, err)
+		assert.NilError(b, f.Sync())
+	}
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "syncs/s")
+}
+
+func benchmarkProposers(b *testing.B, proposers int) {
+	c := newCluster(b, 3, nil)
+	lead := c.leader()
+	ctx := testContext(b)
+	value := make([]byte, benchValueSize)
+	b.ResetTimer()
+	var wg sync.WaitGroup
+	for p := range proposers {
+		wg.Go(func() {
+			for i := p; i < b.N; i += proposers {
+				if _, err := lead.Propose(ctx, value); err != nil {
+					b.Error(err)
+					return
+				}
+			}
+		})
+	}
+	wg.Wait()
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "proposals/s")
+}
+
+// BenchmarkRestart measures Open of a replica, and until it serves, with a log
+// of so many entries and no snapshot.
+func BenchmarkRestart(b *testing.B) {
+	for _, entries := range []int{1000, 5000, 20000} {
+		b.Run(fmt.Sprintf("entries=%d", entries), func(b *testing.B) { benchmarkRestart(b, entries) })
+	}
+}
+
+func benchmarkRestart(b *testing.B, entries int) {
+	c := newCluster(b, 1, func(o *Options) { o.SnapshotEntries = 1 << 30 })
+	lead := c.leader()
+	ctx := testContext(b)
+	var wg sync.WaitGroup
+	const proposers = 64
+	for p := range proposers {
+		wg.Go(func() {
+			for i := p; i < entries; i += proposers {
+				if _, err := lead.Propose(ctx, make([]byte, benchValueSize)); err != nil {
+					b.Error(err)
+					return
+				}
+			}
+		})
+	}
+	wg.Wait()
+	var open, serving time.Duration
+	b.ResetTimer()
+	for range b.N {
+		c.stop(1)
+		start := time.Now()
+		r := c.start(1, nil)
+		open += time.Since(start)
+		eventually(b, "not serving", func() bool { return r.Status().Applied >= uint64(entries) })
+		serving += time.Since(start)
+	}
+	b.ReportMetric(open.Seconds()*1000/float64(b.N), "open-ms")
+	b.ReportMetric(serving.Seconds()*1000/float64(b.N), "serving-ms")
+}
+
+// BenchmarkLeaderStopped measures for how long no proposal is accepted after
+// the leader was stopped, with the default time-outs. Use -benchtime=20x or
+// more.
+func BenchmarkLeaderStopped(b *testing.B) {
+	c := newCluster(b, 3, nil)
+	var gaps []time.Duration
+	for i := range b.N {
+		c.mustPropose(fmt.Sprint("before ", i))
+		lead := c.leader().opts.ID
+		c.net.isolate(lead, true)
+		start := time.Now()
+		c.mustPropose(fmt.Sprint("after ", i), lead)
+		gaps = append(gaps, time.Since(start))
+		c.stop(lead)
+		c.net.isolate(lead, false)
+		c.start(lead, nil)
+	}
+	slices.Sort(gaps)
+	b.ReportMetric(float64(gaps[len(gaps)/2].Milliseconds()), "p50-ms")
+	b.ReportMetric(float64(gaps[len(gaps)*95/100].Milliseconds()), "p95-ms")
+	b.ReportMetric(float64(gaps[len(gaps)-1].Milliseconds()), "max-ms")
+}
