entry: count max_tokens without the emitted tokens, keep the control goroutine free

Cause: the engine protocol counts only tokens still to be generated; dropping a session waits for a dial to a frozen host; a slow reader looked like a stalled chain.

--- a/pkg/role/entry/attempt.go
+++ b/pkg/role/entry/attempt.go
@@ -27,10 +27,11 @@
 		if !g.req.Whole {
 			limit.Stop()
 		}
-		stall.Reset(g.entry.opts.Settings.Stall)
+		stall.Stop() // a caller that reads slowly is not the fault of the chain
 		if g.emitErr = g.emit(t.Id); g.emitErr != nil {
 			return g.emitErr
 		}
+		stall.Reset(g.entry.opts.Settings.Stall)
 		return nil
 	})
 	if err == nil {
@@ -58,8 +59,8 @@
 	return t
 }
 
-// request returns the message for the current plan. Max_tokens counts from
-// the beginning of the answer, like the positions.
+// request returns the message for the current plan. Max_tokens does not count
+// the emitted tokens, unlike the positions.
 func (g *generation) request() *wirepb.GenerateRequest {
 	return &wirepb.GenerateRequest{
 		Session:      g.req.RequestID,
@@ -72,7 +73,7 @@
 		Adapter:      g.req.Adapter,
 		Prompt:       g.req.Prompt,
 		Emitted:      g.plan.Emitted,
-		MaxTokens:    uint32(g.req.MaxTokens),
+		MaxTokens:    uint32(g.plan.MaxTokens),
 		Seed:         g.req.Seed,
 		Stages:       stageRefs(g.chain),
 		Revision:     g.rev,
--- a/pkg/role/entry/choose.go
+++ b/pkg/role/entry/choose.go
@@ -6,6 +6,7 @@
 
 	"github.com/plantainstair/plantainstair/pkg/core/route"
 	"github.com/plantainstair/plantainstair/pkg/fault"
+	"github.com/plantainstair/plantainstair/pkg/logs"
 	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
 )
 
@@ -90,7 +91,13 @@
 func (e *Entry) observe(host string, err *fault.Error) {
 	switch err.Kind {
 	case fault.Unavailable, fault.Upstream, fault.Protocol, fault.Internal, fault.OutOfOrder:
-		e.tracker.Observe(host, false, 0, e.opts.Now())
+		now := e.opts.Now()
+		before := e.tracker.Weight(host, now)
+		e.tracker.Observe(host, false, 0, now)
+		if before > 0 && e.tracker.Weight(host, now) == 0 {
+			e.metrics.ejections.Inc()
+			e.opts.Log.Warn("upstream fails and is ejected", logs.Str("upstream", host), logs.Err(err))
+		}
 	}
 }
 
--- a/pkg/role/entry/generate.go
+++ b/pkg/role/entry/generate.go
@@ -84,9 +84,13 @@
 
 // run makes attempts until one is complete.
 func (g *generation) run(ctx context.Context) (callers.Summary, error) {
+	left := g.req.Deadline.Sub(g.entry.opts.Now())
+	if left <= 0 {
+		return callers.Summary{}, deadlinePassed().WithOutcome(fault.NotRun)
+	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	limit := time.AfterFunc(g.req.Deadline.Sub(g.entry.opts.Now()), func() { cancel(deadlinePassed()) })
+	limit := time.AfterFunc(left, func() { cancel(deadlinePassed()) })
 	defer limit.Stop()
 	if err := g.begin(); err != nil {
 		return callers.Summary{}, err
--- a/pkg/role/entry/harness_test.go
+++ b/pkg/role/entry/harness_test.go
@@ -87,7 +87,7 @@
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(tb, err)
 	a := &fakeAgent{host: host, behave: behave, epochs: make(map[string]uint64)}
-	a.server = link.NewServer(ln, link.Options{MaxFrame: maxFrame}, a.serve, nil)
+	a.server = link.NewServer(ln, link.Options{}, a.serve, nil)
 	tb.Cleanup(func() { _ = a.server.Close() })
 	return a
 }
@@ -135,8 +135,11 @@
 	return nil
 }
 
+// endOf returns the position after the last token of an answer.
+func endOf(req *wirepb.GenerateRequest) uint32 { return uint32(len(req.Emitted)) + req.MaxTokens }
+
 func token(req *wirepb.GenerateRequest, position, id uint32) *wirepb.Token {
-	return &wirepb.Token{Session: req.Session, Epoch: req.Epoch, Position: position, Id: id, Last: position+1 == req.MaxTokens}
+	return &wirepb.Token{Session: req.Session, Epoch: req.Epoch, Position: position, Id: id, Last: position+1 == endOf(req)}
 }
 
 func sendToken(s *wire.Stream, t *wirepb.Token) error {
@@ -149,8 +152,8 @@
 		_ = s.WriteError(err)
 		return false
 	}
-	all := standin.Reference(req.Prompt, testLayers, req.Seed, int(req.MaxTokens))
-	for p := uint32(len(req.Emitted)); p < min(end, req.MaxTokens); p++ {
+	all := standin.Reference(req.Prompt, testLayers, req.Seed, int(endOf(req)))
+	for p := uint32(len(req.Emitted)); p < min(end, endOf(req)); p++ {
 		if sendToken(s, token(req, p, all[p])) != nil {
 			return false
 		}
@@ -166,8 +169,8 @@
 		return
 	}
 	req := f.GetGenerate()
-	if a.generate(s, req, req.MaxTokens) {
-		done := &wirepb.GenerateDone{FinishReason: finishLength, CompletionTokens: req.MaxTokens}
+	if a.generate(s, req, endOf(req)) {
+		done := &wirepb.GenerateDone{FinishReason: finishLength, CompletionTokens: endOf(req)}
 		_ = s.Write(&wirepb.Frame{Body: &wirepb.Frame_GenerateDone{GenerateDone: done}})
 	}
 }
@@ -266,7 +269,7 @@
 	s := &system{tb: tb, agents: agents, control: &fakeControl{changed: make(chan struct{}, 1)}}
 	s.control.view.Store(testView(agents, limits))
 	s.control.claim.Store(control.ClaimAbsent)
-	pool := link.NewPool(link.Options{MaxFrame: maxFrame})
+	pool := link.NewPool(link.Options{})
 	s.entry = New(Options{
 		Settings: testSettings(tb, settings), Control: s.control, Agents: agent.NewClient(pool), Log: logs.Nop(),
 		Tokenize: upstreams.Tokenize, Detokenize: upstreams.Detokenize, PrefixHashes: upstreams.PrefixHashes,
--- a/pkg/role/entry/owner.go
+++ b/pkg/role/entry/owner.go
@@ -125,7 +125,7 @@
 func (o *owner) remove(p *peer) {
 	p.cancel()
 	if p.state != agent.Alive {
-		o.entry.opts.Agents.Drop(p.announcement.AgentAddress)
+		o.drop(p)
 	}
 	host := p.announcement.Host
 	delete(o.peers, host)
@@ -188,6 +188,12 @@
 	if state == agent.Ejected {
 		o.entry.metrics.ejections.Inc()
 		o.entry.opts.Log.Warn("upstream is silent and ejected", logs.Str("upstream", p.announcement.Host))
-		o.entry.opts.Agents.Drop(p.announcement.AgentAddress)
+		o.drop(p)
 	}
 }
+
+// drop ends the session to an upstream. It may wait for a dial to a frozen
+// host, which must not delay the reports of the others.
+func (o *owner) drop(p *peer) {
+	go o.entry.opts.Agents.Drop(p.announcement.AgentAddress)
+}
--- a/pkg/role/entry/process.go
+++ b/pkg/role/entry/process.go
@@ -17,10 +17,6 @@
 // Role is the name of the role in handshakes and logs.
 const Role = "entry"
 
-// maxFrame bounds frames of agents. It leaves room for the headers of a
-// service answer next to a body of 1 MiB.
-const maxFrame = 2 << 20
-
 // closeTimeout bounds the end of the platform server.
 const closeTimeout = time.Second
 
@@ -37,7 +33,6 @@
 	if err != nil {
 		return err
 	}
-	linkOpts.MaxFrame = maxFrame
 	pool := link.NewPool(linkOpts)
 	defer pool.Close()
 	client := control.NewClient(control.Options{
--- a/pkg/role/entry/refusal_test.go
+++ b/pkg/role/entry/refusal_test.go
@@ -287,7 +287,7 @@
 			a.mu.Lock()
 			delete(a.epochs, f.GetGenerate().Session)
 			a.mu.Unlock()
-			f.GetGenerate().Emitted = []uint32{0, 0}
+			f.GetGenerate().Emitted, f.GetGenerate().MaxTokens = []uint32{0, 0}, 4
 			honest(a, s, f)
 		}
 	}
--- a/pkg/role/entry/stream_test.go
+++ b/pkg/role/entry/stream_test.go
@@ -39,7 +39,7 @@
 		return func(a *fakeAgent, s *wire.Stream, f *wirepb.Frame) {
 			req := f.GetGenerate()
 			end := uint32(len(req.Emitted)) + after
-			if !a.generate(s, req, end) || end >= req.MaxTokens {
+			if !a.generate(s, req, end) || end >= endOf(req) {
 				return
 			}
 			bad := token(req, end, 1)
@@ -59,7 +59,7 @@
 		"early end": func(a *fakeAgent, s *wire.Stream, f *wirepb.Frame) {
 			req := f.GetGenerate()
 			if a.generate(s, req, uint32(len(req.Emitted))+after) {
-				_ = s.Write(&wirepb.Frame{Body: &wirepb.Frame_GenerateDone{GenerateDone: &wirepb.GenerateDone{CompletionTokens: req.MaxTokens}}})
+				_ = s.Write(&wirepb.Frame{Body: &wirepb.Frame_GenerateDone{GenerateDone: &wirepb.GenerateDone{CompletionTokens: endOf(req)}}})
 			}
 		},
 	}
