Benchmarks of the entry

Cause: the planned size needs costs with slopes. Change: processor time per request and token, memory per open stream and per load watch, table updates, checks and view changes at three sizes each.

--- /dev/null
+++ b/pkg/role/entry/bench_test.go
@@ -0,0 +1,228 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/plantainstair/plantainstair/pkg/control"
+	"github.com/plantainstair/plantainstair/pkg/logs"
+	"github.com/plantainstair/plantainstair/pkg/upstreams"
+	"github.com/plantainstair/plantainstair/pkg/wire"
+	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
+)
+
+// memoryAgents answers in memory, so that a benchmark measures the entry alone.
+type memoryAgents struct{}
+
+func (memoryAgents) Generate(_ context.Context, _ string, req *wirepb.GenerateRequest, onToken func(*wirepb.Token) error) (*wirepb.GenerateDone, error) {
+	for p := range endOf(req) {
+		if err := onToken(token(req, p, p)); err != nil {
+			return nil, err
+		}
+	}
+	return &wirepb.GenerateDone{FinishReason: finishLength, CompletionTokens: endOf(req)}, nil
+}
+
+func (memoryAgents) Call(_ context.Context, _ string, req *wirepb.CallRequest) (*wirepb.CallResponse, error) {
+	return &wirepb.CallResponse{RequestId: req.RequestId, Status: 200}, nil
+}
+
+func (memoryAgents) Follow(ctx context.Context, _ string, _ func(*wirepb.LoadReport), _ func(time.Duration)) {
+	<-ctx.Done()
+}
+
+func (memoryAgents) Drop(string) {}
+
+// newMemoryEntry returns an entry and its control state with n upstreams that
+// have reported once. The control goroutine does not run.
+func newMemoryEntry(b *testing.B, n int) (*Entry, *owner, []event) {
+	ctl := &fakeControl{changed: make(chan struct{}, 1)}
+	view := testView(nil, nil)
+	for i := range n {
+		host := fmt.Sprintf("host-%d", i)
+		view.Upstreams[host] = &wirepb.Announcement{
+			Host: host, DataCentre: fmt.Sprintf("dc-%d", i%3), AgentAddress: "127.0.0.1:1", Incarnation: 1,
+			Models: []*wirepb.ModelHeld{{Model: "m", Version: "1", LastLayer: testLayers - 1}},
+		}
+	}
+	ctl.view.Store(view)
+	e := New(Options{
+		Settings: testSettings(b, ""), Control: ctl, Agents: memoryAgents{}, Log: logs.Nop(),
+		Tokenize: upstreams.Tokenize, Detokenize: upstreams.Detokenize, PrefixHashes: upstreams.PrefixHashes,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	b.Cleanup(cancel)
+	o := newOwner(ctx, e)
+	o.follow()
+	var events []event
+	for _, p := range o.peers {
+		r := &wirepb.LoadReport{Host: p.announcement.Host, Incarnation: 1, Slots: 8, Prefixes: make([]uint64, 64),
+			Ranks: []*wirepb.RankLoad{{Rank: wirepb.Rank_RANK_URGENT}, {Rank: wirepb.Rank_RANK_STANDARD}, {Rank: wirepb.Rank_RANK_BATCH}}}
+		events = append(events, event{peer: p, report: r})
+		o.apply(events[len(events)-1])
+	}
+	return e, o, events
+}
+
+// discard is a caller that reads everything at no cost.
+type discard struct{ header http.Header }
+
+func (d *discard) Header() http.Header         { return d.header }
+func (d *discard) WriteHeader(int)             {}
+func (d *discard) Write(p []byte) (int, error) { return len(p), nil }
+func (d *discard) Flush()                      {}
+
+// BenchmarkRequest measures the entry's own code for a streamed request of
+// 1, 64 or 1,024 tokens, without any connection.
+func BenchmarkRequest(b *testing.B) {
+	for _, tokens := range []int{1, 64, 1024} {
+		b.Run(fmt.Sprintf("tokens=%d", tokens), func(b *testing.B) {
+			e, _, _ := newMemoryEntry(b, 43)
+			h := e.Handler()
+			body := []byte(fmt.Sprintf(`{"model":"m","stream":true,"seed":1,"max_tokens":%d,"messages":[{"role":"user","content":"where is my order"}]}`, tokens))
+			b.ReportAllocs()
+			for b.Loop() {
+				r := httptest.NewRequest("POST", "/v1/chat/completions", bytes.NewReader(body))
+				r.Header.Set("Authorization", "Bearer "+testKey)
+				h.ServeHTTP(&discard{header: http.Header{}}, r)
+			}
+		})
+	}
+}
+
+// BenchmarkLoop measures the processor time of entry, fake agent and caller
+// together over TCP, which bounds that of the entry from above.
+func BenchmarkLoop(b *testing.B) {
+	for _, tokens := range []int{1, 64, 1024} {
+		b.Run(fmt.Sprintf("tokens=%d", tokens), func(b *testing.B) {
+			s := newSystem(b, startAgents(b, 3, always(honest)), nil, "")
+			body := fmt.Sprintf(`{"model":"m","stream":true,"seed":1,"max_tokens":%d,"messages":[{"role":"user","content":"where is my order"}]}`, tokens)
+			before := processorTime()
+			for b.Loop() {
+				a := s.do("POST", "/v1/chat/completions", body)
+				assert.Equal(b, a.status, http.StatusOK)
+			}
+			b.ReportMetric(float64(processorTime()-before)/float64(b.N), "cpu-ns/op")
+		})
+	}
+}
+
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// BenchmarkOpenStreams measures the memory of open streams. It includes the
+// agent's side of each stream and the socket of the caller.
+func BenchmarkOpenStreams(b *testing.B) {
+	for _, n := range []int{100, 400, 1600} {
+		b.Run(fmt.Sprintf("streams=%d", n), func(b *testing.B) {
+			s := newSystem(b, startAgents(b, 3, always(holding(1))), nil, "[streams]\nstall_timeout=5m")
+			before := memoryInUse()
+			conns := openStreams(b, s, n)
+			used := memoryInUse() - before
+			for b.Loop() { // nothing is timed
+			}
+			b.ReportMetric(float64(used)/float64(n), "B/stream")
+			for _, c := range conns {
+				_ = c.Close()
+			}
+			until(b, "all streams end", func() bool { return s.entry.lifecycle.InFlight() == 0 })
+		})
+	}
+}
+
+func openStreams(b *testing.B, s *system, n int) []net.Conn {
+	body := `{"model":"m","stream":true,"seed":1,"max_tokens":100,"messages":[{"role":"user","content":"hi"}]}`
+	request := fmt.Sprintf("POST /v1/chat/completions HTTP/1.1\r\nHost: e\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", testKey, len(body), body)
+	var conns []net.Conn
+	for range n {
+		c, err := net.Dial("tcp", s.server.Listener.Addr().String())
+		assert.NilError(b, err)
+		_, err = io.WriteString(c, request)
+		assert.NilError(b, err)
+		_, err = c.Read(make([]byte, 64))
+		assert.NilError(b, err)
+		conns = append(conns, c)
+	}
+	return conns
+}
+
+func memoryInUse() int64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc + m.StackInuse)
+}
+
+// BenchmarkReport measures the table update for one load report.
+func BenchmarkReport(b *testing.B) {
+	for _, n := range []int{43, 1000, 11000} {
+		b.Run(fmt.Sprintf("upstreams=%d", n), func(b *testing.B) {
+			_, o, events := newMemoryEntry(b, n)
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := 0; b.Loop(); i++ {
+				o.apply(events[i%n])
+			}
+		})
+	}
+}
+
+// BenchmarkCheck measures one check of all upstreams for silence, which runs
+// every 50 ms.
+func BenchmarkCheck(b *testing.B) {
+	for _, n := range []int{43, 1000, 11000} {
+		b.Run(fmt.Sprintf("upstreams=%d", n), func(b *testing.B) {
+			e, o, _ := newMemoryEntry(b, n)
+			now := e.opts.Now()
+			for b.Loop() {
+				o.check(now)
+			}
+		})
+	}
+}
+
+// BenchmarkFollow measures the adoption of a view in which one upstream changed.
+func BenchmarkFollow(b *testing.B) {
+	for _, n := range []int{43, 1000, 11000} {
+		b.Run(fmt.Sprintf("upstreams=%d", n), func(b *testing.B) {
+			e, o, _ := newMemoryEntry(b, n)
+			ctl := e.opts.Control.(*fakeControl)
+			views := [2]control.View{*ctl.View(), *ctl.View()}
+			for i := 0; b.Loop(); i++ {
+				ctl.view.Store(&views[i%2])
+				o.follow()
+			}
+		})
+	}
+}
+
+// BenchmarkFollower measures the memory of one load watch over a session. It
+// includes the agent's side.
+func BenchmarkFollower(b *testing.B) {
+	for _, n := range []int{10, 40, 160} {
+		b.Run(fmt.Sprintf("upstreams=%d", n), func(b *testing.B) {
+			agents := startAgents(b, n, always(func(*fakeAgent, *wire.Stream, *wirepb.Frame) {}))
+			before := memoryInUse()
+			newSystem(b, agents, nil, "")
+			used := memoryInUse() - before
+			for b.Loop() { // nothing is timed
+			}
+			b.ReportMetric(float64(used)/float64(n), "B/upstream")
+		})
+	}
+}
