--- a/pkg/role/entry/repair.go
+++ b/pkg/role/entry/repair.go
@@ -11,7 +11,7 @@
 
 // recover decides what follows a failed attempt. It returns nil when the next
 // attempt is prepared, and the error for the caller otherwise. See
-// docs/decisions/retry-and-repair.md.
+// docs/decisions/0011-retry-and-repair.md.
 func (g *generation) recover(ctx context.Context, err *fault.Error) error {
 	if err.Outcome != fault.NotRun {
 		g.ran = true
