callers: drop forged system headers; entry: bound the kinds in metrics

Cause: a caller could send Plantain-Organisation or Fencing-Epoch to a service, and an agent could add label values. Change: headers of the system are not passed on in either direction; further kinds share a label. Conclusion: covered by TestService_PassesCall.

--- a/pkg/callers/service.go
+++ b/pkg/callers/service.go
@@ -21,8 +21,16 @@
 	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Date",
 }
 
-// ownHeaders are meant for the entry; the API key must not reach a service.
-var ownHeaders = []string{"Authorization", headerDeadline, headerKey, headerKeyCreated, headerRequestID, headerOutcome, headerReplayed}
+// ownHeaders are set by processes of the system or meant for them. A caller
+// must not forge them towards a service, and the API key must not reach it.
+var ownHeaders = []string{"Authorization", headerKey, headerKeyCreated, headerRequestID, "Fencing-Epoch"}
+
+// ownPrefix begins the names of all other headers of the system.
+const ownPrefix = "Plantain-"
+
+func isOwn(name string) bool {
+	return strings.HasPrefix(name, ownPrefix) || slices.Contains(ownHeaders, name)
+}
 
 // serveService answers calls to /services/{service}/{path...}.
 func (a *api) serveService(x *exchange, r *http.Request) {
@@ -127,7 +135,7 @@
 
 // forwardHeaders returns the headers for the service, sorted by name.
 func forwardHeaders(h http.Header) []*wirepb.Header {
-	drop := append(slices.Clone(hopHeaders), ownHeaders...)
+	drop := slices.Clone(hopHeaders)
 	for _, v := range h.Values("Connection") {
 		for _, name := range strings.Split(v, ",") {
 			drop = append(drop, http.CanonicalHeaderKey(strings.TrimSpace(name)))
@@ -135,7 +143,7 @@
 	}
 	var names []string
 	for name := range h {
-		if !slices.Contains(drop, name) {
+		if !slices.Contains(drop, name) && !isOwn(name) {
 			names = append(names, name)
 		}
 	}
@@ -158,7 +166,7 @@
 	h := x.w.Header()
 	for _, header := range answer.Headers {
 		name := http.CanonicalHeaderKey(header.Name)
-		if !slices.Contains(hopHeaders, name) && !slices.Contains(ownHeaders, name) {
+		if !slices.Contains(hopHeaders, name) && !isOwn(name) {
 			h.Add(name, header.Value)
 		}
 	}
--- a/pkg/callers/service_test.go
+++ b/pkg/callers/service_test.go
@@ -21,7 +21,8 @@
 	h := NewHandler(testOptions(r))
 	key := uuid.Must(uuid.NewV7())
 	w := send(h, "POST", "/services/s/a%2Fb//c?q=%20&r", bytes.NewBufferString("body"),
-		headerKey, key.String(), "X-Mine", "1", "Connection", "X-Hop", "X-Hop", "2")
+		headerKey, key.String(), "X-Mine", "1", "Connection", "X-Hop", "X-Hop", "2",
+		"Plantain-Organisation", "forged", "Fencing-Epoch", "9")
 	assert.Equal(t, w.Code, 201, "%s", w.Body)
 	assert.Equal(t, w.Body.String(), "done")
 	assert.Equal(t, w.Header().Get("X-Own"), "1")
--- a/pkg/role/entry/metrics.go
+++ b/pkg/role/entry/metrics.go
@@ -15,10 +15,12 @@
 
 const (
 	// maxOrganisationLabels bounds the series; further organisations share
-	// the label otherOrganisation.
+	// one label.
 	maxOrganisationLabels = 200
-	otherOrganisation     = "other"
-	noOrganisation        = "none"
+	// maxKindLabels bounds the kinds of errors, which agents may extend.
+	maxKindLabels = 64
+	otherLabel    = "other"
+	noLabel       = "none"
 )
 
 // meters are the metrics of an entry.
@@ -33,6 +35,7 @@
 
 	mu            sync.Mutex
 	organisations map[string]struct{}
+	kinds         map[string]struct{}
 	requests      map[requestLabels]*metrics.Counter
 }
 
@@ -51,6 +54,7 @@
 		noBudget:      set.NewCounter("plantain_entry_retries_denied_total"),
 		ejections:     set.NewCounter("plantain_entry_ejections_total"),
 		organisations: make(map[string]struct{}),
+		kinds:         make(map[string]struct{}),
 		requests:      make(map[requestLabels]*metrics.Counter),
 	}
 	for r := range sched.Rank(sched.Ranks) {
@@ -63,16 +67,20 @@
 // finished counts a finished request.
 func (m *meters) finished(rec callers.Record) {
 	m.counter(rec).Inc()
-	if rec.Kind != "" {
-		m.set.GetOrCreateCounter(fmt.Sprintf("plantain_entry_errors_total{kind=%q,outcome=%q}",
-			string(rec.Kind), fault.OutcomeString(rec.Outcome))).Inc()
+	if rec.Kind == "" {
+		return
 	}
+	m.mu.Lock()
+	kind := bounded(m.kinds, string(rec.Kind), maxKindLabels)
+	m.mu.Unlock()
+	m.set.GetOrCreateCounter(fmt.Sprintf("plantain_entry_errors_total{kind=%q,outcome=%q}",
+		kind, fault.OutcomeString(rec.Outcome))).Inc()
 }
 
 func (m *meters) counter(rec callers.Record) *metrics.Counter {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	labels := requestLabels{rec.Operation, m.organisation(rec.Organisation), rec.Rank, rec.Outcome}
+	labels := requestLabels{rec.Operation, bounded(m.organisations, rec.Organisation, maxOrganisationLabels), rec.Rank, rec.Outcome}
 	c := m.requests[labels]
 	if c == nil {
 		c = m.set.GetOrCreateCounter(fmt.Sprintf("plantain_entry_requests_total{operation=%q,organisation=%q,rank=%q,outcome=%q}",
@@ -82,26 +90,26 @@
 	return c
 }
 
-// organisation returns the label of an organisation.
-func (m *meters) organisation(name string) string {
-	if name == "" {
-		return noOrganisation
+// bounded returns the label of a value. Values beyond the first limit share one.
+func bounded(known map[string]struct{}, value string, limit int) string {
+	if value == "" {
+		return noLabel
 	}
-	if _, ok := m.organisations[name]; ok {
-		return name
+	if _, ok := known[value]; ok {
+		return value
 	}
-	if len(m.organisations) >= maxOrganisationLabels {
-		return otherOrganisation
+	if len(known) >= limit {
+		return otherLabel
 	}
-	m.organisations[name] = struct{}{}
-	return name
+	known[value] = struct{}{}
+	return value
 }
 
 func rankLabel(r wirepb.Rank) string {
 	if rank, ok := schedRank(r); ok {
 		return rank.String()
 	}
-	return "none"
+	return noLabel
 }
 
 // token records the time to the first token or between two tokens.
