callers: keep addresses of the system out of error messages

Cause: errors of agents name internal addresses. Change: failures inside the system get a fixed message; the log has the cause under the request id.

--- a/pkg/callers/chat_stream.go
+++ b/pkg/callers/chat_stream.go
@@ -126,8 +126,7 @@
 		s.x.fail(err)
 		return
 	}
-	e := settle(err)
-	s.x.kind = e.Kind
+	e := s.x.failed(err)
 	s.x.outcome = e.Outcome
 	s.trailer()
 	s.buf.Reset()
--- a/pkg/callers/chat_test.go
+++ b/pkg/callers/chat_test.go
@@ -155,11 +155,12 @@
 	assert.Assert(t, strings.Contains(list[3], `"completion_tokens":2`), list[3])
 	assert.Equal(t, list[4], "[DONE]")
 	assert.Equal(t, w.Result().Trailer.Get(headerOutcome), "answered")
-	r.err = fault.New(fault.Upstream, "engine died").WithOutcome(fault.MayHaveRun)
+	r.err = fault.New(fault.Upstream, "engine 127.0.0.9:1 died").WithOutcome(fault.MayHaveRun)
 	w = send(h, "POST", "/v1/chat/completions", chatBody(`,"stream":true`))
 	list = events(t, w.Body.Bytes())
 	assert.Equal(t, len(list), 3)
-	assert.Assert(t, strings.HasPrefix(list[2], `{"error":{"message":"engine died"`), list[2])
+	assert.Assert(t, strings.HasPrefix(list[2], `{"error":{"message":"an upstream failed","type":"server_error","code":"upstream_failed"`), list[2])
+	assert.Assert(t, !strings.Contains(w.Body.String(), "127.0.0.9"))
 	assert.Equal(t, w.Result().Trailer.Get(headerOutcome), "unknown")
 }
 
--- a/pkg/callers/errors.go
+++ b/pkg/callers/errors.go
@@ -60,11 +60,27 @@
 	return false
 }
 
-// errorBody returns the body of an error. Its message leaves out the causes,
-// which name addresses of the system.
+// publicMessage returns the message for callers. Failures inside the system
+// get a fixed one, because theirs may name its addresses; the log has them
+// under the request id.
+func publicMessage(e *fault.Error) string {
+	switch e.Kind {
+	case fault.Unavailable:
+		return "no upstream was able to answer"
+	case fault.Upstream, fault.Protocol, fault.OutOfOrder, fault.StaleEpoch:
+		return "an upstream failed"
+	case fault.Unknown:
+		return "the outcome of the call is not known"
+	case fault.Internal:
+		return "request failed"
+	}
+	return e.Message
+}
+
+// errorBody returns the body of an error, without its causes.
 func errorBody(e *fault.Error, requestID string) ErrorBody {
 	d := ErrorDetail{
-		Message:      e.Message,
+		Message:      publicMessage(e),
 		Type:         typeOf(e.Kind),
 		Code:         string(e.Kind),
 		Outcome:      fault.OutcomeString(e.Outcome),
--- a/pkg/callers/exchange.go
+++ b/pkg/callers/exchange.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/plantainstair/plantainstair/pkg/fault"
+	"github.com/plantainstair/plantainstair/pkg/logs"
 	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
 )
 
@@ -35,6 +36,7 @@
 	headersSent  bool
 	writeTimeout time.Duration
 	nextExtend   time.Time
+	log          logs.Logger
 }
 
 type exchangeKey struct{}
@@ -88,10 +90,22 @@
 	x.answer(status, b)
 }
 
-// fail sends an error in place of an answer.
-func (x *exchange) fail(err error) {
+// failed records the error that ends the exchange.
+func (x *exchange) failed(err error) *fault.Error {
 	e := settle(err)
 	x.kind = e.Kind
+	log := x.log.Debug
+	switch e.Kind {
+	case fault.Upstream, fault.Protocol, fault.Unknown, fault.Internal:
+		log = x.log.Info
+	}
+	log("request failed", logs.Str("request", x.id), logs.Str("organisation", x.caller.Name()), logs.Err(err))
+	return e
+}
+
+// fail sends an error in place of an answer.
+func (x *exchange) fail(err error) {
+	e := x.failed(err)
 	b, encodeErr := encodeJSON(errorBody(e, x.id))
 	if encodeErr != nil {
 		x.w.WriteHeader(http.StatusInternalServerError)
--- a/pkg/callers/middleware.go
+++ b/pkg/callers/middleware.go
@@ -26,6 +26,7 @@
 			operation:    "other",
 			outcome:      fault.MayHaveRun,
 			writeTimeout: a.opts.WriteTime,
+			log:          a.opts.Log,
 		}
 		w.Header().Set(headerRequestID, x.id)
 		if r.ContentLength != 0 {
--- a/pkg/role/entry/generate.go
+++ b/pkg/role/entry/generate.go
@@ -9,7 +9,6 @@
 	"github.com/plantainstair/plantainstair/pkg/core/sched"
 	"github.com/plantainstair/plantainstair/pkg/core/session"
 	"github.com/plantainstair/plantainstair/pkg/fault"
-	"github.com/plantainstair/plantainstair/pkg/logs"
 	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
 )
 
@@ -183,6 +182,5 @@
 		e.Outcome = fault.MayHaveRun
 	}
 	e.Position = uint32(len(g.stream.Emitted()))
-	g.entry.opts.Log.Debug("generation failed", logs.Str("request", g.req.RequestID), logs.Err(err))
 	return &e
 }
