--- a/pkg/role/entry/generate.go
+++ b/pkg/role/entry/generate.go
@@ -9,7 +9,6 @@
 	"github.com/plantainstair/plantainstair/pkg/core/sched"
 	"github.com/plantainstair/plantainstair/pkg/core/session"
 	"github.com/plantainstair/plantainstair/pkg/fault"
-	"github.com/plantainstair/plantainstair/pkg/logs"
 	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
 )
 
@@ -84,9 +83,13 @@
 
 // run makes attempts until one is complete.
 func (g *generation) run(ctx context.Context) (callers.Summary, error) {
+	left := g.req.Deadline.Sub(g.entry.opts.Now())
+	if left <= 0 {
+		return callers.Summary{}, deadlinePassed().WithOutcome(fault.NotRun)
+	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	limit := time.AfterFunc(g.req.Deadline.Sub(g.entry.opts.Now()), func() { cancel(deadlinePassed()) })
+	limit := time.AfterFunc(left, func() { cancel(deadlinePassed()) })
 	defer limit.Stop()
 	if err := g.begin(); err != nil {
 		return callers.Summary{}, err
@@ -179,6 +182,5 @@
 		e.Outcome = fault.MayHaveRun
 	}
 	e.Position = uint32(len(g.stream.Emitted()))
-	g.entry.opts.Log.Debug("generation failed", logs.Str("request", g.req.RequestID), logs.Err(err))
 	return &e
 }
