entry: become ready after the first load reports

Cause: an entry was ready as soon as its configuration was confirmed, before it knew any upstream, so the first requests after a start were refused with "no chain covers the layers".

Change: readiness waits for one report of each listed upstream, 1 s at most.

--- a/pkg/role/entry/entry.go
+++ b/pkg/role/entry/entry.go
@@ -37,6 +37,7 @@
 	metrics    *meters
 	lifecycle  *platform.Lifecycle
 	leaving    atomic.Bool
+	warm       atomic.Bool // the first load reports have arrived
 	owner      sync.WaitGroup
 }
 
--- a/pkg/role/entry/owner.go
+++ b/pkg/role/entry/owner.go
@@ -16,7 +16,10 @@
 	checkInterval = 50 * time.Millisecond
 	// pauseLimit is a gap between checks that shows that this process itself
 	// was not running.
-	pauseLimit     = 5 * checkInterval
+	pauseLimit = 5 * checkInterval
+	// warmUp bounds the wait of a new entry for the first report of each
+	// upstream; a shorter wait would refuse work for lack of a chain.
+	warmUp         = time.Second
 	eventQueueSize = 4096
 )
 
@@ -36,6 +39,7 @@
 	view      *control.View
 	events    chan event
 	lastCheck time.Time
+	viewSince time.Time // when the first view arrived
 }
 
 func newOwner(ctx context.Context, e *Entry) *owner {
@@ -74,6 +78,9 @@
 	if v == nil || v == o.view {
 		return
 	}
+	if o.view == nil {
+		o.viewSince = o.entry.opts.Now()
+	}
 	o.view = v
 	for host, p := range o.peers {
 		if _, ok := v.Upstreams[host]; !ok {
@@ -176,6 +183,27 @@
 		}
 		o.judge(p, now)
 	}
+	o.checkWarm(now)
+}
+
+// checkWarm lets the entry become ready once every upstream of the first view
+// has reported, or after warmUp.
+func (o *owner) checkWarm(now time.Time) {
+	if o.entry.warm.Load() || o.view == nil {
+		return
+	}
+	if now.Sub(o.viewSince) >= warmUp || len(o.peers) > 0 && o.allReported() {
+		o.entry.warm.Store(true)
+	}
+}
+
+func (o *owner) allReported() bool {
+	for _, p := range o.peers {
+		if p.report == nil {
+			return false
+		}
+	}
+	return true
 }
 
 func (o *owner) judge(p *peer, now time.Time) {
--- a/pkg/role/entry/snapshot.go
+++ b/pkg/role/entry/snapshot.go
@@ -42,6 +42,11 @@
 	if e.leaving.Load() {
 		return fault.New(fault.Draining, "entry is shutting down")
 	}
-	_, err := e.current()
-	return err
+	if _, err := e.current(); err != nil {
+		return err
+	}
+	if !e.warm.Load() {
+		return fault.New(fault.Unavailable, "load reports of the upstreams have not arrived yet")
+	}
+	return nil
 }
