--- a/pkg/core/sched/bench_test.go
+++ b/pkg/core/sched/bench_test.go
@@ -113,3 +113,34 @@
 	b.ReportMetric(m.percentile(Standard, 0.95).Seconds(), "small-p95-s")
 	b.ReportMetric(100*float64(len(m.waits[Standard]))/(small.perSecond*length.Seconds()), "small-served-%")
 }
+
+// Measures the urgent and standard wait at 90% load when the requests wait in
+// one queue at the upstream, and when each of four entries has its own queue
+// and a quarter of the slots.
+func BenchmarkQueuePlace(b *testing.B) {
+	for _, queues := range []int{1, 4} {
+		b.Run(fmt.Sprintf("queues=%d", queues), func(b *testing.B) {
+			for b.Loop() {
+				measureQueues(b, queues)
+			}
+		})
+	}
+}
+
+func measureQueues(b *testing.B, queues int) {
+	const slots = 16
+	all := newModel(Config{Slots: slots, UrgentReserve: -1}, 0)
+	for i := range queues {
+		m := newModel(Config{Slots: slots / queues, UrgentReserve: -1}, uint64(i))
+		m.run(time.Hour, []arrivals{
+			{rank: Urgent, perSecond: 0.5 / float64(queues), organisations: 4, prompt: 50, mean: 100},
+			{rank: Standard, perSecond: 4.3 / float64(queues), organisations: 10, prompt: 50, mean: 100},
+		})
+		for r := range all.waits {
+			all.waits[r] = append(all.waits[r], m.waits[r]...)
+		}
+	}
+	b.ReportMetric(all.percentile(Urgent, 0.95).Seconds(), "urgent-p95-s")
+	b.ReportMetric(all.percentile(Standard, 0.5).Seconds(), "standard-p50-s")
+	b.ReportMetric(all.percentile(Standard, 0.95).Seconds(), "standard-p95-s")
+}
--- a/pkg/core/sched/config.go
+++ b/pkg/core/sched/config.go
@@ -8,7 +8,7 @@
 	DefaultMaxQueuedBytes = 64 << 20
 	// DefaultReserveWindow is about the time of one long generation. With 2 s,
 	// batch work took the reserve between urgent requests and held it for
-	// longer than the window (see docs/decisions/rank-and-fairness.md).
+	// longer than the window (see docs/decisions/0021-ranks-and-fairness.md).
 	DefaultReserveWindow = 10 * time.Second
 )
 
