--- a/pkg/core/route/bench_test.go
+++ b/pkg/core/route/bench_test.go
@@ -139,6 +139,19 @@
 	return mean, 100 * float64(most) / choices
 }
 
+// Measures the shortest path over all hosts, the alternative to sampling.
+func BenchmarkAllHosts(b *testing.B) {
+	for _, hosts := range fleetSizes {
+		b.Run(fmt.Sprintf("upstreams=%d", hosts), func(b *testing.B) {
+			_, ups := fleet(hosts, dataCentresOf(hosts), rand.New(rand.NewPCG(1, 1)))
+			need := Need{Model: "m", Layers: benchLayers, MaxTokens: 200, DataCentre: "d1"}
+			for b.Loop() {
+				need.bestOf(ups)
+			}
+		})
+	}
+}
+
 // bestOf returns the cheapest cost over all hosts.
 func (n *Need) bestOf(ups []*Upstream) time.Duration {
 	nodes := make([]node, 0, len(ups))
