Add plantain-load, an open-loop load tool that checks each answer

Arrivals are Poisson and seeded, with floods; latencies count from the planned arrival. The bound comes from capacities in the scenario.

--- a/pkg/core/sched/model_test.go
+++ b/pkg/core/sched/model_test.go
@@ -29,7 +29,7 @@
 	// measured restricts waits to one stream of arrivals.
 	measured arrivals
 	of       map[uint64]arrivals
-	slots   int
+	slots    int
 }
 
 type running struct {
@@ -45,7 +45,7 @@
 	perSecond     float64
 	organisations int
 	caller        string // prefix of the names of the organisations
-	prompt, mean  int // tokens; the generated tokens are exponential
+	prompt, mean  int    // tokens; the generated tokens are exponential
 	deadline      time.Duration
 }
 
--- /dev/null
+++ b/pkg/load/bound.go
@@ -0,0 +1,96 @@
+package load
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+// Bound compares what was offered and answered with what the stand-ins could
+// serve at most.
+type Bound struct {
+	Kind, Name                string  // model or service
+	Offered, Answered, Limit  float64 // requests per second
+	TokensPerRequest          float64 // generated
+	PromptTokensPerRequest    float64
+	LimitTokens, ServedTokens float64 // generated tokens per second
+}
+
+// Bounds returns the bound of each model and service that was offered and has
+// capacities in the scenario.
+func (p *Report) Bounds() []Bound {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	seconds := p.measured().Seconds()
+	var out []Bound
+	for name, o := range p.models {
+		b := Bound{
+			Kind: "model", Name: name,
+			Offered:                float64(o.requests) / seconds,
+			Answered:               float64(o.answered) / seconds,
+			TokensPerRequest:       float64(o.output) / float64(o.requests),
+			PromptTokensPerRequest: float64(o.prompt) / float64(o.requests),
+		}
+		b.Limit = p.scenario.modelLimit(name, o.layers, b.PromptTokensPerRequest, b.TokensPerRequest)
+		b.LimitTokens = b.Limit * b.TokensPerRequest
+		b.ServedTokens = b.Answered * b.TokensPerRequest
+		out = append(out, b)
+	}
+	for name, n := range p.services {
+		out = append(out, Bound{
+			Kind: "service", Name: name,
+			Offered:  float64(n) / seconds,
+			Answered: p.answeredCalls(name) / seconds,
+			Limit:    p.scenario.serviceLimit(name),
+		})
+	}
+	slices.SortFunc(out, func(a, b Bound) int {
+		return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Name, b.Name))
+	})
+	return out
+}
+
+func (p *Report) answeredCalls(service string) float64 {
+	n := 0
+	for _, m := range p.scenario.Mixes {
+		if m.Kind == KindService && m.Service == service {
+			n += p.group(scopeMix, m.Name).Outcomes[Answered]
+		}
+	}
+	return float64(n)
+}
+
+// modelLimit returns the requests per second that the engines can serve at
+// most. Every request uses each layer once, so the layer with the least
+// capacity bounds the model. An engine is counted with full batches.
+func (s *Scenario) modelLimit(model string, layers int, prompt, output float64) float64 {
+	limit := math.Inf(1)
+	for layer := range layers {
+		sum := 0.0
+		for _, c := range s.Capacities {
+			if c.Model == model && c.Service == "" && c.FirstLayer <= layer && layer <= c.LastLayer {
+				sum += float64(c.Count) / c.engineSeconds(prompt, output)
+			}
+		}
+		limit = min(limit, sum)
+	}
+	return limit
+}
+
+// engineSeconds is the time of an engine that one request takes in full
+// batches.
+func (c *Capacity) engineSeconds(prompt, output float64) float64 {
+	perToken := c.Step.Seconds()/float64(c.Slots) + c.StepPerSession.Seconds()
+	return max(prompt*c.PrefillPerToken.Seconds()+output*perToken, time.Nanosecond.Seconds())
+}
+
+func (s *Scenario) serviceLimit(service string) float64 {
+	sum := 0.0
+	for _, c := range s.Capacities {
+		if c.Service == service {
+			sum += float64(c.Count*c.Slots) / max(c.Latency.Seconds(), time.Nanosecond.Seconds())
+		}
+	}
+	return sum
+}
--- /dev/null
+++ b/pkg/load/runner.go
@@ -0,0 +1,52 @@
+package load
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// Execute runs a scenario and returns its report. It ends early when ctx does.
+func Execute(ctx context.Context, s *Scenario) *Report {
+	c := newClient(&s.Run, time.Now())
+	defer c.http.CloseIdleConnections()
+	report := newReport(s)
+	free := make(chan struct{}, s.Run.MaxInFlight)
+	var wg sync.WaitGroup
+	arrivals := newSchedule(s)
+	number := 0
+	for a := arrivals.next(); a != nil; a = arrivals.next() {
+		if !sleepUntil(ctx, c.start.Add(a.At)) {
+			break
+		}
+		select {
+		case free <- struct{}{}:
+		default:
+			report.add(&Result{Arrival: a, Outcome: NotSent, End: a.At})
+			continue
+		}
+		number++
+		turn := number
+		wg.Go(func() {
+			defer func() { <-free }()
+			report.add(c.perform(ctx, a, turn))
+		})
+	}
+	wg.Wait()
+	return report
+}
+
+func sleepUntil(ctx context.Context, at time.Time) bool {
+	wait := time.Until(at)
+	if wait <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
