replica: hand the leadership over on close and on a stalled disk, metrics

Close of a leader and a write that does not finish within 2 s transfer the leadership. A voter id that is in use with another address is refused.

--- a/pkg/core/raft/election.go
+++ b/pkg/core/raft/election.go
@@ -199,6 +199,22 @@
 	return true
 }
 
+// BestFollower returns the voter that holds most of the log and answered
+// lately, or None.
+func (n *Node) BestFollower() uint64 {
+	best, match := None, uint64(0)
+	for _, v := range n.Voters() {
+		p := n.progress[v.Id]
+		if v.Learner || v.Id == n.cfg.ID || p == nil || p.state != replicating {
+			continue
+		}
+		if best == None || p.match > match {
+			best, match = v.Id, p.match
+		}
+	}
+	return best
+}
+
 // finishTransfer lets the chosen voter start its election once it holds the
 // whole log.
 func (n *Node) finishTransfer(id uint64, p *progress) {
--- a/pkg/core/raft/formation.go
+++ b/pkg/core/raft/formation.go
@@ -61,8 +61,12 @@
 // Step handles a message. When noted is true the voters changed and must be
 // durable before the reply is sent.
 func (f *Formation) Step(m *wirepb.RaftMessage) (reply *wirepb.RaftMessage, noted bool) {
+	kind := MessageType(m.Type)
 	v := findVoter(f.voters, m.From)
-	if v == nil || m.To != f.id || m.From == f.id || m.Member == 0 || m.LogTerm != f.list {
+	if v == nil || (kind != MsgForm && kind != MsgFormReply) {
+		return nil, false
+	}
+	if m.To != f.id || m.From == f.id || m.Member == 0 || m.LogTerm != f.list {
 		return nil, false
 	}
 	if v.Member == 0 {
@@ -70,12 +74,10 @@
 		noted = true
 	}
 	same := v.Member == m.Member
-	switch MessageType(m.Type) {
-	case MsgForm:
+	if kind == MsgForm {
 		return f.answer(m, same), noted
-	case MsgFormReply:
-		f.takeAnswer(m, same)
 	}
+	f.takeAnswer(m, same)
 	return nil, noted
 }
 
--- a/pkg/core/raft/voters.go
+++ b/pkg/core/raft/voters.go
@@ -144,6 +144,8 @@
 	}
 	known := findVoter(n.Voters(), v.Id)
 	switch {
+	case !remove && known != nil && known.PeerAddress != v.PeerAddress:
+		return fault.New(fault.Conflict, "voter %d has address %s", v.Id, known.PeerAddress).WithOutcome(fault.NotRun)
 	case remove && known == nil, !remove && known != nil:
 		return nil
 	case remove && !known.Learner && n.voterCount() == 1:
--- a/pkg/replica/applier.go
+++ b/pkg/replica/applier.go
@@ -26,7 +26,9 @@
 // Apply or Snapshot does not delay heartbeats.
 type applier struct {
 	machine  StateMachine
-	interval uint64
+	interval uint64 // entries between two snapshots
+	maxBytes int    // bytes of entries between two snapshots
+	bytes    int    // since the last snapshot
 	mu       sync.Mutex
 	queue    []task
 	state    appliedState
@@ -40,6 +42,7 @@
 	return &applier{
 		machine:  o.StateMachine,
 		interval: uint64(o.SnapshotEntries),
+		maxBytes: o.SnapshotBytes,
 		state:    appliedState{applied: applied},
 		lastSnap: applied,
 		wake:     make(chan struct{}, 1),
@@ -83,11 +86,13 @@
 			return fault.Wrap(err, fault.Corrupt, "restore snapshot %d", index)
 		}
 		a.lastSnap = index
+		a.bytes = 0
 		a.report(func(s *appliedState) { s.applied = index })
 		return nil
 	}
 	a.apply(t)
-	if t.entry.Index-a.lastSnap < a.interval {
+	a.bytes += len(t.entry.Data)
+	if t.entry.Index-a.lastSnap < a.interval && a.bytes < a.maxBytes {
 		return nil
 	}
 	return a.takeSnapshot(t.entry.Index)
@@ -110,6 +115,7 @@
 		return fault.Wrap(err, fault.Internal, "take snapshot %d", index)
 	}
 	a.lastSnap = index
+	a.bytes = 0
 	meta := &wirepb.SnapshotMeta{Index: index, Size: uint64(len(data))}
 	a.report(func(s *appliedState) { s.taken = &snapshot{meta: meta, data: data} })
 	return nil
--- a/pkg/replica/cluster_test.go
+++ b/pkg/replica/cluster_test.go
@@ -200,8 +200,8 @@
 	if r == nil {
 		return
 	}
-	c.net.set(id, nil)
 	assert.NilError(c.t, r.Close())
+	c.net.set(id, nil)
 }
 
 const testTimeout = 20 * time.Second
--- a/pkg/replica/loop.go
+++ b/pkg/replica/loop.go
@@ -80,6 +80,7 @@
 	}
 	r.node.Tick()
 	r.retryReads()
+	r.checkStall()
 }
 
 func (r *Replica) stepMessages(m *wirepb.RaftMessage) {
@@ -151,10 +152,13 @@
 	leader := r.node.Role() == raft.Leader
 	if r.wasLeader && !leader {
 		r.log.Info("Leadership lost.", logs.Uint("term", r.node.Term()))
+		metricLeadershipLost.Inc()
+		r.finishHandOver()
 		r.failPending(fault.New(fault.Unknown, "leadership was lost before the commit").WithOutcome(fault.MayHaveRun))
 	}
 	if !r.wasLeader && leader {
 		r.log.Info("Leadership won.", logs.Uint("term", r.node.Term()))
+		metricLeadershipWon.Inc()
 	}
 	r.wasLeader = leader
 }
@@ -167,6 +171,7 @@
 	}
 	r.failure.Store(fault.As(err))
 	r.log.Error("Replica stopped.", logs.Err(err))
+	metricFailures.Inc()
 	r.failPending(fault.Wrap(err, fault.Unknown, "replica failed before the commit").WithOutcome(fault.MayHaveRun))
 }
 
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -51,11 +51,15 @@
 	Heartbeat       time.Duration
 	SegmentSize     int
 	SnapshotEntries int // entries applied between two snapshots
+	SnapshotBytes   int // bytes of entries applied between two snapshots
 	// TrailingEntries stay in memory behind a snapshot for slow followers.
 	TrailingEntries int
 	// MaxProposalBytes keeps an append message under the largest frame.
 	MaxProposalBytes int
 	MaxPending       int // proposals that wait for their commit
+	// SyncStall is the time after which a leader whose disk does not finish a
+	// write hands the leadership over.
+	SyncStall time.Duration
 
 	FS     wal.FS
 	Random func(n int) int
@@ -72,6 +76,8 @@
 	DefaultTrailingEntries  = 2_000
 	DefaultMaxProposalBytes = 512 << 10
 	DefaultMaxPending       = 8192
+	DefaultSnapshotBytes    = 32 << 20
+	DefaultSyncStall        = 2 * time.Second
 )
 
 // Status is a view of a replica.
@@ -122,6 +128,10 @@
 	installing  *snapshot     // received from the leader
 	saving      *snapshot     // taken here
 	wasLeader   bool
+	handedOver  chan struct{} // closed once Close may go on
+	writtenSeq  uint64        // last write handed to the writer
+	durableSeq  uint64        // last write known to be durable
+	stalled     int           // ticks without progress of the writer
 }
 
 const queueLength = 1024
@@ -172,6 +182,8 @@
 	setDefault(&o.TrailingEntries, DefaultTrailingEntries)
 	setDefault(&o.MaxProposalBytes, DefaultMaxProposalBytes)
 	setDefault(&o.MaxPending, DefaultMaxPending)
+	setDefault(&o.SnapshotBytes, DefaultSnapshotBytes)
+	setDefault(&o.SyncStall, DefaultSyncStall)
 	if o.Random == nil {
 		o.Random = randomInt
 	}
@@ -271,10 +283,14 @@
 	return s
 }
 
-// Close stops the replica. Proposals that were not confirmed return
+// Close stops the replica. A leader first hands the leadership over, for not
+// longer than one election time-out. Proposals that were not confirmed return
 // fault.Unknown.
 func (r *Replica) Close() error {
-	r.closeOnce.Do(func() { close(r.stop) })
+	r.closeOnce.Do(func() {
+		r.handOver()
+		close(r.stop)
+	})
 	<-r.done
 	return r.wal.Close()
 }
--- a/pkg/replica/replica_test.go
+++ b/pkg/replica/replica_test.go
@@ -4,8 +4,11 @@
 	"context"
 	"fmt"
 	"os"
+	"path/filepath"
+	"slices"
 	"testing"
 
+	"go.uber.org/goleak"
 	"gotest.tools/v3/assert"
 
 	"github.com/plantainstair/plantainstair/pkg/core/raft"
@@ -13,6 +16,9 @@
 	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
 )
 
+// Guards against goroutines that outlive Close.
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
 // Guards against losing acknowledged writes over elections and restarts.
 func TestReplicationElectionAndRestart(t *testing.T) {
 	c := newCluster(t, 3, func(o *Options) { o.SnapshotEntries = 20; o.TrailingEntries = 5; o.SegmentSize = 2000 })
@@ -154,7 +160,28 @@
 	assert.Equal(t, files[lead.opts.ID].waiting.Load(), int32(1))
 	assert.Equal(t, lead.Status().Role, raft.Leader)
 	assert.Equal(t, lead.Status().Term, term)
+	eventually(t, "stalled leader stays", func() bool { return lead.Status().Role != raft.Leader })
+	c.mustPropose("next", lead.opts.ID)
 	release()
+	c.waitValue(lead.opts.ID, "next")
+}
+
+// Guards against a restart that fails, or forgets entries, when the newest
+// snapshot file is damaged.
+func TestRestartWithDamagedSnapshot(t *testing.T) {
+	c := newCluster(t, 1, func(o *Options) { o.SnapshotEntries = 10; o.TrailingEntries = 2; o.SegmentSize = 500 })
+	for i := range 95 {
+		c.mustPropose(fmt.Sprint("a", i))
+	}
+	eventually(t, "no snapshot", func() bool { return c.replica(1).Status().Snapshot >= 90 })
+	c.stop(1)
+	names, err := filepath.Glob(filepath.Join(c.path(1), "*.snap"))
+	assert.NilError(t, err)
+	assert.Equal(t, len(names), 2)
+	assert.NilError(t, os.Truncate(slices.Max(names), 30))
+	c.start(1, nil)
+	c.waitValue(1, "a94")
+	assert.Equal(t, c.machines[1].applied(), uint64(95))
 }
 
 // Guards against acknowledging writes whose sync did not finish or failed.
--- a/pkg/replica/requests.go
+++ b/pkg/replica/requests.go
@@ -90,6 +90,9 @@
 		commands[i] = p.data
 	}
 	index, term, ok := r.node.Propose(commands)
+	if ok {
+		metricProposals.Add(len(batch))
+	}
 	for i, p := range batch {
 		if !ok {
 			p.finish(nil, r.notLeader())
--- a/pkg/replica/snapshots.go
+++ b/pkg/replica/snapshots.go
@@ -1,6 +1,8 @@
 package replica
 
 import (
+	"google.golang.org/protobuf/proto"
+
 	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
 )
 
@@ -18,6 +20,7 @@
 	s.meta.Voters = r.node.VotersAt(s.meta.Index)
 	s.meta.Cluster = r.node.Cluster()
 	r.saving = s
+	metricSnapshotsTaken.Inc()
 	r.writer.add(job{save: s})
 }
 
@@ -37,9 +40,12 @@
 
 func (r *Replica) sendSnapshots(to []*wirepb.Voter) {
 	for _, v := range to {
-		if r.latest.meta != nil && v != nil {
-			r.opts.Transport.SendSnapshot(v, r.latest.meta, r.latest.data)
+		if r.latest.meta == nil || v == nil {
+			continue
 		}
+		meta := proto.CloneOf(r.latest.meta)
+		meta.SenderTerm = r.node.Term()
+		r.opts.Transport.SendSnapshot(v, meta, r.latest.data)
 	}
 }
 
@@ -48,10 +54,16 @@
 	if r.failure.Load() != nil || r.node == nil {
 		return
 	}
-	if !r.node.InstallSnapshot(m, from, term) {
+	if m.SenderTerm != 0 {
+		term = m.SenderTerm
+	}
+	meta := proto.CloneOf(m)
+	meta.SenderTerm = 0
+	if !r.node.InstallSnapshot(meta, from, term) {
 		return
 	}
-	s := &snapshot{meta: m, data: data}
+	metricSnapshotsInstalled.Inc()
+	s := &snapshot{meta: meta, data: data}
 	r.installing = s
 	r.applier.add(task{restore: s})
 }
--- a/pkg/replica/writer.go
+++ b/pkg/replica/writer.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/plantainstair/plantainstair/pkg/core/raft"
 	"github.com/plantainstair/plantainstair/pkg/snap"
@@ -129,9 +130,11 @@
 		compact = max(compact, j.compact)
 		done.seq = max(done.seq, j.seq)
 	}
+	start := time.Now()
 	if err := w.wal.Write(batch); err != nil {
 		return err
 	}
+	metricSync.UpdateDuration(start)
 	if compact > 0 {
 		if err := w.wal.Compact(compact); err != nil {
 			return err
@@ -175,6 +178,7 @@
 		j.save = r.installing
 		j.batch.Mark = w.Snapshot
 	}
+	r.writtenSeq = w.Seq
 	r.writer.add(j)
 }
 
@@ -188,6 +192,8 @@
 		r.fail(done.err)
 		return
 	}
+	r.durableSeq = done.seq
+	r.stalled = 0
 	r.node.Persisted(done.seq)
 	r.snapshotSaved(done.saved)
 }
