entry: bound the requests in progress by rank

Cause: a flood of batch work could fill the memory of an entry and leave no room for urgent requests. Change: callers.max_in_progress, of which standard work may fill 80% and batch work 60%; a test of a repair after a later stage failed.

--- a/pkg/role/entry/call.go
+++ b/pkg/role/entry/call.go
@@ -43,6 +43,11 @@
 	if err != nil {
 		return nil, err
 	}
+	rank, _ := schedRank(c.call.Request.Rank)
+	if err := e.gate.enter(rank); err != nil {
+		return nil, err
+	}
+	defer e.gate.leave()
 	use, err := e.limits.acquire(c.call.Caller.Organisation, s.view.LiveEntries, 0, e.opts.Now())
 	if err != nil {
 		return nil, err
--- a/pkg/role/entry/entry.go
+++ b/pkg/role/entry/entry.go
@@ -34,6 +34,7 @@
 	tracker    *route.Tracker
 	budget     *route.Budget
 	limits     *limiter
+	gate       *gate
 	metrics    *meters
 	lifecycle  *platform.Lifecycle
 	leaving    atomic.Bool
@@ -54,6 +55,7 @@
 		tracker:    route.NewTracker(route.TrackerConfig{}),
 		budget:     route.NewBudget(),
 		limits:     newLimiter(),
+		gate:       newGate(opts.Settings.MaxRequests),
 		metrics:    newMeters(),
 		lifecycle:  platform.NewLifecycle(),
 	}
--- a/pkg/role/entry/generate.go
+++ b/pkg/role/entry/generate.go
@@ -54,13 +54,17 @@
 	if !ok {
 		return callers.Summary{}, fault.New(fault.NotFound, "model %q does not exist", req.Model).WithField("model").WithOutcome(fault.NotRun)
 	}
+	rank, _ := schedRank(req.Rank)
+	if err := e.gate.enter(rank); err != nil {
+		return callers.Summary{}, err
+	}
+	defer e.gate.leave()
 	now := e.opts.Now()
 	use, err := e.limits.acquire(req.Caller.Organisation, s.view.LiveEntries, len(req.Prompt), now)
 	if err != nil {
 		return callers.Summary{}, err
 	}
 	defer use.release()
-	rank, _ := schedRank(req.Rank)
 	g := &generation{
 		entry:   e,
 		req:     req,
--- a/pkg/role/entry/refusal_test.go
+++ b/pkg/role/entry/refusal_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/plantainstair/plantainstair/pkg/callers"
 	"github.com/plantainstair/plantainstair/pkg/control"
+	"github.com/plantainstair/plantainstair/pkg/core/sched"
 	"github.com/plantainstair/plantainstair/pkg/fault"
 	"github.com/plantainstair/plantainstair/pkg/platform"
 	"github.com/plantainstair/plantainstair/pkg/wire"
@@ -227,6 +228,22 @@
 	assert.Equal(t, a.header.Get("Retry-After"), "1")
 }
 
+// Guards against a flood of batch work that leaves no room for urgent requests.
+func TestGate_KeepsRoomForUrgentWork(t *testing.T) {
+	g := newGate(10)
+	admitted := map[sched.Rank]int{}
+	for _, rank := range []sched.Rank{sched.Batch, sched.Standard, sched.Urgent} {
+		for range 20 {
+			if err := g.enter(rank); err == nil {
+				admitted[rank]++
+			} else {
+				assert.Equal(t, fault.As(err).Outcome, fault.NotRun)
+			}
+		}
+	}
+	assert.DeepEqual(t, admitted, map[sched.Rank]int{sched.Batch: 6, sched.Standard: 2, sched.Urgent: 2})
+}
+
 // Guards against a token rate that is exceeded over time, or that starves an
 // organisation once its debt is paid.
 func TestLimits_TokenRate(t *testing.T) {
--- a/pkg/role/entry/stream_test.go
+++ b/pkg/role/entry/stream_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"slices"
+	"sync"
 	"testing"
 
 	openai "github.com/sashabaranov/go-openai"
@@ -13,6 +14,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/plantainstair/plantainstair/pkg/fault"
+	"github.com/plantainstair/plantainstair/pkg/standin"
 	"github.com/plantainstair/plantainstair/pkg/wire"
 	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
 )
@@ -179,3 +181,42 @@
 	assert.Assert(t, errors.Is(err, io.EOF), "%v", err)
 	assert.Equal(t, text, expected(9, 2))
 }
+
+// Guards against a repair that blames the wrong stage, reuses an epoch or
+// replays other tokens than the caller has received.
+func TestChat_RepairOfALaterStage(t *testing.T) {
+	var mu sync.Mutex
+	var requests []*wirepb.GenerateRequest
+	fail := refusing(3, fault.New(fault.Upstream, "engine died").WithStage(1).WithOutcome(fault.MayHaveRun))
+	record := func(a *fakeAgent, s *wire.Stream, f *wirepb.Frame) {
+		mu.Lock()
+		requests = append(requests, f.GetGenerate())
+		first := len(requests) == 1
+		mu.Unlock()
+		if first {
+			fail(a, s, f)
+			return
+		}
+		honest(a, s, f)
+	}
+	agents := startAgents(t, 4, always(record))
+	s := newSystem(t, agents, nil, "")
+	view := testView(agents, nil)
+	for i, a := range agents {
+		held := view.Upstreams[a.host].Models[0]
+		held.FirstLayer, held.LastLayer = uint32(i%2*2), uint32(i%2*2+1)
+	}
+	s.control.set(view)
+	until(t, "the view", func() bool { return s.entry.snapshot.Load().view == view })
+	text, err := s.stream(context.Background(), 9, 4)
+	assert.Assert(t, errors.Is(err, io.EOF), "%v", err)
+	assert.Equal(t, text, expected(9, 4))
+	assert.Equal(t, len(requests), 2)
+	first, second := requests[0], requests[1]
+	assert.Equal(t, len(first.Stages), 2)
+	assert.Equal(t, first.Stages[1].FirstLayer, uint32(2))
+	assert.Assert(t, second.Stages[1].Host != first.Stages[1].Host)
+	assert.Equal(t, second.Epoch, first.Epoch+1)
+	assert.DeepEqual(t, second.Emitted, standin.Reference(first.Prompt, testLayers, 4, 3))
+	assert.Equal(t, second.MaxTokens, uint32(6))
+}
