--- a/pkg/core/state/store.go
+++ b/pkg/core/state/store.go
@@ -55,7 +55,9 @@
 	s.applied = index
 	s.advance(cmd.GetTimeUnixMs())
 	result := s.dispatch(cmd)
-	result.Index = index
+	if result.Index == 0 {
+		result.Index = index // a first outcome keeps its own index
+	}
 	return result
 }
 
@@ -65,7 +67,7 @@
 	horizon := s.ClaimHorizon().Milliseconds()
 	s.expiredBefore = max(s.expiredBefore, s.now-horizon)
 	s.claims.purge(s.expiredBefore)
-	s.dedup.purge(s.now - horizon)
+	s.dedup.purge(s.expiredBefore)
 }
 
 func (s *Store) dispatch(cmd *wirepb.Command) *wirepb.CommandResult {
