--- a/pkg/control/client.go
+++ b/pkg/control/client.go
@@ -7,6 +7,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -51,6 +52,10 @@
 	addresses atomic.Pointer[[]string]
 	preferred atomic.Int64 // index of the address that answered last
 	changed   chan struct{}
+
+	orderMu    sync.Mutex
+	orderEpoch uint64
+	orderKnown bool
 }
 
 // NewClient returns a client. Run must be called for the view to be filled.
--- a/pkg/control/register.go
+++ b/pkg/control/register.go
@@ -200,6 +200,7 @@
 func (l *registerLoop) handle(s *wire.Stream, f *wirepb.Frame) error {
 	switch {
 	case f.GetHeartbeatReply() != nil:
+		l.reg.client.learnOrderEpoch(f.GetHeartbeatReply())
 		return nil
 	case f.GetOrder() != nil:
 		go l.carryOut(s, f.GetOrder())
@@ -235,3 +236,22 @@
 		}
 	}
 }
+
+// learnOrderEpoch takes over an order epoch that the replica read linearizably.
+func (c *Client) learnOrderEpoch(r *wirepb.HeartbeatReply) {
+	if !r.OrderEpochRead {
+		return
+	}
+	c.orderMu.Lock()
+	defer c.orderMu.Unlock()
+	c.orderEpoch = max(c.orderEpoch, r.OrderEpoch)
+	c.orderKnown = true
+}
+
+// OrderEpoch returns the highest order epoch of this host that control knew
+// after the registration. Known is false until a replica has told it.
+func (c *Client) OrderEpoch() (epoch uint64, known bool) {
+	c.orderMu.Lock()
+	defer c.orderMu.Unlock()
+	return c.orderEpoch, c.orderKnown
+}
