--- /dev/null
+++ b/cmd/plantainctl/main.go
@@ -0,0 +1,41 @@
+// Command plantainctl changes and shows the catalogue, upstreams and voters.
+//
+// Exit codes: 0 success, 1 failure, 2 usage, 3 conflict with another change,
+// 4 control not reachable and nothing changed, 5 invalid input or no right,
+// 6 accepted but not in force in time, 7 outcome unknown.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/plantainstair/plantainstair/pkg/ctl"
+)
+
+func main() {
+	c := newCommands()
+	flaggy.SetName("plantainctl")
+	flaggy.SetDescription("Changes and shows the catalogue, upstreams and voters.")
+	flaggy.String(&c.settings, "c", "config", "Path of the settings file.")
+	flaggy.Bool(&c.json, "j", "json", "Print JSON.")
+	for _, cmd := range c.list {
+		flaggy.AttachSubcommand(cmd.sub, 1)
+	}
+	flaggy.Parse()
+	for _, cmd := range c.list {
+		if cmd.sub.Used {
+			exit(cmd.run())
+		}
+	}
+	flaggy.ShowHelp("A command is required.")
+	os.Exit(ctl.ExitUsage)
+}
+
+func exit(err error) {
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "plantainctl:", err)
+	}
+	os.Exit(ctl.ExitCode(err))
+}
--- /dev/null
+++ b/cmd/plantainctl/settings.go
@@ -0,0 +1,61 @@
+package main
+
+import (
+	"fmt"
+
+	"github.com/plantainstair/plantainstair/pkg/config"
+	"github.com/plantainstair/plantainstair/pkg/ctl"
+	"github.com/plantainstair/plantainstair/pkg/fault"
+	"github.com/plantainstair/plantainstair/pkg/role/agent"
+	"github.com/plantainstair/plantainstair/pkg/role/control"
+	"github.com/plantainstair/plantainstair/pkg/role/entry"
+)
+
+var roles = []string{"entry", "agent", "control", "plantainctl"}
+
+// settingsOf returns the empty settings of a role.
+func settingsOf(role string) (any, error) {
+	switch role {
+	case "entry":
+		return &entry.Settings{}, nil
+	case "agent":
+		return &agent.Settings{}, nil
+	case "control":
+		return &control.Settings{}, nil
+	case "plantainctl":
+		return &ctl.Settings{}, nil
+	}
+	return nil, fault.New(fault.Invalid, "%q is not entry, agent, control or plantainctl", role).WithField("role")
+}
+
+func (c *commands) addCheckConfig() {
+	var role, file string
+	sub := newSub("check-config", "Checks a settings file and lists every fault.")
+	sub.AddPositionalValue(&role, "role", 1, true, "entry, agent, control or plantainctl.")
+	sub.AddPositionalValue(&file, "file", 2, true, "Settings file.")
+	c.list = append(c.list, command{sub: sub, run: func() error {
+		settings, err := settingsOf(role)
+		if err != nil {
+			return err
+		}
+		if err := config.Load(file, settings); err != nil {
+			return err
+		}
+		fmt.Println("settings are valid")
+		return nil
+	}})
+}
+
+func (c *commands) addSettings() {
+	sub := newSub("settings", "Prints the settings reference of every role.")
+	c.list = append(c.list, command{sub: sub, run: func() error {
+		for _, role := range roles {
+			settings, err := settingsOf(role)
+			if err != nil {
+				return err
+			}
+			fmt.Printf("### %s\n\n%s\n", role, config.Reference(settings))
+		}
+		return nil
+	}})
+}
--- /dev/null
+++ b/pkg/ctl/app.go
@@ -0,0 +1,115 @@
+// Package ctl implements the commands of the operator command line.
+package ctl
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/plantainstair/plantainstair/pkg/config"
+	"github.com/plantainstair/plantainstair/pkg/fault"
+	"github.com/plantainstair/plantainstair/pkg/operators"
+)
+
+// Exit codes of the command line.
+const (
+	ExitOK          = 0
+	ExitFailure     = 1
+	ExitUsage       = 2
+	ExitConflict    = 3
+	ExitUnavailable = 4
+	ExitInvalid     = 5
+	ExitNotInForce  = 6
+	ExitUnknown     = 7
+)
+
+// Settings are the settings of the command line.
+type Settings struct {
+	Addresses []string      `ini:"control.admin_addresses" required:"true" format:"address" help:"Admin addresses of the control replicas."`
+	Token     string        `ini:"control.token" required:"true" min:"8" help:"Admin token of the operator."`
+	Timeout   time.Duration `ini:"control.timeout" default:"15s" min:"100ms" max:"10m" help:"Longest time of one command."`
+}
+
+// App runs commands against the admin API.
+type App struct {
+	Client *operators.Client
+	Out    io.Writer
+	JSON   bool
+}
+
+// New returns an App for the settings.
+func New(s Settings, out io.Writer, asJSON bool) *App {
+	return &App{Client: &operators.Client{Addresses: s.Addresses, Token: s.Token}, Out: out, JSON: asJSON}
+}
+
+// LoadSettings reads the settings of the command line.
+func LoadSettings(path string) (Settings, error) {
+	var s Settings
+	err := config.Load(path, &s)
+	return s, err
+}
+
+// NotInForceError says that a change was accepted but not confirmed by every
+// watcher in time.
+type NotInForceError struct {
+	Revision uint64
+	Lagging  []string
+	Total    int
+}
+
+// Error implements error.
+func (e *NotInForceError) Error() string {
+	return fmt.Sprintf("revision %d is accepted but %d watchers have not confirmed it: %s",
+		e.Revision, e.Total, strings.Join(e.Lagging, ", "))
+}
+
+// ExitCode returns the exit code for the outcome of a command.
+func ExitCode(err error) int {
+	if err == nil {
+		return ExitOK
+	}
+	var late *NotInForceError
+	if errors.As(err, &late) {
+		return ExitNotInForce
+	}
+	var settings *config.Error
+	if errors.As(err, &settings) {
+		return ExitInvalid
+	}
+	switch e := fault.As(err); e.Kind {
+	case fault.Conflict:
+		return ExitConflict
+	case fault.Invalid, fault.NotFound, fault.Unauthenticated, fault.Forbidden:
+		return ExitInvalid
+	case fault.Unavailable, fault.NotLeader, fault.Deadline, fault.Unknown:
+		if e.Outcome == fault.NotRun {
+			return ExitUnavailable
+		}
+		return ExitUnknown
+	}
+	return ExitFailure
+}
+
+// print writes a reply as JSON, or by the given function.
+func (a *App) print(reply any, text func(io.Writer)) error {
+	if !a.JSON {
+		text(a.Out)
+		return nil
+	}
+	enc := json.NewEncoder(a.Out)
+	enc.SetIndent("", "  ")
+	if err := enc.Encode(reply); err != nil {
+		return fault.Wrap(err, fault.Internal, "write JSON")
+	}
+	return nil
+}
+
+// Context bounds a command by the timeout of the settings.
+func (s Settings) Context() (context.Context, context.CancelFunc) {
+	return context.WithTimeout(context.Background(), s.Timeout)
+}
--- /dev/null
+++ b/pkg/ctl/apply.go
@@ -0,0 +1,158 @@
+package ctl
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/plantainstair/plantainstair/pkg/catalogue"
+	"github.com/plantainstair/plantainstair/pkg/fault"
+	"github.com/plantainstair/plantainstair/pkg/operators"
+	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
+)
+
+// ApplyOptions are the flags of apply.
+type ApplyOptions struct {
+	File      string
+	Remove    []string // kind/name
+	Base      uint64   // zero means the current revision
+	RequestID string   // set to resend a change whose answer was lost
+	Comment   string
+	Wait      bool
+	WaitTime  time.Duration
+}
+
+// Apply makes one change of the catalogue.
+func (a *App) Apply(ctx context.Context, opts ApplyOptions) error {
+	req, err := a.changeRequest(ctx, opts)
+	if err != nil {
+		return err
+	}
+	reply, err := a.Client.Apply(ctx, req)
+	if err != nil {
+		return err
+	}
+	err = a.print(reply, func(w io.Writer) {
+		fmt.Fprintf(w, "accepted as revision %d\n", reply.Revision)
+		if c := reply.Confirmation; c != nil && c.Confirmed {
+			fmt.Fprintf(w, "in force on %d watchers after %d ms\n", c.Watchers, c.ElapsedMS)
+		}
+	})
+	if err != nil {
+		return err
+	}
+	if c := reply.Confirmation; c != nil && !c.Confirmed {
+		return &NotInForceError{Revision: reply.Revision, Lagging: c.Lagging, Total: c.LaggingTotal}
+	}
+	return nil
+}
+
+func (a *App) changeRequest(ctx context.Context, opts ApplyOptions) (*operators.ChangeRequest, error) {
+	req := &operators.ChangeRequest{
+		BaseRevision: opts.Base,
+		RequestID:    opts.RequestID,
+		Comment:      opts.Comment,
+		Wait:         opts.Wait,
+		WaitMS:       uint32(opts.WaitTime / time.Millisecond),
+	}
+	if opts.File != "" {
+		entries, err := catalogue.Read(opts.File)
+		if err != nil {
+			return nil, err
+		}
+		req.Put = operators.Messages(entries)
+	}
+	for _, text := range opts.Remove {
+		name, err := parseName(text)
+		if err != nil {
+			return nil, err
+		}
+		req.Remove = append(req.Remove, operators.EntryName{Value: name})
+	}
+	if len(req.Put) == 0 && len(req.Remove) == 0 {
+		return nil, fault.New(fault.Invalid, "nothing to change").WithField("file").WithOutcome(fault.NotRun)
+	}
+	if req.BaseRevision == 0 {
+		current, err := a.Client.Catalogue(ctx, nil)
+		if err != nil {
+			return nil, err
+		}
+		req.BaseRevision = current.Revision
+	}
+	return req, nil
+}
+
+func parseName(text string) (*wirepb.EntryName, error) {
+	kind, name, ok := strings.Cut(text, "/")
+	if !ok || kind == "" || name == "" {
+		return nil, fault.New(fault.Invalid, "%q is not of the form kind/name", text).WithField("remove").WithOutcome(fault.NotRun)
+	}
+	return &wirepb.EntryName{Kind: kind, Name: name}, nil
+}
+
+// Difference is one line of a diff.
+type Difference struct {
+	Action string `json:"action"` // "add", "change"
+	Kind   string `json:"kind"`
+	Name   string `json:"name"`
+	Before string `json:"before,omitempty"`
+	After  string `json:"after"`
+}
+
+// DiffReply compares a file with the catalogue.
+type DiffReply struct {
+	Revision    uint64       `json:"revision"`
+	Differences []Difference `json:"differences"`
+}
+
+// Diff shows what applying a file would change.
+func (a *App) Diff(ctx context.Context, file string) error {
+	entries, err := catalogue.Read(file)
+	if err != nil {
+		return err
+	}
+	current, err := a.Client.Catalogue(ctx, nil)
+	if err != nil {
+		return err
+	}
+	reply := DiffReply{Revision: current.Revision, Differences: differences(operators.Values(current.Entries), entries)}
+	return a.print(reply, func(w io.Writer) {
+		fmt.Fprintf(w, "against revision %d: %d differences\n", reply.Revision, len(reply.Differences))
+		for _, d := range reply.Differences {
+			fmt.Fprintf(w, "%s %s/%s\n", d.Action, d.Kind, d.Name)
+			writeMarked(w, "- ", d.Before)
+			writeMarked(w, "+ ", d.After)
+		}
+	})
+}
+
+func differences(known, wanted []*wirepb.Entry) []Difference {
+	out := []Difference{}
+	for _, e := range wanted {
+		d := Difference{Action: "add", Kind: e.Kind, Name: e.Name, After: catalogue.Format([]*wirepb.Entry{e})}
+		i := slices.IndexFunc(known, func(k *wirepb.Entry) bool { return k.Kind == e.Kind && k.Name == e.Name })
+		if i >= 0 {
+			before := proto.Clone(known[i]).(*wirepb.Entry)
+			before.Revision = 0
+			d.Action = "change"
+			d.Before = catalogue.Format([]*wirepb.Entry{before})
+		}
+		if d.Before != d.After {
+			out = append(out, d)
+		}
+	}
+	return out
+}
+
+func writeMarked(w io.Writer, mark, text string) {
+	for _, line := range strings.Split(strings.TrimRight(text, "\n"), "\n") {
+		if line != "" {
+			fmt.Fprintf(w, "  %s%s\n", mark, line)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/ctl/change.go
@@ -0,0 +1,55 @@
+package ctl
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/plantainstair/plantainstair/pkg/operators"
+	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
+)
+
+// Drain orders an upstream to finish its work and take no more.
+func (a *App) Drain(ctx context.Context, host string) error {
+	reply, err := a.Client.Drain(ctx, host, operators.DrainRequest{})
+	if err != nil {
+		return err
+	}
+	return a.printOrder(reply)
+}
+
+// Order gives an order to an upstream.
+func (a *App) Order(ctx context.Context, host string, order *wirepb.Order) error {
+	reply, err := a.Client.Order(ctx, &operators.OrderRequest{Host: host, Order: operators.Order{Value: order}})
+	if err != nil {
+		return err
+	}
+	return a.printOrder(reply)
+}
+
+func (a *App) printOrder(reply *operators.OrderReply) error {
+	return a.print(reply, func(w io.Writer) {
+		fmt.Fprintf(w, "order %s carried out with epoch %d\n", reply.ID, reply.Epoch)
+	})
+}
+
+// ChangeVoter adds, removes or replaces a voter.
+func (a *App) ChangeVoter(ctx context.Context, action string, voter *wirepb.Voter, old uint64) error {
+	req := &operators.VoterRequest{Action: action, Voter: operators.Voter{Value: voter}, Old: old}
+	reply, err := a.Client.ChangeVoter(ctx, req)
+	if err != nil {
+		return err
+	}
+	return a.printVoters(reply)
+}
+
+// Snapshot makes the first control replica write a snapshot.
+func (a *App) Snapshot(ctx context.Context) error {
+	reply, err := a.Client.Snapshot(ctx)
+	if err != nil {
+		return err
+	}
+	return a.print(reply, func(w io.Writer) {
+		fmt.Fprintf(w, "snapshot covers log index %d\n", reply.Index)
+	})
+}
--- /dev/null
+++ b/pkg/local/plan.go
@@ -0,0 +1,92 @@
+package local
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Credentials of a local deployment. They protect nothing.
+const (
+	AdminToken = "local-admin-token"
+	sharedKey  = "6c6f63616c206465706c6f796d656e74206b6579"
+)
+
+// Organisation is an API key holder of a local deployment.
+type Organisation struct {
+	Name  string
+	Key   string
+	Class string
+}
+
+// Stage is a group of engines that hold the same layers.
+type Stage struct {
+	First, Last uint32
+	Engines     int
+	Accelerator string
+	Args        []string // further arguments of the stand-in
+}
+
+// Plan says what a local deployment consists of.
+type Plan struct {
+	Controls      int
+	Entries       int
+	DataCentres   int
+	Model         string
+	Version       string
+	Layers        uint32
+	Stages        []Stage
+	Services      []string // one upstream for each name
+	ServiceCopies int      // upstreams for each service
+	Slots         int
+	EngineArgs    []string // arguments of every engine stand-in
+	ServiceArgs   []string
+	Organisations []Organisation
+	DrainDelay    string
+	LogLevel      string
+}
+
+// DefaultPlan is the deployment of the demonstration: three control replicas,
+// two entries, two engines for each half of the model, one engine that holds
+// all layers of it in no chain, and two upstreams of an order service.
+func DefaultPlan() Plan {
+	return Plan{
+		Controls:    3,
+		Entries:     2,
+		DataCentres: 3,
+		Model:       "cartridge",
+		Version:     "v1",
+		Layers:      4,
+		Stages: []Stage{
+			{First: 0, Last: 1, Engines: 2, Accelerator: "a"},
+			{First: 2, Last: 3, Engines: 2, Accelerator: "b"},
+		},
+		Services:      []string{"orders"},
+		ServiceCopies: 2,
+		Slots:         8,
+		DrainDelay:    "100ms",
+		LogLevel:      "info",
+		Organisations: []Organisation{
+			{Name: "titiwangsa", Key: "titiwangsa-key", Class: "urgent"},
+			{Name: "association", Key: "association-key", Class: "urgent"},
+			{Name: "reminders", Key: "reminders-key", Class: "batch"},
+		},
+	}
+}
+
+func (p Plan) dataCentre(i int) string {
+	return fmt.Sprintf("dc%d", i%max(1, p.DataCentres)+1)
+}
+
+// Catalogue returns the catalogue file of the deployment.
+func (p Plan) Catalogue() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "[model %s]\nowner = operators\nlayers = %d\nversion = %s\nmax_tokens = 4096\n\n", p.Model, p.Layers, p.Version)
+	for _, s := range p.Services {
+		fmt.Fprintf(&b, "[service %s]\nowner = operators\nclass = urgent\ntimeout = 5s\n\n", s)
+	}
+	for _, o := range p.Organisations {
+		fmt.Fprintf(&b, "[organisation %s]\nowner = operators\nclass = %s\nkey_sha256 = %s\n\n", o.Name, o.Class, digest(o.Key))
+	}
+	b.WriteString("[policy default]\nowner = operators\n")
+	return b.String()
+}
--- /dev/null
+++ b/pkg/local/roles.go
@@ -0,0 +1,154 @@
+package local
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+
+	"github.com/plantainstair/plantainstair/pkg/fault"
+)
+
+func (d *Deployment) startControls() error {
+	addresses, err := FreeAddresses(2 * d.Plan.Controls)
+	if err != nil {
+		return err
+	}
+	var voters []string
+	for i := range d.Plan.Controls {
+		c := &Control{ID: i + 1, PeerAddress: addresses[2*i], AdminAddress: addresses[2*i+1]}
+		c.Dir = filepath.Join(d.Dir, fmt.Sprintf("control%d", c.ID))
+		voters = append(voters, fmt.Sprintf("%d=%s/%s/control%d", c.ID, c.PeerAddress, c.AdminAddress, c.ID))
+		d.Controls = append(d.Controls, c)
+	}
+	for _, c := range d.Controls {
+		if err := d.startControl(c, voters, false); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// startControl writes the settings of a replica and starts it.
+func (d *Deployment) startControl(c *Control, voters []string, join bool) error {
+	if err := os.MkdirAll(c.Dir, 0o755); err != nil {
+		return fault.Wrap(err, fault.Internal, "create data folder")
+	}
+	name := fmt.Sprintf("control%d", c.ID)
+	path, err := d.writeSettings(name, d.common(name, d.Plan.dataCentre(c.ID-1)),
+		"[replica]",
+		"id = "+strconv.Itoa(c.ID),
+		"data_dir = "+c.Dir,
+		"peer_address = "+c.PeerAddress,
+		"voters = "+strings.Join(voters, ", "),
+		fmt.Sprintf("join = %t", join),
+		"[admin]",
+		"address = "+c.AdminAddress,
+		"operators = local:"+digest(AdminToken),
+	)
+	if err != nil {
+		return err
+	}
+	c.Process = NewProcess(name, d.Dir, filepath.Join(d.Bin, "plantain-control"), "--config", path)
+	return c.Start()
+}
+
+func (d *Deployment) controlAddresses() string {
+	var peers []string
+	for _, c := range d.Controls {
+		peers = append(peers, c.PeerAddress)
+	}
+	return strings.Join(peers, ", ")
+}
+
+func (d *Deployment) startEntries() error {
+	for i := range d.Plan.Entries {
+		addresses, err := FreeAddresses(2)
+		if err != nil {
+			return err
+		}
+		e := &Entry{Address: addresses[0], Platform: addresses[1]}
+		name := fmt.Sprintf("entry%d", i+1)
+		path, err := d.writeSettings(name, d.common(name, d.Plan.dataCentre(i)),
+			"[callers]", "listen = "+e.Address,
+			"[platform]", "listen = "+e.Platform,
+			"[control]", "addresses = "+d.controlAddresses(),
+			"[drain]", "delay = "+d.Plan.DrainDelay,
+		)
+		if err != nil {
+			return err
+		}
+		e.Process = NewProcess(name, d.Dir, filepath.Join(d.Bin, "plantain-entry"), "--config", path)
+		d.Entries = append(d.Entries, e)
+		if err := e.Start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (d *Deployment) startUpstreams() error {
+	n := 0
+	for index, stage := range d.Plan.Stages {
+		for range stage.Engines {
+			if err := d.startEngine(n, index, stage); err != nil {
+				return err
+			}
+			n++
+		}
+	}
+	for _, service := range d.Plan.Services {
+		for range max(1, d.Plan.ServiceCopies) {
+			if err := d.startService(n, service); err != nil {
+				return err
+			}
+			n++
+		}
+	}
+	return nil
+}
+
+func (d *Deployment) startEngine(n, index int, stage Stage) error {
+	args := []string{"--model", d.Plan.Model, "--model-version", d.Plan.Version,
+		"--layers", number(d.Plan.Layers), "--first-layer", number(stage.First), "--last-layer", number(stage.Last),
+		"--slots", strconv.Itoa(d.Plan.Slots), "--accelerator", stage.Accelerator}
+	args = append(args, d.Plan.EngineArgs...)
+	args = append(args, stage.Args...)
+	return d.startUpstream(n, index, "engine", args)
+}
+
+func (d *Deployment) startService(n int, service string) error {
+	args := append([]string{"--services", service}, d.Plan.ServiceArgs...)
+	return d.startUpstream(n, -1, "service", args)
+}
+
+func (d *Deployment) startUpstream(n, stage int, kind string, args []string) error {
+	addresses, err := FreeAddresses(4)
+	if err != nil {
+		return err
+	}
+	host := fmt.Sprintf("host%d", n+1)
+	u := &Upstream{Host: host, Address: addresses[0], Platform: addresses[1], Stage: stage}
+	path, err := d.writeSettings(host, d.common(host, d.Plan.dataCentre(n)),
+		"[agent]",
+		"listen = "+addresses[2],
+		"upstream_listen = "+addresses[3],
+		"[platform]", "listen = "+u.Platform,
+		"[control]",
+		"addresses = "+d.controlAddresses(),
+	)
+	if err != nil {
+		return err
+	}
+	u.Agent = NewProcess(host+"-agent", d.Dir, filepath.Join(d.Bin, "plantain-agent"), "--config", path)
+	fixed := []string{kind, "--name", host, "--listen", u.Address, "--agent", addresses[3]}
+	u.Standin = NewProcess(host+"-"+kind, d.Dir, filepath.Join(d.Bin, "plantain-standin"), append(fixed, args...)...)
+	d.Upstreams = append(d.Upstreams, u)
+	if err := u.Agent.Start(); err != nil {
+		return err
+	}
+	return u.Standin.Start()
+}
+
+func number(n uint32) string { return strconv.FormatUint(uint64(n), 10) }
--- a/pkg/role/entry/owner.go
+++ b/pkg/role/entry/owner.go
@@ -186,20 +186,23 @@
 	o.checkWarm(now)
 }
 
-// checkWarm lets the entry become ready once every upstream of the first view
-// has reported, or after warmUp.
+// checkWarm lets the entry become ready once every listed upstream can be
+// chosen, or after warmUp.
 func (o *owner) checkWarm(now time.Time) {
 	if o.entry.warm.Load() || o.view == nil {
 		return
 	}
-	if now.Sub(o.viewSince) >= warmUp || len(o.peers) > 0 && o.allReported() {
+	if now.Sub(o.viewSince) >= warmUp || len(o.peers) > 0 && o.allUsable() {
 		o.entry.warm.Store(true)
 	}
 }
 
-func (o *owner) allReported() bool {
+// allUsable reports whether each upstream has sent a report that lets it be
+// chosen. After a start of the whole system agents may confirm their
+// configuration a little later than the entry does.
+func (o *owner) allUsable() bool {
 	for _, p := range o.peers {
-		if p.report == nil {
+		if p.report == nil || p.report.StaleConfig {
 			return false
 		}
 	}
--- /dev/null
+++ b/test/e2e/config_test.go
@@ -0,0 +1,145 @@
+package e2e
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/plantainstair/plantainstair/pkg/fault"
+	"github.com/plantainstair/plantainstair/pkg/local"
+	"github.com/plantainstair/plantainstair/pkg/operators"
+	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
+)
+
+func organisationEntry(name string, weight uint32) operators.Entry {
+	return operators.Entry{Value: &wirepb.Entry{
+		Kind: "organisation", Name: name, Owner: "test", Class: "standard",
+		Organisation: &wirepb.OrganisationSpec{Weight: weight},
+	}}
+}
+
+// race lets several operators make changes, each on the revision it read.
+// It returns the number of accepted changes.
+func race(ctx context.Context, t *testing.T, d *local.Deployment, operatorsN, rounds int) int {
+	t.Helper()
+	var mu sync.Mutex
+	accepted := map[uint64]string{}
+	var wg sync.WaitGroup
+	for o := range operatorsN {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for round := range rounds {
+				revision, err := change(ctx, d, fmt.Sprintf("o%d", o), uint32(round+1))
+				if fault.Is(err, fault.Conflict) {
+					continue
+				}
+				if err != nil {
+					t.Logf("operator %d round %d: %v", o, round, err)
+					continue
+				}
+				mu.Lock()
+				who := fmt.Sprintf("operator %d round %d", o, round)
+				if other, taken := accepted[revision]; taken {
+					t.Errorf("revision %d was given to %s and %s", revision, other, who)
+				}
+				accepted[revision] = who
+				mu.Unlock()
+			}
+		}()
+	}
+	wg.Wait()
+	return len(accepted)
+}
+
+func change(ctx context.Context, d *local.Deployment, name string, weight uint32) (uint64, error) {
+	current, err := d.Admin().Catalogue(ctx, nil)
+	if err != nil {
+		return 0, err
+	}
+	reply, err := d.Admin().Apply(ctx, &operators.ChangeRequest{
+		BaseRevision: current.Revision, Put: []operators.Entry{organisationEntry(name, weight)},
+	})
+	if err != nil {
+		return 0, err
+	}
+	return reply.Revision, nil
+}
+
+// Guards against two changes accepted on one revision, changes lost or
+// reverted when control replicas are killed and restarted, and a change that
+// does not reach every watcher within the 5 s that the users ask for.
+func TestCatalogue_RacingOperatorsUnderKills(t *testing.T) {
+	d, ctx := launch(t, nil)
+	before, err := d.Admin().Catalogue(ctx, nil)
+	assert.NilError(t, err)
+	stop := make(chan struct{})
+	killed := make(chan struct{})
+	go func() {
+		defer close(killed)
+		for i := 0; ; i++ {
+			select {
+			case <-stop:
+				return
+			case <-time.After(1500 * time.Millisecond): // time between two kills
+			}
+			c := d.Controls[i%len(d.Controls)]
+			c.Kill()
+			if err := c.Start(); err != nil {
+				t.Error(err)
+			}
+		}
+	}()
+	accepted := race(ctx, t, d, 4, 40)
+	close(stop)
+	<-killed
+	assert.Assert(t, accepted > 0)
+	last, err := d.Admin().Catalogue(ctx, nil)
+	assert.NilError(t, err)
+	assert.Assert(t, last.Revision >= before.Revision+uint64(accepted))
+	reply, err := d.Admin().Apply(ctx, &operators.ChangeRequest{
+		BaseRevision: last.Revision, Wait: true, WaitMS: 5000, Put: []operators.Entry{organisationEntry("last", 1)},
+	})
+	assert.NilError(t, err)
+	assert.Assert(t, reply.Confirmation.Confirmed, "%+v", reply.Confirmation)
+	t.Logf("accepted %d changes; the last was in force on %d watchers after %d ms",
+		accepted, reply.Confirmation.Watchers, reply.Confirmation.ElapsedMS)
+}
+
+// Guards against a resend of a change that is applied twice or refused after
+// the leader that accepted it was killed.
+func TestCatalogue_ResendGetsFirstOutcome(t *testing.T) {
+	d, ctx := launch(t, nil)
+	current, err := d.Admin().Catalogue(ctx, nil)
+	assert.NilError(t, err)
+	req := &operators.ChangeRequest{
+		BaseRevision: current.Revision, RequestID: "resent", Put: []operators.Entry{organisationEntry("once", 3)},
+	}
+	first, err := d.Admin().Apply(ctx, req)
+	assert.NilError(t, err)
+	for _, c := range d.Controls {
+		c.Kill()
+		assert.NilError(t, c.Start())
+		again, err := d.Admin().Apply(ctx, req)
+		assert.NilError(t, err)
+		assert.Equal(t, again.Revision, first.Revision)
+	}
+}
+
+// Guards against new work for an upstream 3 s after it left.
+func TestUpstream_LeavingGetsNoNewWork(t *testing.T) {
+	d, ctx := launch(t, nil)
+	left := d.Upstreams[0]
+	assert.NilError(t, left.Standin.Stop(10*time.Second))
+	time.Sleep(3 * time.Second) // the limit that the users set
+	for i := range 20 {
+		content := fmt.Sprintf("after the leave %d", i)
+		text, err := chat(ctx, d, i%2, content, 4, nil)
+		assert.NilError(t, err)
+		assert.Equal(t, text, reference(d.Plan, content, 4))
+	}
+}
