--- /dev/null
+++ b/pkg/role/agent/admit.go
@@ -0,0 +1,114 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"github.com/plantainstair/plantainstair/pkg/core/sched"
+	"github.com/plantainstair/plantainstair/pkg/fault"
+	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
+)
+
+const (
+	// staleRetryAfter is the time in which a watcher usually finds a replica
+	// that is current.
+	staleRetryAfter    = time.Second
+	drainRetryAfter    = 100 * time.Millisecond
+	upstreamRetryAfter = time.Second
+)
+
+// admit registers a request, or refuses it while the agent may not take work.
+// Its errors prove that the request did not run.
+func (a *Agent) admit() (done func(), up *upstreamView, err error) {
+	done, ok := a.lifecycle.Track()
+	if !ok {
+		return nil, nil, fault.New(fault.Draining, "agent is shutting down").WithOutcome(fault.NotRun).WithRetryAfter(drainRetryAfter)
+	}
+	if err := a.ready(); err != nil {
+		done()
+		return nil, nil, err
+	}
+	up = a.upstream.view()
+	if up == nil {
+		done()
+		return nil, nil, errNoUpstream()
+	}
+	return done, up, nil
+}
+
+// ready refuses work whose configuration is not confirmed as current.
+func (a *Agent) ready() error {
+	if a.stale() {
+		return fault.New(fault.StaleConfig, "configuration was not confirmed for %v", a.set.ConfigGrace).
+			WithOutcome(fault.NotRun).WithRetryAfter(staleRetryAfter)
+	}
+	return nil
+}
+
+func (a *Agent) stale() bool {
+	return a.now().Sub(a.control.Confirmed()) > a.set.ConfigGrace
+}
+
+func errNoUpstream() error {
+	return fault.New(fault.Unavailable, "no upstream is announced").WithOutcome(fault.NotRun).WithRetryAfter(upstreamRetryAfter)
+}
+
+// checkIncarnation refuses a request routed to an earlier run of this agent.
+func (a *Agent) checkIncarnation(ref *wirepb.StageRef) error {
+	if ref.Incarnation != 0 && ref.Incarnation != a.incarnation {
+		return fault.New(fault.Unavailable, "incarnation %d is over, the current one is %d", ref.Incarnation, a.incarnation).
+			WithField("incarnation").WithOutcome(fault.NotRun)
+	}
+	return nil
+}
+
+// work describes a request to the scheduler.
+type work struct {
+	organisation string
+	rank         wirepb.Rank
+	weight       uint32
+	cost         int
+	bytes        int
+	deadlineMS   uint32
+}
+
+// wait queues the work until a slot is free, at most for the longest wait.
+func (a *Agent) wait(ctx context.Context, w work) (*slot, error) {
+	limit := a.set.MaxQueueWait
+	if w.deadlineMS > 0 {
+		limit = min(limit, time.Duration(w.deadlineMS)*time.Millisecond)
+	}
+	s, err := a.queue.acquire(ctx, sched.Request{
+		Rank:                  schedRank(w.rank),
+		Organisation:          w.organisation,
+		Weight:                float64(w.weight),
+		Cost:                  w.cost,
+		Bytes:                 int64(w.bytes),
+		Deadline:              a.now().Add(limit),
+		MaxOrganisationQueued: a.organisationQueue(w.organisation),
+	})
+	if err != nil {
+		return nil, err
+	}
+	a.metrics.queueWait(w.rank, s.Queued)
+	return s, nil
+}
+
+func (a *Agent) organisationQueue(name string) int {
+	v := a.control.View()
+	if v == nil {
+		return 0
+	}
+	return int(v.Organisations[name].GetLimits().GetQueuedRequests())
+}
+
+func schedRank(r wirepb.Rank) sched.Rank {
+	switch r {
+	case wirepb.Rank_RANK_URGENT:
+		return sched.Urgent
+	case wirepb.Rank_RANK_BATCH:
+		return sched.Batch
+	default:
+		return sched.Standard
+	}
+}
--- /dev/null
+++ b/pkg/role/agent/metrics.go
@@ -0,0 +1,143 @@
+package agent
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/plantainstair/plantainstair/pkg/core/sched"
+	"github.com/plantainstair/plantainstair/pkg/fault"
+	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
+)
+
+// Bounds of the label values.
+const (
+	maxOrganisationLabels = 64
+	otherOrganisation     = "other"
+)
+
+// agentMetrics counts by rank, organisation and outcome. The organisations are
+// the first ones seen; later ones share one label.
+type agentMetrics struct {
+	set *metrics.Set
+
+	firstTokens recent
+	interTokens recent
+
+	firstToken [sched.Ranks]*metrics.Histogram
+	interToken [sched.Ranks]*metrics.Histogram
+	queued     [sched.Ranks]*metrics.Histogram
+	tokens     [sched.Ranks]*metrics.Counter
+
+	mu       sync.RWMutex
+	labels   map[string]bool
+	requests map[requestLabels]*requestMetrics
+}
+
+type requestLabels struct {
+	kind         string
+	rank         sched.Rank
+	organisation string
+	outcome      fault.Outcome
+}
+
+type requestMetrics struct {
+	count   *metrics.Counter
+	seconds *metrics.Histogram
+}
+
+func newMetrics() *agentMetrics {
+	m := &agentMetrics{
+		set:      metrics.NewSet(),
+		labels:   make(map[string]bool),
+		requests: make(map[requestLabels]*requestMetrics),
+	}
+	for i := range sched.Ranks {
+		rank := sched.Rank(i).String()
+		m.firstToken[i] = m.set.NewHistogram(fmt.Sprintf(`plantain_agent_first_token_seconds{rank=%q}`, rank))
+		m.interToken[i] = m.set.NewHistogram(fmt.Sprintf(`plantain_agent_inter_token_seconds{rank=%q}`, rank))
+		m.queued[i] = m.set.NewHistogram(fmt.Sprintf(`plantain_agent_queue_wait_seconds{rank=%q}`, rank))
+		m.tokens[i] = m.set.NewCounter(fmt.Sprintf(`plantain_agent_tokens_total{rank=%q}`, rank))
+	}
+	return m
+}
+
+func (m *agentMetrics) token(rank wirepb.Rank, first bool, since time.Duration) {
+	i := schedRank(rank)
+	m.tokens[i].Inc()
+	if first {
+		m.firstToken[i].Update(since.Seconds())
+		m.firstTokens.add(since)
+		return
+	}
+	m.interToken[i].Update(since.Seconds())
+	m.interTokens.add(since)
+}
+
+func (m *agentMetrics) queueWait(rank wirepb.Rank, d time.Duration) {
+	m.queued[schedRank(rank)].Update(d.Seconds())
+}
+
+// finished counts a request by its outcome.
+func (m *agentMetrics) finished(kind string, rank wirepb.Rank, organisation string, err error, took time.Duration) {
+	outcome := fault.Answered
+	if err != nil {
+		outcome = fault.As(err).Outcome
+	}
+	r := m.request(requestLabels{kind: kind, rank: schedRank(rank), organisation: organisation, outcome: outcome})
+	r.count.Inc()
+	r.seconds.Update(took.Seconds())
+}
+
+func (m *agentMetrics) request(l requestLabels) *requestMetrics {
+	m.mu.RLock()
+	r := m.requests[l]
+	m.mu.RUnlock()
+	if r != nil {
+		return r
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if r = m.requests[l]; r != nil {
+		return r
+	}
+	labels := fmt.Sprintf(`{kind=%q,rank=%q,organisation=%q,outcome=%q}`, l.kind, l.rank.String(), l.organisation, fault.OutcomeString(l.outcome))
+	r = &requestMetrics{
+		count:   m.set.NewCounter("plantain_agent_requests_total" + labels),
+		seconds: m.set.NewHistogram("plantain_agent_request_seconds" + labels),
+	}
+	m.requests[l] = r
+	return r
+}
+
+// label returns the label of an organisation that the catalogue knows.
+func (m *agentMetrics) label(organisation string) string {
+	m.mu.RLock()
+	known := m.labels[organisation]
+	full := len(m.labels) >= maxOrganisationLabels
+	m.mu.RUnlock()
+	if known {
+		return organisation
+	}
+	if full {
+		return otherOrganisation
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if len(m.labels) >= maxOrganisationLabels {
+		return otherOrganisation
+	}
+	m.labels[organisation] = true
+	return organisation
+}
+
+// organisationLabel returns a label value of bounded number.
+func (a *Agent) organisationLabel(name string) string {
+	v := a.control.View()
+	if v == nil || v.Organisations[name] == nil {
+		return otherOrganisation
+	}
+	return a.metrics.label(name)
+}
--- /dev/null
+++ b/pkg/role/agent/orders.go
@@ -0,0 +1,115 @@
+package agent
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/plantainstair/plantainstair/pkg/fault"
+	"github.com/plantainstair/plantainstair/pkg/logs"
+	"github.com/plantainstair/plantainstair/pkg/upstreams"
+	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
+)
+
+// orderRetryAfter is the time after which a refused order may be sent again.
+const orderRetryAfter = time.Second
+
+// orders fences the orders to the upstream. Orders run one at a time: an
+// upstream that does not check fencing numbers never has two under way, so a
+// late one cannot follow a newer one.
+type orders struct {
+	agent *Agent
+	turn  chan struct{} // holds one token
+
+	mu      sync.Mutex
+	highest uint64
+	learned bool // highest is at least what control knew after the start
+}
+
+func newOrders(a *Agent) *orders {
+	o := &orders{agent: a, turn: make(chan struct{}, 1)}
+	o.turn <- struct{}{}
+	return o
+}
+
+// carryOut implements control.OrderFunc.
+func (o *orders) carryOut(order *wirepb.Order) *wirepb.OrderResult {
+	err := o.run(order)
+	if err != nil {
+		o.agent.log.Warn("order refused or failed", logs.Str("order", order.Id), logs.Uint("epoch", order.Epoch), logs.Err(err))
+	}
+	return &wirepb.OrderResult{Id: order.Id, Epoch: order.Epoch, Error: fault.ToWire(err)}
+}
+
+func (o *orders) run(order *wirepb.Order) error {
+	if err := o.accept(order.Epoch); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), o.agent.set.OrderTimeout)
+	defer cancel()
+	select {
+	case <-o.turn:
+	case <-ctx.Done():
+		return fault.New(fault.Unavailable, "an earlier order is still under way").WithOutcome(fault.NotRun).WithRetryAfter(orderRetryAfter)
+	}
+	// A newer order may have passed while this one waited.
+	if err := o.accept(order.Epoch); err != nil {
+		o.turn <- struct{}{}
+		return err
+	}
+	return o.send(ctx, order)
+}
+
+// accept raises the highest epoch seen, or refuses a lower one.
+func (o *orders) accept(epoch uint64) error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if !o.learned {
+		known, ok := o.agent.control.OrderEpoch()
+		if !ok {
+			return fault.New(fault.Unavailable, "order epoch is not yet known from control").
+				WithOutcome(fault.NotRun).WithRetryAfter(orderRetryAfter)
+		}
+		o.highest = max(o.highest, known)
+		o.learned = true
+	}
+	if epoch < o.highest {
+		return fault.New(fault.StaleEpoch, "order epoch %d is below %d", epoch, o.highest).
+			WithField("epoch").WithOutcome(fault.NotRun)
+	}
+	o.highest = epoch
+	return nil
+}
+
+// send delivers the order and keeps the turn until the engine has answered or
+// the connection has ended, even when the caller no longer waits.
+func (o *orders) send(ctx context.Context, order *wirepb.Order) error {
+	up := o.agent.upstream.view()
+	if up == nil {
+		o.turn <- struct{}{}
+		return errNoUpstream()
+	}
+	answered := make(chan error, 1)
+	o.agent.background.Add(1)
+	go func() {
+		defer o.agent.background.Done()
+		limit, cancel := context.WithTimeout(context.Background(), o.agent.set.OrderLimit)
+		defer cancel()
+		err := o.agent.client.SendOrder(limit, up.announced.Address, upstreamOrder(order))
+		o.turn <- struct{}{}
+		answered <- err
+	}()
+	select {
+	case err := <-answered:
+		return err
+	case <-ctx.Done():
+		return fault.New(fault.Deadline, "engine has not answered the order").WithOutcome(fault.MayHaveRun)
+	}
+}
+
+func upstreamOrder(o *wirepb.Order) *upstreams.Order {
+	return &upstreams.Order{
+		ID: o.Id, Epoch: o.Epoch, Action: o.Action, Model: o.Model, Version: o.Version, Adapter: o.Adapter,
+		Role: o.Role, FirstLayer: o.FirstLayer, LastLayer: o.LastLayer,
+	}
+}
--- /dev/null
+++ b/pkg/role/agent/process.go
@@ -0,0 +1,65 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"github.com/plantainstair/plantainstair/pkg/config"
+	"github.com/plantainstair/plantainstair/pkg/control"
+	"github.com/plantainstair/plantainstair/pkg/link"
+	"github.com/plantainstair/plantainstair/pkg/logs"
+	"github.com/plantainstair/plantainstair/pkg/platform"
+)
+
+// Role is the name of the role in handshakes and logs.
+const Role = "agent"
+
+const platformCloseTimeout = time.Second
+
+// LoadSettings reads settings from an INI file.
+func LoadSettings(path string) (Settings, error) {
+	var s Settings
+	err := config.Load(path, &s)
+	return s, err
+}
+
+// RunProcess runs the agent with its platform endpoints until ctx ends and the
+// work in progress has finished.
+func RunProcess(ctx context.Context, set Settings, log logs.Logger) error {
+	incarnation := uint64(time.Now().UnixNano())
+	opts, err := set.LinkOptions(link.Identity{Role: Role, Host: set.Host, DataCentre: set.DataCentre, Incarnation: incarnation})
+	if err != nil {
+		return err
+	}
+	client := control.NewClient(control.Options{
+		Addresses: set.ControlAddresses, Link: opts, Role: Role, Host: set.Host, Log: log.Part("control"),
+	})
+	watch, stopWatch := context.WithCancel(context.Background())
+	watchEnded := make(chan struct{})
+	go func() {
+		defer close(watchEnded)
+		_ = client.Run(watch)
+	}()
+	defer func() {
+		stopWatch()
+		<-watchEnded
+	}()
+	a := New(Options{Settings: set, Control: client, Link: opts, Incarnation: incarnation, Log: log})
+	if err := a.Start(); err != nil {
+		return err
+	}
+	defer a.Close()
+	endpoints, err := platform.NewServer(set.PlatformListen, platform.Options{
+		Lifecycle: a.lifecycle, Ready: a.Readiness, Metrics: a.metrics.set,
+	})
+	if err != nil {
+		return err
+	}
+	defer func() {
+		limit, cancel := context.WithTimeout(context.Background(), platformCloseTimeout)
+		defer cancel()
+		_ = endpoints.Close(limit)
+	}()
+	log.Part("agent").Info("started", logs.Str("address", a.Address()), logs.Str("upstream_address", a.UpstreamAddress()))
+	return a.Run(ctx)
+}
--- /dev/null
+++ b/pkg/role/agent/queue.go
@@ -0,0 +1,174 @@
+package agent
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/plantainstair/plantainstair/pkg/core/sched"
+	"github.com/plantainstair/plantainstair/pkg/fault"
+)
+
+// expireInterval is short against the deadlines that it enforces.
+const expireInterval = 20 * time.Millisecond
+
+// queue lets goroutines wait for a slot of the scheduler.
+type queue struct {
+	now func() time.Time
+
+	mu      sync.Mutex
+	sched   *sched.Scheduler
+	waiters map[uint64]*waiter
+	nextID  uint64
+}
+
+type waiter struct {
+	ready chan struct{} // closed when the slot is granted or refused
+	err   error
+}
+
+// slot is the right to run one request on the upstream.
+type slot struct {
+	queue  *queue
+	id     uint64
+	once   sync.Once
+	Queued time.Duration
+}
+
+func newQueue(cfg sched.Config, now func() time.Time) *queue {
+	return &queue{now: now, sched: sched.New(cfg), waiters: make(map[uint64]*waiter)}
+}
+
+// acquire waits for a slot. Its errors prove that the request did not run.
+func (q *queue) acquire(ctx context.Context, r sched.Request) (*slot, error) {
+	started := q.now()
+	id, w, err := q.submit(r)
+	if err != nil {
+		return nil, err
+	}
+	select {
+	case <-w.ready:
+	case <-ctx.Done():
+		if q.abandon(id) {
+			return nil, cancelledWhileQueued(ctx)
+		}
+		<-w.ready
+	}
+	if w.err != nil {
+		return nil, w.err
+	}
+	s := &slot{queue: q, id: id, Queued: q.now().Sub(started)}
+	if ctx.Err() != nil {
+		s.release()
+		return nil, cancelledWhileQueued(ctx)
+	}
+	return s, nil
+}
+
+func cancelledWhileQueued(ctx context.Context) error {
+	return fault.Wrap(context.Cause(ctx), fault.Cancelled, "cancelled while queued").WithOutcome(fault.NotRun)
+}
+
+func (q *queue) submit(r sched.Request) (uint64, *waiter, error) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.nextID++
+	r.ID = q.nextID
+	if err := q.sched.Submit(q.now(), r); err != nil {
+		return 0, nil, err
+	}
+	w := &waiter{ready: make(chan struct{})}
+	q.waiters[r.ID] = w
+	q.grant()
+	return r.ID, w, nil
+}
+
+// grant hands out free slots. The caller holds the lock.
+func (q *queue) grant() {
+	for {
+		r, ok := q.sched.Next(q.now())
+		if !ok {
+			return
+		}
+		q.wake(r.ID, nil)
+	}
+}
+
+func (q *queue) wake(id uint64, err error) {
+	w := q.waiters[id]
+	delete(q.waiters, id)
+	w.err = err
+	close(w.ready)
+}
+
+// abandon removes a queued request. It reports false when the request is no
+// longer queued.
+func (q *queue) abandon(id uint64) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if !q.sched.Cancel(id) {
+		return false
+	}
+	delete(q.waiters, id)
+	return true
+}
+
+// expire refuses the requests whose deadline has passed.
+func (q *queue) expire() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, r := range q.sched.Expire(q.now()) {
+		q.wake(r.ID, fault.New(fault.Deadline, "deadline passed while queued").WithOutcome(fault.NotRun))
+	}
+	q.grant()
+}
+
+// run enforces deadlines until ctx ends.
+func (q *queue) run(ctx context.Context) {
+	ticker := time.NewTicker(expireInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			q.expire()
+		}
+	}
+}
+
+func (q *queue) setSlots(n int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.sched.SetSlots(n)
+	q.grant()
+}
+
+func (q *queue) setShares(shares [sched.Ranks]float64) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.sched.SetShares(shares)
+}
+
+func (q *queue) load() sched.Load {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.sched.Load(q.now())
+}
+
+// charge sets the tokens used so far.
+func (s *slot) charge(tokens int) {
+	s.queue.mu.Lock()
+	defer s.queue.mu.Unlock()
+	s.queue.sched.Charge(s.id, tokens)
+}
+
+// release frees the slot. Later calls do nothing.
+func (s *slot) release() {
+	s.once.Do(func() {
+		s.queue.mu.Lock()
+		defer s.queue.mu.Unlock()
+		s.queue.sched.Finish(s.queue.now(), s.id)
+		s.queue.grant()
+	})
+}
--- /dev/null
+++ b/pkg/role/agent/sessions.go
@@ -0,0 +1,66 @@
+package agent
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/plantainstair/plantainstair/pkg/core/session"
+	"github.com/plantainstair/plantainstair/pkg/fault"
+)
+
+const (
+	maxSessions = 1 << 14
+	// sessionRetention covers the time in which a request of an older epoch
+	// may still be on its way: connections are given up long before.
+	sessionRetention = 2 * time.Minute
+)
+
+// sessions fences the epochs of the sessions at this agent: a new epoch ends
+// the work of the one before.
+type sessions struct {
+	now func() time.Time
+
+	mu       sync.Mutex
+	registry *session.Registry
+	running  map[string]*runningSession
+}
+
+type runningSession struct {
+	epoch  uint64
+	cancel context.CancelCauseFunc
+}
+
+func newSessions(now func() time.Time) *sessions {
+	return &sessions{
+		now:      now,
+		registry: session.NewRegistry(maxSessions, sessionRetention),
+		running:  make(map[string]*runningSession),
+	}
+}
+
+// open begins an epoch. The returned context ends when ctx ends or a higher
+// epoch arrives. The caller calls end once.
+func (s *sessions) open(ctx context.Context, id string, epoch uint64) (_ context.Context, end func(), err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.registry.Open(s.now(), id, epoch, 0); err != nil {
+		return nil, nil, fault.As(err).WithOutcome(fault.NotRun)
+	}
+	if older := s.running[id]; older != nil {
+		older.cancel(fault.New(fault.StaleEpoch, "epoch %d was replaced by %d", older.epoch, epoch).WithField("epoch").WithOutcome(fault.MayHaveRun))
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	current := &runningSession{epoch: epoch, cancel: cancel}
+	s.running[id] = current
+	end = func() {
+		cancel(nil)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.registry.Close(s.now(), id, epoch)
+		if s.running[id] == current {
+			delete(s.running, id)
+		}
+	}
+	return ctx, end, nil
+}
--- /dev/null
+++ b/pkg/role/agent/stage.go
@@ -0,0 +1,165 @@
+package agent
+
+import (
+	"context"
+
+	"github.com/plantainstair/plantainstair/pkg/entry"
+	"github.com/plantainstair/plantainstair/pkg/fault"
+	"github.com/plantainstair/plantainstair/pkg/upstreams"
+	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
+)
+
+// Stage implements entry.Handler: it runs a stage that is not the first.
+func (a *Agent) Stage(ctx context.Context, open *wirepb.StageOpen, steps *entry.Steps) error {
+	started := a.now()
+	err := a.stage(ctx, open, steps)
+	a.metrics.finished("stage", open.Rank, a.organisationLabel(open.Organisation), err, a.now().Sub(started))
+	return err
+}
+
+func (a *Agent) stage(ctx context.Context, open *wirepb.StageOpen, steps *entry.Steps) error {
+	release, up, err := a.admit()
+	if err != nil {
+		return blame(err, int(open.Index))
+	}
+	defer release()
+	if err := a.checkStage(up, open); err != nil {
+		return err
+	}
+	ctx, end, err := a.sessions.open(ctx, open.Session, open.Epoch)
+	if err != nil {
+		return err
+	}
+	defer end()
+	slot, err := a.wait(ctx, stageWork(open))
+	if err != nil {
+		return blame(err, int(open.Index))
+	}
+	defer slot.release()
+	if up = a.upstream.view(); up == nil {
+		return blame(errNoUpstream(), int(open.Index))
+	}
+	err = a.runStage(ctx, up, open, steps)
+	if err != nil {
+		a.noteUpstreamError(up, fault.As(err), int(open.Index))
+		a.cancelSession(up, open.Session, open.Epoch)
+	}
+	return err
+}
+
+func stageWork(open *wirepb.StageOpen) work {
+	return work{
+		organisation: open.Organisation,
+		rank:         open.Rank,
+		weight:       open.Weight,
+		cost:         int(open.CostTokens),
+		deadlineMS:   open.DeadlineMs,
+	}
+}
+
+func (a *Agent) checkStage(up *upstreamView, open *wirepb.StageOpen) error {
+	index := int(open.Index)
+	switch {
+	case open.Session == "":
+		return refuse("session", "is empty")
+	case open.Epoch == 0:
+		return refuse("epoch", "is zero")
+	case index == headIndex:
+		return refuse("index", "is that of the first stage")
+	case len(open.Stages) == 0:
+		return refuse("stages", "is empty")
+	}
+	if err := checkChain(open.Stages); err != nil {
+		return err
+	}
+	if err := a.checkIncarnation(open.Stages[0]); err != nil {
+		return fault.As(err).WithStage(index)
+	}
+	if err := up.holds(open.Model, open.Version, open.Adapter, open.Stages[0]); err != nil {
+		return fault.As(err).WithStage(index)
+	}
+	return nil
+}
+
+func (a *Agent) runStage(ctx context.Context, up *upstreamView, open *wirepb.StageOpen, steps *entry.Steps) error {
+	h, err := a.openHop(ctx, up, open)
+	if err != nil {
+		return err
+	}
+	defer h.close()
+	if err := steps.Ready(&wirepb.StageReady{CachedTokens: h.cached}); err != nil {
+		return err
+	}
+	if h.next == nil {
+		return h.serveLast(steps)
+	}
+	relayed := make(chan struct{})
+	go func() {
+		defer close(relayed)
+		h.cancel(h.relay(steps))
+	}()
+	err = h.serveMiddle(steps)
+	h.cancel(err)
+	<-relayed
+	return endOfStage(cancelled(h.ctx))
+}
+
+// endOfStage drops the error of a stage that its peer closed as usual.
+func endOfStage(err error) error {
+	if fault.Is(err, fault.Cancelled) {
+		return nil
+	}
+	return err
+}
+
+// serveLast runs steps and answers with tokens.
+func (h *hop) serveLast(steps *entry.Steps) error {
+	for {
+		line, step, err := h.serveStep(steps)
+		if err != nil {
+			return endOfStage(err)
+		}
+		r := &wirepb.StageResult{Epoch: step.Epoch, Position: line.Position, Token: line.Token, Last: line.Stop}
+		if err := steps.Result(r); err != nil {
+			return err
+		}
+	}
+}
+
+// serveMiddle runs steps and passes the activations on.
+func (h *hop) serveMiddle(steps *entry.Steps) error {
+	for {
+		line, step, err := h.serveStep(steps)
+		if err != nil {
+			return err
+		}
+		if len(line.Hidden) != len(step.Hidden) {
+			return h.wrongCount(len(line.Hidden), len(step.Hidden))
+		}
+		if _, err := h.next.write(step.Epoch, step.Position, line.Hidden); err != nil {
+			return err
+		}
+	}
+}
+
+func (h *hop) serveStep(steps *entry.Steps) (*upstreams.StageLine, *wirepb.StageStep, error) {
+	step, err := steps.Next(h.ctx)
+	if err != nil {
+		return nil, nil, err
+	}
+	line, err := h.step(&upstreams.StageStep{Epoch: step.Epoch, Position: step.Position, Hidden: step.Hidden})
+	return line, step, err
+}
+
+// relay passes results back until the chain ends. It returns the reason.
+func (h *hop) relay(steps *entry.Steps) error {
+	for {
+		r, err := h.next.read()
+		if err != nil {
+			return err
+		}
+		if err := steps.Result(r); err != nil {
+			return err
+		}
+	}
+}
--- /dev/null
+++ b/pkg/role/agent/upstream.go
@@ -0,0 +1,217 @@
+package agent
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/looplab/fsm"
+
+	"github.com/plantainstair/plantainstair/pkg/fault"
+	"github.com/plantainstair/plantainstair/pkg/logs"
+	"github.com/plantainstair/plantainstair/pkg/upstreams"
+	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
+)
+
+// States of the upstream beside the agent.
+const (
+	stateLeft    = "left"    // never announced, or withdrew
+	stateServing = "serving" // announced, heartbeats arrive
+	stateEjected = "ejected" // silent or refuses connections
+)
+
+// maxKnownPrefixes bounds the cached prefixes remembered for load reports.
+const maxKnownPrefixes = 4096
+
+// upstreamView is an immutable description of the announced upstream.
+type upstreamView struct {
+	announced *upstreams.Announcement
+	wire      *wirepb.Announcement
+}
+
+// holds refuses layers that the engine does not hold.
+func (u *upstreamView) holds(model, version, adapter string, ref *wirepb.StageRef) error {
+	for i := range u.announced.Models {
+		m := &u.announced.Models[i]
+		if m.Model != model || m.Version != version || m.FirstLayer != ref.FirstLayer || m.LastLayer != ref.LastLayer {
+			continue
+		}
+		if adapter == "" || slices.Contains(m.Adapters, adapter) {
+			return nil
+		}
+	}
+	return fault.New(fault.NotFound, "layers %d to %d of model %.64q %.64q with adapter %.64q are not held",
+		ref.FirstLayer, ref.LastLayer, model, version, adapter).WithField("model").WithOutcome(fault.NotRun)
+}
+
+// upstreamState follows the announcements of the upstream. It implements
+// upstreams.Events.
+type upstreamState struct {
+	identity wirepb.Announcement // fields of the agent itself
+	limit    time.Duration       // longest silence
+	now      func() time.Time
+	log      logs.Logger
+	onSlots  func(int)
+	changed  chan struct{}
+	current  atomic.Pointer[upstreamView]
+
+	mu       sync.Mutex
+	machine  *fsm.FSM
+	heard    time.Time
+	load     upstreams.Load
+	loadAt   time.Time
+	prefixes prefixSet
+}
+
+func newUpstreamState(identity *wirepb.Announcement, limit time.Duration, now func() time.Time, log logs.Logger, onSlots func(int)) *upstreamState {
+	events := fsm.Events{
+		{Name: "announce", Src: []string{stateLeft, stateEjected}, Dst: stateServing},
+		{Name: "leave", Src: []string{stateServing, stateEjected}, Dst: stateLeft},
+		{Name: "eject", Src: []string{stateServing}, Dst: stateEjected},
+	}
+	u := &upstreamState{
+		limit:    limit,
+		now:      now,
+		log:      log,
+		onSlots:  onSlots,
+		changed:  make(chan struct{}, 1),
+		machine:  fsm.NewFSM(stateLeft, events, nil),
+		prefixes: newPrefixSet(maxKnownPrefixes),
+	}
+	copyIdentity(&u.identity, identity)
+	return u
+}
+
+func copyIdentity(to, from *wirepb.Announcement) {
+	to.Host, to.DataCentre, to.Region = from.Host, from.DataCentre, from.Region
+	to.AgentAddress, to.Incarnation = from.AgentAddress, from.Incarnation
+}
+
+// view returns the upstream that takes work, or nil.
+func (u *upstreamState) view() *upstreamView { return u.current.Load() }
+
+// announcement returns what control is told, or nil. The pointer stays the
+// same while nothing changes.
+func (u *upstreamState) announcement() *wirepb.Announcement {
+	if v := u.view(); v != nil {
+		return v.wire
+	}
+	return nil
+}
+
+// Announced implements upstreams.Events.
+func (u *upstreamState) Announced(a *upstreams.Announcement) error {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.heard = u.now()
+	old := u.current.Load()
+	if old != nil && sameAnnouncement(old.announced, a) {
+		return nil
+	}
+	if old == nil || old.announced.Instance != a.Instance {
+		u.prefixes = newPrefixSet(maxKnownPrefixes) // the cache of another run
+	}
+	_ = u.machine.Event(context.Background(), "announce") // no-op while serving
+	u.current.Store(&upstreamView{announced: a, wire: u.wireAnnouncement(a)})
+	u.onSlots(int(a.Slots))
+	u.log.Info("upstream announced", logs.Str("name", a.Name), logs.Str("address", a.Address))
+	u.notify()
+	return nil
+}
+
+func sameAnnouncement(a, b *upstreams.Announcement) bool {
+	return a.Name == b.Name && a.Kind == b.Kind && a.Address == b.Address && a.Accelerator == b.Accelerator &&
+		a.Slots == b.Slots && a.KVTokens == b.KVTokens && a.ChecksFencing == b.ChecksFencing && a.Instance == b.Instance &&
+		slices.Equal(a.Services, b.Services) && slices.EqualFunc(a.Models, b.Models, sameModel)
+}
+
+func sameModel(a, b upstreams.Model) bool {
+	return a.Model == b.Model && a.Version == b.Version && a.FirstLayer == b.FirstLayer && a.LastLayer == b.LastLayer &&
+		slices.Equal(a.Adapters, b.Adapters)
+}
+
+func (u *upstreamState) wireAnnouncement(a *upstreams.Announcement) *wirepb.Announcement {
+	w := &wirepb.Announcement{
+		Kind: a.Kind, Services: a.Services, Accelerator: a.Accelerator, Slots: a.Slots, KvTokens: a.KVTokens,
+		ChecksFencing: a.ChecksFencing, State: stateServing,
+	}
+	copyIdentity(w, &u.identity)
+	for _, m := range a.Models {
+		w.Models = append(w.Models, &wirepb.ModelHeld{
+			Model: m.Model, Version: m.Version, FirstLayer: m.FirstLayer, LastLayer: m.LastLayer, Adapters: m.Adapters,
+		})
+	}
+	return w
+}
+
+// notify wakes the registration. Values are coalesced.
+func (u *upstreamState) notify() {
+	select {
+	case u.changed <- struct{}{}:
+	default:
+	}
+}
+
+// Left implements upstreams.Events.
+func (u *upstreamState) Left() { u.withdraw("leave", "upstream left") }
+
+// withdraw ends the announcement. Work in progress goes on.
+func (u *upstreamState) withdraw(event, reason string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.machine.Event(context.Background(), event) != nil {
+		return
+	}
+	u.current.Store(nil)
+	u.log.Warn(reason)
+	u.notify()
+}
+
+// refused ejects the upstream that refused a connection, unless it has
+// announced itself anew since.
+func (u *upstreamState) refused(v *upstreamView) {
+	if u.current.Load() == v {
+		u.withdraw("eject", "upstream refuses connections")
+	}
+}
+
+// check ejects an upstream whose heartbeat stopped.
+func (u *upstreamState) check() {
+	u.mu.Lock()
+	silent := u.current.Load() != nil && u.now().Sub(u.heard) > u.limit
+	u.mu.Unlock()
+	if silent {
+		u.withdraw("eject", "upstream heartbeat stopped")
+	}
+}
+
+// Loaded implements upstreams.Events.
+func (u *upstreamState) Loaded(l *upstreams.Load) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.load = *l
+	u.loadAt = u.now()
+}
+
+// Cached implements upstreams.Events.
+func (u *upstreamState) Cached(c *upstreams.CacheEvents) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.prefixes.apply(c)
+}
+
+// engineReport fills in what the engine last reported.
+func (u *upstreamState) engineReport(r *wirepb.LoadReport) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	r.Prefixes = u.prefixes.newest(reportedPrefixes)
+	if u.loadAt.IsZero() {
+		return
+	}
+	r.EngineRunning = u.load.Running
+	r.EngineQueued = u.load.Queued
+	r.EngineKvFreeTokens = u.load.KVFreeTokens
+	r.EngineAgeMs = uint32((u.now().Sub(u.loadAt) + u.load.Age()) / time.Millisecond)
+}
--- a/pkg/standin/enginehttp.go
+++ b/pkg/standin/enginehttp.go
@@ -108,12 +108,13 @@
 	if err != nil {
 		return err
 	}
-	for position := req.Position; position < req.MaxTokens; position++ {
+	for i := uint32(0); i < req.MaxTokens; i++ {
 		token := sample(hidden, req.Seed)
-		if err := lines.write(&upstreams.GenerateLine{Position: position, Token: token}); err != nil {
+		last := i+1 == req.MaxTokens
+		if err := lines.write(&upstreams.GenerateLine{Position: req.Position + i, Token: token, Last: last}); err != nil {
 			return err
 		}
-		if position+1 == req.MaxTokens {
+		if last {
 			break
 		}
 		out, err := e.step(s, s.epoch, s.next, []uint64{uint64(token)})
--- a/pkg/standin/server.go
+++ b/pkg/standin/server.go
@@ -35,6 +35,7 @@
 	ln     net.Listener
 	http   *http.Server
 	cancel context.CancelFunc
+	done   chan struct{}
 	wg     sync.WaitGroup
 }
 
@@ -74,6 +75,7 @@
 		ln:     ln,
 		http:   &http.Server{Handler: handler, Protocols: protocols, ReadHeaderTimeout: reportTimeout, IdleTimeout: idleTimeout},
 		cancel: cancel,
+		done:   make(chan struct{}),
 	}
 	s.wg.Add(2)
 	go func() {
@@ -87,6 +89,7 @@
 		case <-ctx.Done():
 		}
 		_ = s.http.Close()
+		close(s.done)
 	}()
 	return s
 }
@@ -94,6 +97,9 @@
 // Address returns the address that the stand-in listens on.
 func (s *Server) Address() string { return s.ln.Addr().String() }
 
+// Done is closed when the server has ended.
+func (s *Server) Done() <-chan struct{} { return s.done }
+
 // Close stops the server without a farewell.
 func (s *Server) Close() {
 	s.cancel()
--- a/pkg/upstreams/client.go
+++ b/pkg/upstreams/client.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/plantainstair/plantainstair/pkg/fault"
@@ -21,7 +22,7 @@
 	DefaultRequestTimeout = 10 * time.Second
 	DefaultLineTimeout    = 2 * time.Second
 	DefaultMaxKV          = 256 << 20
-	DefaultMaxAnswer      = 256 << 10
+	DefaultMaxAnswer      = 896 << 10 // fits into one frame with its headers
 )
 
 const (
@@ -77,12 +78,16 @@
 	}
 }
 
-const maxIdleConns = 64
+const (
+	maxIdleConns     = 64
+	maxAnswerHeaders = 64 << 10
+)
 
 // newHTTPClient follows no redirect: a redirect would run the request again,
 // at an address that was not announced.
 func newHTTPClient(t *http.Transport) *http.Client {
 	t.DisableCompression = true
+	t.MaxResponseHeaderBytes = maxAnswerHeaders
 	t.Proxy = nil
 	return &http.Client{
 		Transport:     t,
@@ -107,6 +112,10 @@
 	}
 }
 
+// Refused reports whether an upstream refused the connection, so that nothing
+// listens at its address.
+func Refused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
 // Close releases idle connections.
 func (c *Client) Close() {
 	c.engine.CloseIdleConnections()
@@ -132,11 +141,12 @@
 }
 
 // Generate runs a whole-model generation. It calls onToken for each token and
-// returns the closing line. An error of onToken stops the generation.
-func (c *Client) Generate(ctx context.Context, address string, r *GenerateRequest, onToken func(position, token uint32) error) (*GenerateLine, error) {
+// returns the closing line. An error of onToken stops the generation. The first
+// line may take firstTimeout, each later one the line timeout.
+func (c *Client) Generate(ctx context.Context, address string, r *GenerateRequest, firstTimeout time.Duration, onToken func(*GenerateLine) error) (*GenerateLine, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	watchdog := newWatchdog(c.opts.LineTimeout, cancel)
+	watchdog := newWatchdog(firstTimeout, c.opts.LineTimeout, cancel)
 	defer watchdog.stop()
 	body, err := json.Marshal(r)
 	if err != nil {
@@ -150,7 +160,7 @@
 	return c.readTokens(ctx, resp.Body, r.Position, watchdog, onToken)
 }
 
-func (c *Client) readTokens(ctx context.Context, body io.Reader, next uint32, w *watchdog, onToken func(position, token uint32) error) (*GenerateLine, error) {
+func (c *Client) readTokens(ctx context.Context, body io.Reader, next uint32, w *watchdog, onToken func(*GenerateLine) error) (*GenerateLine, error) {
 	lines := NewLineReader(body, c.opts.MaxLine)
 	for {
 		line, err := readGenerateLine(lines)
@@ -168,7 +178,7 @@
 			return nil, fault.New(fault.Upstream, "engine sent position %d in place of %d", line.Position, next).WithField("position")
 		}
 		next++
-		if err := onToken(line.Position, line.Token); err != nil {
+		if err := onToken(line); err != nil {
 			return nil, err
 		}
 	}
--- a/pkg/upstreams/messages.go
+++ b/pkg/upstreams/messages.go
@@ -106,7 +106,7 @@
 	Rank      string   `json:"rank,omitempty"`
 	Prompt    []uint32 `json:"prompt"`
 	Emitted   []uint32 `json:"emitted,omitempty"`
-	MaxTokens uint32   `json:"max_tokens"`
+	MaxTokens uint32   `json:"max_tokens"` // tokens to generate, not counting Emitted
 	Seed      uint64   `json:"seed"`
 }
 
@@ -115,6 +115,7 @@
 type GenerateLine struct {
 	Position     uint32 `json:"position"`
 	Token        uint32 `json:"token"`
+	Last         bool   `json:"last,omitempty"` // no token follows
 	Done         bool   `json:"done,omitempty"`
 	FinishReason string `json:"finish_reason,omitempty"`
 	CachedTokens uint32 `json:"cached_tokens,omitempty"`
--- a/pkg/upstreams/service.go
+++ b/pkg/upstreams/service.go
@@ -24,6 +24,7 @@
 	Path         string // path and query
 	Headers      []Header
 	Body         []byte
+	MaxAnswer    int64 // bytes; zero means the limit of the client
 }
 
 // ServiceAnswer is the complete answer to a call.
@@ -68,7 +69,11 @@
 		return nil, fault.New(fault.Upstream, "service answered request %.128q in place of %q", got, call.RequestID).
 			WithField(HeaderRequestID).WithOutcome(fault.MayHaveRun)
 	}
-	return c.readAnswer(ctx, resp)
+	limit := c.opts.MaxAnswer
+	if call.MaxAnswer > 0 {
+		limit = min(limit, call.MaxAnswer)
+	}
+	return readAnswer(ctx, resp, limit)
 }
 
 func serviceRequest(ctx context.Context, address string, call *ServiceCall) (*http.Request, error) {
@@ -97,13 +102,13 @@
 	return req, nil
 }
 
-func (c *Client) readAnswer(ctx context.Context, resp *http.Response) (*ServiceAnswer, error) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, c.opts.MaxAnswer+1))
+func readAnswer(ctx context.Context, resp *http.Response, limit int64) (*ServiceAnswer, error) {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
 	if err != nil {
 		return nil, transportError(ctx, err, "read answer of service")
 	}
-	if int64(len(body)) > c.opts.MaxAnswer {
-		return nil, fault.New(fault.Upstream, "answer of service is over the limit of %d bytes", c.opts.MaxAnswer).
+	if int64(len(body)) > limit {
+		return nil, fault.New(fault.Upstream, "answer of service is over the limit of %d bytes", limit).
 			WithField("body").WithOutcome(fault.MayHaveRun)
 	}
 	a := &ServiceAnswer{Status: resp.StatusCode, Body: body}
--- a/pkg/upstreams/stage.go
+++ b/pkg/upstreams/stage.go
@@ -32,7 +32,7 @@
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	in, out := io.Pipe()
-	s := &Stage{ctx: ctx, cancel: cancel, out: out, watchdog: newWatchdog(readyTimeout, cancel), maxLine: c.opts.MaxLine}
+	s := &Stage{ctx: ctx, cancel: cancel, out: out, watchdog: newWatchdog(readyTimeout, readyTimeout, cancel), maxLine: c.opts.MaxLine}
 	req, err := newRequest(ctx, http.MethodPost, address, PathStage, io.MultiReader(bytes.NewReader(first), in))
 	if err != nil {
 		s.Close()
@@ -108,7 +108,7 @@
 	if err := s.lines.ReadJSON(line); err != nil {
 		return nil, streamError(s.ctx, err, "stage")
 	}
-	s.watchdog.pause()
+	s.watchdog.stop()
 	if line.Error != nil {
 		return nil, line.Error.Fault().WithOutcome(fault.MayHaveRun)
 	}
--- a/pkg/upstreams/watchdog.go
+++ b/pkg/upstreams/watchdog.go
@@ -13,14 +13,14 @@
 	limit time.Duration
 }
 
-func newWatchdog(limit time.Duration, cancel context.CancelCauseFunc) *watchdog {
-	timer := time.AfterFunc(limit, func() {
-		cancel(fault.New(fault.Upstream, "upstream was silent for %v", limit).WithOutcome(fault.MayHaveRun))
+// newWatchdog allows first until the first reset and limit after each.
+func newWatchdog(first, limit time.Duration, cancel context.CancelCauseFunc) *watchdog {
+	timer := time.AfterFunc(first, func() {
+		cancel(fault.New(fault.Upstream, "upstream is silent").WithOutcome(fault.MayHaveRun))
 	})
 	return &watchdog{timer: timer, limit: limit}
 }
 
 func (w *watchdog) reset()                 { w.timer.Reset(w.limit) }
 func (w *watchdog) extend(d time.Duration) { w.timer.Reset(d) }
-func (w *watchdog) pause()                 { w.timer.Stop() }
 func (w *watchdog) stop()                  { w.timer.Stop() }
