upstreams: end a stage's stream when its context ends

HTTP/2 looks at the context only between two reads of the request body, so a frozen engine held its stage for ever. The end of the context now ends the body. TestGenerate_FailureNamesStageAndReplayContinues/freeze0 hung before.

--- a/pkg/upstreams/stage.go
+++ b/pkg/upstreams/stage.go
@@ -32,6 +32,8 @@
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	in, out := io.Pipe()
+	// The transport notices the end of ctx only between two reads of the body.
+	context.AfterFunc(ctx, func() { _ = in.CloseWithError(context.Cause(ctx)) })
 	s := &Stage{ctx: ctx, cancel: cancel, out: out, watchdog: newWatchdog(readyTimeout, readyTimeout, cancel), maxLine: c.opts.MaxLine}
 	req, err := newRequest(ctx, http.MethodPost, address, PathStage, io.MultiReader(bytes.NewReader(first), in))
 	if err != nil {
