--- a/pkg/role/agent/generate_test.go
+++ b/pkg/role/agent/generate_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -75,8 +77,12 @@
 				nodes[stage] = spare
 				replay := request("s", 2, p, uint32(tokens-len(got)), nodes...)
 				replay.Emitted = got
-				rest, _, err := collect(context.Background(), c, replay, nil)
+				rest, done, err := collect(context.Background(), c, replay, nil)
 				assert.NilError(t, err)
+				cached := int(done.CachedTokens)
+				for _, n := range nodes {
+					n.checkLayers(t, "s", 2, cached, len(p)+tokens-1-cached)
+				}
 				assert.DeepEqual(t, append(got, rest...), want)
 				stale := request("s", 1, p, tokens, nodes...)
 				_, _, err = collect(context.Background(), c, stale, nil)
@@ -86,3 +92,109 @@
 		}
 	}
 }
+
+// Guards against a chain that hangs when the agent of a stage is gone, and
+// against blame on the stage that only waited.
+func TestGenerate_LostAgentIsBlamed(t *testing.T) {
+	nodes := startChain(t, nil, nil)
+	c := newClient(t)
+	got, _, err := collect(context.Background(), c, request("s", 1, prompt(20), 1000, nodes...), func(tok *wirepb.Token) {
+		if tok.Position == 4 {
+			go nodes[2].agent.Close()
+		}
+	})
+	f := fault.As(err)
+	assert.Assert(t, f != nil)
+	assert.Equal(t, f.FailedStage, 2, "%v", f)
+	assert.Equal(t, int(f.Position), len(got))
+}
+
+// Guards against a cancelled request that keeps its slot at an agent or at an
+// engine, and against a queued one that still runs.
+func TestGenerate_CancelFreesSlots(t *testing.T) {
+	slow := func(o *standin.EngineOptions) { o.Slots = 1; o.Timing.Step = time.Millisecond }
+	nodes := startChain(t, nil, slow)
+	whole := startEngineNode(t, "w", 0, testLayers-1, nil, slow)
+	c := newClient(t)
+	for name, chain := range map[string][]*node{"chain": nodes, "whole": {whole}} {
+		ctx, cancel := context.WithCancel(context.Background())
+		queued, stopQueued := context.WithCancel(context.Background())
+		queuedEnded := make(chan error, 1)
+		_, _, err := collect(ctx, c, request(name, 1, prompt(5), 100000, chain...), func(tok *wirepb.Token) {
+			switch tok.Position {
+			case 2:
+				go func() {
+					_, _, err := collect(queued, c, request(name+"-queued", 1, prompt(5), 10, chain...), nil)
+					queuedEnded <- err
+				}()
+				waitFor(t, "queued request", func() bool { return chain[0].agent.queue.load().Ranks[1].Queued == 1 })
+				stopQueued()
+				waitFor(t, "removal from the queue", func() bool { return chain[0].agent.queue.load().Ranks[1].Queued == 0 })
+				cancel()
+			}
+		})
+		assert.Assert(t, fault.Is(err, fault.Cancelled), "%v", err)
+		assert.Assert(t, fault.Is(<-queuedEnded, fault.Cancelled))
+		for _, n := range chain {
+			waitFor(t, "free slots at "+n.host, func() bool {
+				return n.agent.queue.load().Running == 0 && n.engine.Records().Sessions == 0 && n.agent.lifecycle.InFlight() == 0
+			})
+			for _, run := range n.engine.Records().Layers {
+				assert.Assert(t, run.Session != name+"-queued", "a cancelled request ran")
+			}
+		}
+	}
+}
+
+// Guards against a shutdown that interrupts work in progress or takes new work.
+func TestRun_DrainFinishesWork(t *testing.T) {
+	slow := func(o *standin.EngineOptions) { o.Slots = 1; o.Timing.Step = 2 * time.Millisecond }
+	nodes := startChain(t, nil, slow)
+	c := newClient(t)
+	want := standin.Reference(prompt(5), testLayers, testSeed, 50)
+	queued := make(chan error, 1)
+	got, _, err := collect(context.Background(), c, request("s", 1, prompt(5), 50, nodes...), func(tok *wirepb.Token) {
+		if tok.Position != 3 {
+			return
+		}
+		go func() {
+			tokens, _, err := collect(context.Background(), c, request("queued", 1, prompt(5), 50, nodes...), nil)
+			if err == nil && !slices.Equal(tokens, want) {
+				err = fault.New(fault.Internal, "queued request has wrong tokens")
+			}
+			queued <- err
+		}()
+		waitFor(t, "queued request", func() bool { return nodes[0].agent.queue.load().Ranks[1].Queued == 1 })
+		nodes[0].stop()
+		waitFor(t, "draining", func() bool { return nodes[0].agent.Report().Draining })
+		_, _, err := collect(context.Background(), c, request("new", 1, prompt(5), 5, nodes...), nil)
+		assert.Assert(t, fault.Is(err, fault.Draining), "%v", err)
+		assert.Equal(t, fault.As(err).Outcome, fault.NotRun)
+	})
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got, want)
+	assert.NilError(t, <-queued)
+	assert.NilError(t, <-nodes[0].ended)
+	assert.Assert(t, nodes[0].control.left)
+}
+
+// Guards against new work for an upstream that is gone: its announcement must
+// end when heartbeats stop, when it refuses connections and when it leaves.
+func TestUpstream_AnnouncementWithdrawn(t *testing.T) {
+	quick := func(s *Settings) { s.UpstreamSilence = 300 * time.Millisecond }
+	n := startEngineNode(t, "a", 0, testLayers-1, quick, nil)
+	announced := func() bool {
+		n.control.mu.Lock()
+		defer n.control.mu.Unlock()
+		return n.control.announced != nil
+	}
+	waitFor(t, "announcement", announced)
+	n.engine.SetFaults(standin.Faults{Freeze: true})
+	waitFor(t, "withdrawal after silence", func() bool { return !announced() })
+	_, _, err := collect(context.Background(), newClient(t), request("s", 1, prompt(5), 5, n), nil)
+	assert.Equal(t, fault.As(err).Outcome, fault.NotRun)
+	n.engine.SetFaults(standin.Faults{})
+	waitFor(t, "announcement after the thaw", announced)
+	n.engine.Die()
+	waitFor(t, "withdrawal after death", func() bool { return !announced() })
+}
