entry: separate the stall and replay time limits

Cause: a trial with the agent under development left streams without an error after an engine died; they were repaired only after 10 s. Change: 4 s between tokens, 10 s to the first token after a replay. Conclusion: package tests pass with the race detector.

--- a/pkg/role/entry/attempt.go
+++ b/pkg/role/entry/attempt.go
@@ -47,11 +47,11 @@
 	return done, nil
 }
 
-// stallTimer bounds the time between tokens. It runs from the start of an
-// attempt that repairs a begun stream, and else from the first token.
+// stallTimer bounds the time between tokens, and the time to the first token of
+// an attempt that repairs a begun stream. Before that the deadline does.
 func (g *generation) stallTimer(cancel context.CancelCauseFunc) *time.Timer {
-	t := time.AfterFunc(g.entry.opts.Settings.Stall, func() {
-		cancel(fault.New(fault.Upstream, "chain produced no token for %s", g.entry.opts.Settings.Stall))
+	t := time.AfterFunc(g.entry.opts.Settings.ReplayTime, func() {
+		cancel(fault.New(fault.Upstream, "chain produces no tokens"))
 	})
 	if !g.begun() {
 		t.Stop()
@@ -85,7 +85,7 @@
 func (g *generation) firstTokenMs() uint32 {
 	left := g.req.Deadline.Sub(g.entry.opts.Now())
 	if g.begun() {
-		left = g.entry.opts.Settings.Stall
+		left = g.entry.opts.Settings.ReplayTime
 	}
 	return uint32(max(1, left.Milliseconds()))
 }
--- a/pkg/role/entry/settings.go
+++ b/pkg/role/entry/settings.go
@@ -23,7 +23,8 @@
 	Urgent      time.Duration `ini:"deadline.urgent" default:"15s" min:"10ms" max:"1h" help:"Deadline of urgent requests that name none."`
 	Standard    time.Duration `ini:"deadline.standard" default:"1m" min:"10ms" max:"1h" help:"Deadline of standard requests that name none."`
 	Batch       time.Duration `ini:"deadline.batch" default:"10m" min:"10ms" max:"1h" help:"Deadline of batch requests that name none."`
-	Stall       time.Duration `ini:"streams.stall_timeout" default:"10s" min:"100ms" max:"5m" help:"Longest time between two tokens before the stream is repaired."`
+	Stall       time.Duration `ini:"streams.stall_timeout" default:"4s" min:"100ms" max:"5m" help:"Longest time between two tokens before the stream is repaired; longer than agents take to report a failed stage."`
+	ReplayTime  time.Duration `ini:"streams.replay_timeout" default:"10s" min:"100ms" max:"5m" help:"Longest time to the first token of a repaired stream."`
 	RepairWait  time.Duration `ini:"streams.repair_wait" default:"5s" min:"0s" max:"5m" help:"How long a broken stream waits for a chain to become available."`
 	MaxRepairs  int           `ini:"streams.max_repairs" default:"4" min:"0" max:"20" help:"Largest number of repairs of one stream, including retries before its first token."`
 	MaxAttempts int           `ini:"services.max_attempts" default:"3" min:"1" max:"10" help:"Largest number of attempts of one service call."`
