--- a/pkg/role/entry/refusal_test.go
+++ b/pkg/role/entry/refusal_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -60,6 +61,7 @@
 	prepare func(s *system)
 	path    string // chat if empty
 	keyed   bool
+	within  string // deadline in milliseconds; the default if empty
 	claim   string // status of the claim; absent if empty
 	status  int
 	code    fault.Kind
@@ -94,6 +96,8 @@
 		{name: "chat agent silent on outcome", behave: agentSays(fault.Overloaded, fault.Unspecified), status: 503, code: fault.Overloaded, outcome: "unknown", sends: 1},
 		{name: "chat connection lost", behave: cutting(0), status: 503, code: fault.Unavailable, outcome: "unknown", sends: 1},
 		{name: "chat after tokens", behave: refusing(2, fault.New(fault.Overloaded, "x").WithOutcome(fault.NotRun)), status: 503, code: fault.Overloaded, outcome: "unknown", sends: 1},
+		{name: "chat deadline", behave: holding(0), within: "100", status: 504, code: fault.Deadline, outcome: "unknown", sends: 1},
+		{name: "keyed deadline", behave: holding(0), within: "100", path: call, keyed: true, status: 504, code: fault.Deadline, outcome: "unknown", sends: 1},
 		{name: "chat wrong frame", behave: func(_ *fakeAgent, s *wire.Stream, _ *wirepb.Frame) {
 			_ = s.Write(&wirepb.Frame{Body: &wirepb.Frame_Ping{Ping: &wirepb.Ping{}}})
 		}, status: 502, code: fault.Protocol, outcome: "unknown", sends: 1},
@@ -142,6 +146,9 @@
 			if p.keyed {
 				method, headers = http.MethodPost, keyed()
 			}
+			if p.within != "" {
+				headers = append(headers, "Plantain-Deadline-Ms", p.within)
+			}
 			a := s.do(method, path, body, headers...)
 			assert.Equal(t, a.status, p.status, a.raw)
 			assert.Equal(t, a.body.Error.Code, string(p.code))
@@ -190,6 +197,30 @@
 	}
 }
 
+// Guards against a retry inside a data centre that has just failed, while
+// another one is left.
+func TestCall_RetriesInAnotherDataCentre(t *testing.T) {
+	var mu sync.Mutex
+	var hosts []string
+	agents := startAgents(t, 6, always(func(a *fakeAgent, s *wire.Stream, f *wirepb.Frame) {
+		mu.Lock()
+		hosts = append(hosts, a.host)
+		first := len(hosts)%2 == 1
+		mu.Unlock()
+		if !first {
+			honest(a, s, f)
+		}
+	}))
+	s := newSystem(t, agents, nil, "")
+	for range 8 {
+		assert.Equal(t, s.do(http.MethodGet, "/services/orders/1", "").status, http.StatusOK)
+	}
+	upstreams := s.control.View().Upstreams
+	for i := 0; i < len(hosts); i += 2 {
+		assert.Assert(t, upstreams[hosts[i]].DataCentre != upstreams[hosts[i+1]].DataCentre, "%v", hosts)
+	}
+}
+
 // Guards against retries that multiply the load when everything fails.
 func TestBudget_UnderTotalFailure(t *testing.T) {
 	agents := startAgents(t, 3, always(agentSays(fault.Overloaded, fault.NotRun)))
