agent: report a deadline that the connection notices first

Cause: TestClient_CancelDuringHandshake failed once in about 20 runs, because the dial's deadline is that of the context and may fire just before it; the failure then counted against the host. Change: a passed deadline of the context decides, not only its error.

--- a/pkg/agent/client.go
+++ b/pkg/agent/client.go
@@ -155,13 +155,23 @@
 }
 
 func notSent(ctx context.Context, err error, addr string) *fault.Error {
-	if ctx.Err() != nil {
+	if over(ctx) {
 		return ended(ctx).WithOutcome(fault.NotRun)
 	}
 	return fault.Wrap(err, fault.Unavailable, "open stream to agent %s", addr).
 		WithStage(headStage).WithOutcome(fault.NotRun)
 }
 
+// over reports whether ctx has ended. A connection that uses the deadline of
+// ctx may fail just before ctx itself ends.
+func over(ctx context.Context) bool {
+	if ctx.Err() != nil {
+		return true
+	}
+	deadline, ok := ctx.Deadline()
+	return ok && !time.Now().Before(deadline)
+}
+
 // ended tells a deadline from a cancellation.
 func ended(ctx context.Context) *fault.Error {
 	cause := context.Cause(ctx)
@@ -170,7 +180,7 @@
 		c := *e
 		return &c
 	}
-	if errors.Is(cause, context.DeadlineExceeded) {
+	if cause == nil || errors.Is(cause, context.DeadlineExceeded) {
 		return fault.New(fault.Deadline, "deadline passed")
 	}
 	return fault.New(fault.Cancelled, "request was cancelled")
