Raise the incarnation of an upstream that comes back

Cause: an agent that was frozen past its lease, or whose engine withdrew and came back, registered under the incarnation that control had noted as gone, and stayed out for 10 minutes. Errors without an outcome and with an unknown one shared a metric label, and the second registration of it ended the agent with a panic. A confirmation was kept as wall time, so that a clock set back would have extended the time in which a stale configuration is served.

Change: an agent raises its incarnation when its upstream returns or a replica refuses it. Outcomes are normalised before they become labels. Confirmations keep their monotonic reading.

--- a/cmd/plantain-demo/requests.go
+++ b/cmd/plantain-demo/requests.go
@@ -47,9 +47,9 @@
 	config := openai.DefaultConfig(d.Plan.Organisations[0].Key)
 	config.BaseURL = "http://" + d.Entries[0].Address + "/v1"
 	stream, err := openai.NewClientWithConfig(config).CreateChatCompletionStream(ctx, openai.ChatCompletionRequest{
-		Model:     d.Plan.Model,
-		MaxTokens: chatTokens,
-		Messages:  []openai.ChatCompletionMessage{{Role: openai.ChatMessageRoleUser, Content: "which cartridge fits my tap"}},
+		Model:               d.Plan.Model,
+		MaxCompletionTokens: chatTokens,
+		Messages:            []openai.ChatCompletionMessage{{Role: openai.ChatMessageRoleUser, Content: "which cartridge fits my tap"}},
 	})
 	if err != nil {
 		return fault.Wrap(err, fault.Unavailable, "start the chat")
--- a/pkg/control/client.go
+++ b/pkg/control/client.go
@@ -40,6 +40,9 @@
 	Upstreams bool // also watch the upstreams
 	Log       logs.Logger
 	Now       func() time.Time
+	// OnFenced is called when a replica refuses the incarnation of a
+	// registered upstream, with the highest one that it knows.
+	OnFenced func(known uint64)
 }
 
 // Client talks to the control replicas. Its methods may be used by many
@@ -48,7 +51,7 @@
 	opts      Options
 	pool      *link.Pool
 	view      atomic.Pointer[View]
-	confirmed atomic.Int64 // unix nanoseconds, zero before the first confirmation
+	confirmed atomic.Pointer[time.Time] // keeps the monotonic reading; nil before the first confirmation
 	addresses atomic.Pointer[[]string]
 	preferred atomic.Int64 // index of the address that answered last
 	changed   chan struct{}
@@ -78,11 +81,11 @@
 // Confirmed returns the latest local time at which the view was known to be
 // current. It is zero before the first confirmation.
 func (c *Client) Confirmed() time.Time {
-	n := c.confirmed.Load()
-	if n == 0 {
+	t := c.confirmed.Load()
+	if t == nil {
 		return time.Time{}
 	}
-	return time.Unix(0, n)
+	return *t
 }
 
 // Close ends all sessions.
--- a/pkg/control/register.go
+++ b/pkg/control/register.go
@@ -35,6 +35,8 @@
 	done   chan struct{}
 	wake   chan struct{}
 	log    logs.Logger
+	// registered is the incarnation that was last sent.
+	registered uint64
 }
 
 // Register announces the upstream to every voter until ctx ends, then leaves.
@@ -120,6 +122,7 @@
 		if ctx.Err() != nil {
 			return
 		}
+		l.reportFenced(err)
 		l.log.Debug("registration ended", logs.Str("replica", l.addr), logs.Err(err))
 		if time.Since(started) > maxBackoff {
 			backoff = minBackoff
@@ -129,6 +132,14 @@
 	}
 }
 
+// reportFenced tells the upstream that a replica refuses its incarnation.
+func (l *registerLoop) reportFenced(err error) {
+	if l.reg.client.opts.OnFenced == nil || !fault.Is(err, fault.StaleEpoch) {
+		return
+	}
+	l.reg.client.opts.OnFenced(max(l.registered, fault.As(err).Revision))
+}
+
 func (l *registerLoop) pause(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
@@ -149,6 +160,7 @@
 	if announced == nil {
 		return nil
 	}
+	l.registered = announced.Incarnation
 	first := &wirepb.Register{Announcement: announced, Role: l.reg.client.opts.Role}
 	if err := s.Write(&wirepb.Frame{Body: &wirepb.Frame_Register{Register: first}}); err != nil {
 		return err
@@ -183,6 +195,7 @@
 		if current != announced {
 			beat.Announcement = current
 			announced = current
+			l.registered = current.Incarnation
 		}
 		if err := s.Write(&wirepb.Frame{Body: &wirepb.Frame_Heartbeat{Heartbeat: beat}}); err != nil {
 			return err
--- a/pkg/control/watch.go
+++ b/pkg/control/watch.go
@@ -147,8 +147,8 @@
 	if v.Revision < cur.Revision {
 		return nil // the event that brings the revision is still on its way
 	}
-	if n := sent.UnixNano(); n > w.client.confirmed.Load() {
-		w.client.confirmed.Store(n)
+	if sent.After(w.client.Confirmed()) {
+		w.client.confirmed.Store(&sent)
 	}
 	if cur.LiveEntries > 0 && int(cur.LiveEntries) != v.LiveEntries {
 		n := *v
--- a/pkg/role/agent/admit.go
+++ b/pkg/role/agent/admit.go
@@ -53,10 +53,12 @@
 	return fault.New(fault.Unavailable, "no upstream is announced").WithOutcome(fault.NotRun).WithRetryAfter(upstreamRetryAfter)
 }
 
-// checkIncarnation refuses a request routed to an earlier run of this agent.
+// checkIncarnation refuses a request routed to an earlier run of this agent or
+// of its upstream.
 func (a *Agent) checkIncarnation(ref *wirepb.StageRef) error {
-	if ref.Incarnation != 0 && ref.Incarnation != a.incarnation {
-		return fault.New(fault.Unavailable, "incarnation %d is over, the current one is %d", ref.Incarnation, a.incarnation).
+	current := a.upstream.incarnation()
+	if ref.Incarnation != 0 && ref.Incarnation != current {
+		return fault.New(fault.Unavailable, "incarnation %d is over, the current one is %d", ref.Incarnation, current).
 			WithField("incarnation").WithOutcome(fault.NotRun)
 	}
 	return nil
--- a/pkg/role/agent/agent.go
+++ b/pkg/role/agent/agent.go
@@ -53,12 +53,12 @@
 
 // Agent is the agent process without its platform endpoints.
 type Agent struct {
-	set         Settings
-	control     Control
-	linkOpts    link.Options
-	incarnation uint64
-	log         logs.Logger
-	now         func() time.Time
+	set      Settings
+	control  Control
+	linkOpts link.Options
+	first    uint64 // incarnation at the start of the process
+	log      logs.Logger
+	now      func() time.Time
 
 	lifecycle *platform.Lifecycle
 	queue     *queue
@@ -90,19 +90,19 @@
 	}
 	set := opts.Settings
 	a := &Agent{
-		set:         set,
-		control:     opts.Control,
-		linkOpts:    opts.Link,
-		incarnation: opts.Incarnation,
-		log:         opts.Log.Part("agent"),
-		now:         opts.Now,
-		lifecycle:   platform.NewLifecycle(),
-		sessions:    newSessions(opts.Now),
-		metrics:     newMetrics(),
-		pending:     make(chan struct{}, set.MaxPendingClaims),
-		reads:       make(chan struct{}, refusalReads),
-		pool:        link.NewPool(opts.Link),
-		client:      upstreams.NewClient(upstreams.Options{LineTimeout: set.StepTimeout, MaxLine: set.MaxLine}),
+		set:       set,
+		control:   opts.Control,
+		linkOpts:  opts.Link,
+		first:     opts.Incarnation,
+		log:       opts.Log.Part("agent"),
+		now:       opts.Now,
+		lifecycle: platform.NewLifecycle(),
+		sessions:  newSessions(opts.Now),
+		metrics:   newMetrics(),
+		pending:   make(chan struct{}, set.MaxPendingClaims),
+		reads:     make(chan struct{}, refusalReads),
+		pool:      link.NewPool(opts.Link),
+		client:    upstreams.NewClient(upstreams.Options{LineTimeout: set.StepTimeout, MaxLine: set.MaxLine}),
 	}
 	a.life, a.end = context.WithCancel(context.Background())
 	a.queue = newQueue(sched.Config{MaxQueued: set.MaxQueued, MaxQueuedBytes: set.MaxQueuedBytes, UrgentReserve: set.UrgentReserve}, opts.Now)
@@ -141,7 +141,7 @@
 		address = ln.Addr().String()
 	}
 	return &wirepb.Announcement{
-		Host: a.set.Host, DataCentre: a.set.DataCentre, Region: a.set.Region, AgentAddress: address, Incarnation: a.incarnation,
+		Host: a.set.Host, DataCentre: a.set.DataCentre, Region: a.set.Region, AgentAddress: address, Incarnation: a.first,
 	}
 }
 
--- a/pkg/role/agent/fakes_test.go
+++ b/pkg/role/agent/fakes_test.go
@@ -264,7 +264,7 @@
 
 func (n *node) ref() *wirepb.StageRef {
 	return &wirepb.StageRef{
-		Host: n.host, Address: n.agent.Address(), Incarnation: n.agent.incarnation, FirstLayer: n.first, LastLayer: n.last,
+		Host: n.host, Address: n.agent.Address(), Incarnation: n.agent.upstream.incarnation(), FirstLayer: n.first, LastLayer: n.last,
 	}
 }
 
--- a/pkg/role/agent/metrics.go
+++ b/pkg/role/agent/metrics.go
@@ -86,6 +86,9 @@
 	if err != nil {
 		outcome = fault.As(err).Outcome
 	}
+	if outcome == fault.Unspecified {
+		outcome = fault.MayHaveRun // both have the label "unknown", which may be registered once
+	}
 	r := m.request(requestLabels{kind: kind, rank: schedRank(rank), organisation: organisation, outcome: outcome})
 	r.count.Inc()
 	r.seconds.Update(took.Seconds())
--- /dev/null
+++ b/pkg/role/agent/metrics_test.go
@@ -0,0 +1,40 @@
+package agent
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/plantainstair/plantainstair/pkg/fault"
+	"github.com/plantainstair/plantainstair/pkg/logs"
+	"github.com/plantainstair/plantainstair/pkg/upstreams"
+	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
+)
+
+// Guards against a panic on metrics that are registered twice: an error without
+// an outcome and one with an unknown outcome have the same label.
+func TestMetrics_OutcomesWithSameLabel(t *testing.T) {
+	m := newMetrics()
+	for _, outcome := range []fault.Outcome{fault.Unspecified, fault.MayHaveRun, fault.NotRun, fault.Answered} {
+		err := fault.New(fault.Upstream, "engine failed").WithOutcome(outcome)
+		m.finished("generate", wirepb.Rank_RANK_URGENT, "o", err, time.Millisecond)
+	}
+}
+
+// Guards against an upstream that stays out after its lease passed: control
+// refuses its incarnation, so it must announce a higher one, once.
+func TestUpstream_FencedRaisesIncarnationOnce(t *testing.T) {
+	now := time.Unix(100, 0)
+	u := newUpstreamState(&wirepb.Announcement{Host: "h", Incarnation: 5}, time.Second, func() time.Time { return now }, logs.Nop(), func(int) {})
+	assert.NilError(t, u.Announced(&upstreams.Announcement{Name: "e"}))
+	u.Fenced(5)
+	raised := u.incarnation()
+	assert.Assert(t, raised > 5)
+	assert.Equal(t, u.announcement().Incarnation, raised)
+	u.Fenced(5)
+	assert.Equal(t, u.incarnation(), raised)
+	u.Left()
+	assert.NilError(t, u.Announced(&upstreams.Announcement{Name: "e"}))
+	assert.Assert(t, u.announcement().Incarnation > raised)
+}
--- a/pkg/role/agent/process.go
+++ b/pkg/role/agent/process.go
@@ -31,8 +31,10 @@
 	if err != nil {
 		return err
 	}
+	var a *Agent
 	client := control.NewClient(control.Options{
 		Addresses: set.ControlAddresses, Link: opts, Role: Role, Host: set.Host, Log: log.Part("control"),
+		OnFenced: func(known uint64) { a.upstream.Fenced(known) }, // registration begins after the start below
 	})
 	watch, stopWatch := context.WithCancel(context.Background())
 	watchEnded := make(chan struct{})
@@ -44,7 +46,7 @@
 		stopWatch()
 		<-watchEnded
 	}()
-	a := New(Options{Settings: set, Control: client, Link: opts, Incarnation: incarnation, Log: log})
+	a = New(Options{Settings: set, Control: client, Link: opts, Incarnation: incarnation, Log: log})
 	if err := a.Start(); err != nil {
 		return err
 	}
--- a/pkg/role/agent/report.go
+++ b/pkg/role/agent/report.go
@@ -40,7 +40,7 @@
 	load := a.queue.load()
 	report := &wirepb.LoadReport{
 		Host:            a.set.Host,
-		Incarnation:     a.incarnation,
+		Incarnation:     a.upstream.incarnation(),
 		Slots:           uint32(load.Slots),
 		Running:         uint32(load.Running),
 		TokensPerSecond: load.TokensPerSecond,
--- a/pkg/role/agent/upstream.go
+++ b/pkg/role/agent/upstream.go
@@ -63,6 +63,8 @@
 	load     upstreams.Load
 	loadAt   time.Time
 	prefixes prefixSet
+
+	announcedBefore bool
 }
 
 func newUpstreamState(identity *wirepb.Announcement, limit time.Duration, now func() time.Time, log logs.Logger, onSlots func(int)) *upstreamState {
@@ -113,6 +115,10 @@
 	if old == nil || old.announced.Instance != a.Instance {
 		u.prefixes = newPrefixSet(maxKnownPrefixes) // the cache of another run
 	}
+	if old == nil && u.announcedBefore {
+		u.raiseIncarnation(u.identity.Incarnation)
+	}
+	u.announcedBefore = true
 	_ = u.machine.Event(context.Background(), "announce") // no-op while serving
 	u.current.Store(&upstreamView{announced: a, wire: u.wireAnnouncement(a)})
 	u.onSlots(int(a.Slots))
@@ -121,6 +127,35 @@
 	return nil
 }
 
+// raiseIncarnation moves past a known incarnation. The clock keeps the number
+// above those of later processes' predecessors; it may have been set back.
+func (u *upstreamState) raiseIncarnation(known uint64) {
+	u.identity.Incarnation = max(uint64(u.now().UnixNano()), known+1)
+}
+
+// incarnation returns the incarnation that was last announced.
+func (u *upstreamState) incarnation() uint64 {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.identity.Incarnation
+}
+
+// Fenced announces the upstream under a new incarnation after control has
+// refused a known one, because its lease had passed or it had left.
+func (u *upstreamState) Fenced(known uint64) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if known < u.identity.Incarnation {
+		return // another replica has already refused it
+	}
+	u.raiseIncarnation(known)
+	if v := u.current.Load(); v != nil {
+		u.current.Store(&upstreamView{announced: v.announced, wire: u.wireAnnouncement(v.announced)})
+	}
+	u.log.Info("incarnation raised", logs.Uint("refused", known))
+	u.notify()
+}
+
 func sameAnnouncement(a, b *upstreams.Announcement) bool {
 	return a.Name == b.Name && a.Kind == b.Kind && a.Address == b.Address && a.Accelerator == b.Accelerator &&
 		a.Slots == b.Slots && a.KVTokens == b.KVTokens && a.ChecksFencing == b.ChecksFencing && a.Instance == b.Instance &&
--- a/test/e2e/config_test.go
+++ b/test/e2e/config_test.go
@@ -143,3 +143,23 @@
 		assert.Equal(t, text, reference(d.Plan, content, 4))
 	}
 }
+
+// Guards against an upstream that stays out after it was frozen past its lease.
+func TestUpstream_ReturnsAfterFreeze(t *testing.T) {
+	d, ctx := launch(t, nil)
+	thawed := make(chan struct{})
+	go func() {
+		defer close(thawed)
+		freeze(t, d.Upstreams[0].Agent, 2500*time.Millisecond)
+	}()
+	gone := func() error {
+		status, err := d.Admin().Status(ctx)
+		if err != nil || len(status.Upstreams) == len(d.Upstreams) {
+			return fault.New(fault.Unavailable, "the upstream is still registered: %v", err)
+		}
+		return nil
+	}
+	assert.NilError(t, local.Until(ctx, "the lease to pass", gone))
+	<-thawed
+	assert.NilError(t, d.WaitReady(ctx))
+}
--- a/test/e2e/harness_test.go
+++ b/test/e2e/harness_test.go
@@ -116,7 +116,7 @@
 	config.BaseURL = "http://" + d.Entries[entry].Address + "/v1"
 	seed := modelSeed
 	stream, err := openai.NewClientWithConfig(config).CreateChatCompletionStream(ctx, openai.ChatCompletionRequest{
-		Model: d.Plan.Model, MaxTokens: n, Seed: &seed,
+		Model: d.Plan.Model, MaxCompletionTokens: n, Seed: &seed,
 		Messages: []openai.ChatCompletionMessage{{Role: openai.ChatMessageRoleUser, Content: content}},
 	})
 	if err != nil {
