control: tell agents the order epoch and let an incarnation return

An agent without memory refuses orders until it knows the highest epoch of its host, so the replica reads it behind a read index and puts it in the replies to heartbeats. Agents keep their incarnation while their engine restarts and while they are cut off; refusing it after a leave or an expiry, as before, would keep them out. Lower incarnations stay refused.

--- a/pkg/role/control/orders.go
+++ b/pkg/role/control/orders.go
@@ -120,8 +120,10 @@
 	run.reply, run.err = reply, err
 	run.ended = b.control.opts.Now()
 	close(run.done)
-	if err != nil && fault.As(err).Outcome == fault.NotRun {
-		delete(b.runs, key) // a later attempt may succeed
+	if err != nil {
+		// A repeated request sends the order again under the same epoch, which
+		// the agent refuses when it has a newer order.
+		delete(b.runs, key)
 	}
 }
 
--- a/pkg/role/control/register.go
+++ b/pkg/role/control/register.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/plantainstair/plantainstair/pkg/core/state"
 	"github.com/plantainstair/plantainstair/pkg/fault"
 	"github.com/plantainstair/plantainstair/pkg/logs"
 	"github.com/plantainstair/plantainstair/pkg/wire"
@@ -22,6 +24,10 @@
 	stream *wire.Stream
 	done   chan struct{} // closed when the stream has ended
 
+	// epoch is the order epoch of the host, read linearizably after the
+	// registration; nil until then.
+	epoch atomic.Pointer[uint64]
+
 	mu      sync.Mutex
 	pending map[uint64]chan *wirepb.OrderResult // by epoch
 }
@@ -45,6 +51,7 @@
 		_ = stream.WriteError(err)
 		return
 	}
+	c.readEpoch(rs, reg.host)
 	if err := c.runRegister(rs, reg); err != nil {
 		c.log.Debug("registration ended", logs.Str("upstream", reg.host), logs.Err(err))
 		_ = stream.WriteError(err)
@@ -84,9 +91,31 @@
 		return err
 	}
 	reply := &wirepb.HeartbeatReply{Sequence: h.GetSequence(), LiveEntries: uint32(c.liveEntries())}
+	if epoch := rs.epoch.Load(); epoch != nil {
+		reply.OrderEpoch, reply.OrderEpochRead = *epoch, true
+	}
 	return rs.write(&wirepb.Frame{Body: &wirepb.Frame_HeartbeatReply{HeartbeatReply: reply}})
 }
 
+// readEpoch reads the order epoch of the host and repeats that while no quorum
+// confirms the read.
+func (c *Control) readEpoch(rs *registerStream, host string) {
+	c.barrier.submit(func(err error) {
+		if err != nil {
+			select {
+			case <-rs.done:
+			case <-c.ctx.Done():
+			default:
+				c.readEpoch(rs, host)
+			}
+			return
+		}
+		epoch := uint64(0)
+		c.machine.Read(func(s *state.Store) { epoch = s.OrderEpoch(host) })
+		rs.epoch.Store(&epoch)
+	})
+}
+
 func (r *registerStream) write(f *wirepb.Frame) error {
 	_ = r.stream.SetDeadline(time.Now().Add(registerWrite))
 	return r.stream.Write(f)
--- a/pkg/role/control/registry.go
+++ b/pkg/role/control/registry.go
@@ -92,8 +92,10 @@
 	}
 }
 
-// Register adds an upstream. An incarnation that is lower than a known one, or
-// that has left or expired, is refused.
+// Register adds an upstream. An incarnation below a known one is refused, also
+// after that one has left or expired. The same incarnation may return: an agent
+// keeps its incarnation while its engine restarts and while it is cut off. A
+// late copy of its registration therefore lasts until the lease has passed.
 func (r *Registry) Register(now time.Time, a *wirepb.Announcement, stream orderStream) (*registration, error) {
 	if err := checkAnnouncement(a); err != nil {
 		return nil, err
@@ -112,7 +114,7 @@
 }
 
 func (r *Registry) add(now time.Time, a *wirepb.Announcement, stream orderStream) (reg, replaced *registration, err error) {
-	if d, ok := r.departed[a.Host]; ok && a.Incarnation <= d.incarnation {
+	if d, ok := r.departed[a.Host]; ok && a.Incarnation < d.incarnation {
 		return nil, nil, staleIncarnation(a, d.incarnation, "has left or expired")
 	}
 	replaced = r.hosts[a.Host]
@@ -131,6 +133,7 @@
 		replaced.ended.Store(true)
 	}
 	r.hosts[a.Host] = reg
+	delete(r.departed, a.Host)
 	r.changed(a.Host)
 	return reg, replaced, nil
 }
