route: let a due probe be chosen; test weights, races and slow start

The cost of a host was divided by its weight in addition to the sampling by weight, so an ejected host with a due probe was dearer than every other one and was never probed while others were available. The weight now acts on the sampling alone.

--- a/pkg/core/route/bench_test.go
+++ b/pkg/core/route/bench_test.go
@@ -158,7 +158,7 @@
 	for first := range n.Layers {
 		for _, u := range ups {
 			if h := u.Models[0]; h.FirstLayer == first {
-				c := candidate{cell: &cell{host: u.Host}, up: u, cost: n.nodeCost(u, 0, 1)}
+				c := candidate{cell: &cell{host: u.Host}, up: u, cost: n.nodeCost(u, 0)}
 				nodes = append(nodes, node{candidate: c, first: first, last: h.LastLayer})
 			}
 		}
--- a/pkg/core/route/chain_test.go
+++ b/pkg/core/route/chain_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -89,7 +90,7 @@
 					link = n.linkCost(last, u)
 				}
 				used[u.Host] = true
-				walk(h.LastLayer+1, h.Version, u, used, cost+link+n.nodeCost(u, 0, 1))
+				walk(h.LastLayer+1, h.Version, u, used, cost+link+n.nodeCost(u, 0))
 				used[u.Host] = false
 			}
 		}
@@ -120,7 +121,7 @@
 		} else {
 			cost += n.linkCost(chain[i-1].Upstream, s.Upstream)
 		}
-		cost += n.nodeCost(s.Upstream, 0, 1)
+		cost += n.nodeCost(s.Upstream, 0)
 	}
 	assert.Equal(t, layer, n.Layers)
 	assert.Assert(t, holdVersion(chain, "v1", n) || holdVersion(chain, "v2", n), "no version is held by all stages")
@@ -195,7 +196,7 @@
 		for i := range rapid.IntRange(1, 8).Draw(t, "hosts") {
 			u := drawUpstream(t, fmt.Sprint("h", i))
 			u.Draining, u.Stale = false, false
-			c := candidate{cell: &cell{host: u.Host}, up: u, cost: n.nodeCost(u, 0, 1)}
+			c := candidate{cell: &cell{host: u.Host}, up: u, cost: n.nodeCost(u, 0)}
 			for r := range u.Models {
 				u.Models[r].Version = "v1"
 				nodes = append(nodes, node{candidate: c, first: u.Models[r].FirstLayer, last: u.Models[r].LastLayer})
@@ -310,3 +311,30 @@
 	}
 	return got
 }
+
+// Guards against a data race between choices and updates, and against a chain
+// that a reader builds from a state that was never announced.
+func TestChoicesDuringUpdates(t *testing.T) {
+	tab := NewTable()
+	announce := func(i, first int) {
+		held := []Held{{Model: "m", FirstLayer: first, LastLayer: first + testLayers/2 - 1}}
+		tab.Update(&Upstream{Host: fmt.Sprint("h", i), Models: held, Links: map[string]time.Duration{}})
+	}
+	for i := range 8 {
+		announce(i, i%2*testLayers/2)
+	}
+	var readers sync.WaitGroup
+	for seed := range uint64(4) {
+		readers.Go(func() {
+			rng := rand.New(rand.NewPCG(seed, 0))
+			for range 2000 {
+				chain, err := tab.Chain(Need{Model: "m", Layers: testLayers}, rng)
+				assert.Check(t, err == nil && len(chain) == 2 && chain[1].FirstLayer == testLayers/2)
+			}
+		})
+	}
+	for i := range 4000 { // two hosts of each half never change
+		announce(4+i%4, (i/4+i)%2*testLayers/2)
+	}
+	readers.Wait()
+}
--- a/pkg/core/route/cost.go
+++ b/pkg/core/route/cost.go
@@ -32,13 +32,10 @@
 }
 
 // nodeCost estimates the time that u adds to the request, without its links.
-func (n *Need) nodeCost(u *Upstream, sent int64, weight float64) time.Duration {
+func (n *Need) nodeCost(u *Upstream, sent int64) time.Duration {
 	first, inter := u.speed()
 	work := first + n.tokensOf()*inter
 	cost := n.queueCost(u, sent, work) + work - n.prefixBonus(u, first)
-	if weight < 1 {
-		cost = time.Duration(float64(cost) / max(weight, 0.01))
-	}
 	if n.AvoidDataCentre != "" && u.DataCentre == n.AvoidDataCentre {
 		cost += avoidPenalty
 	}
--- a/pkg/core/route/sample.go
+++ b/pkg/core/route/sample.go
@@ -99,7 +99,8 @@
 }
 
 // consider appends c if it is eligible and new. With slow, a host of weight w
-// is taken with probability w, which limits its traffic during slow start.
+// is taken with probability w, which limits its traffic during slow start. The
+// weight does not raise the cost as well: a due probe would never be chosen.
 func (s *sampler) consider(c *cell, out []candidate, start int, slow bool) []candidate {
 	if slices.ContainsFunc(out[start:], func(o candidate) bool { return o.cell == c }) {
 		return out
@@ -115,7 +116,7 @@
 	if weight <= 0 || slow && weight < 1 && s.rng.Float64() >= weight {
 		return out
 	}
-	cost := s.need.nodeCost(u, c.sentSinceReport(), weight)
+	cost := s.need.nodeCost(u, c.sentSinceReport())
 	return append(out, candidate{cell: c, up: u, cost: cost})
 }
 
--- a/pkg/core/route/tracker.go
+++ b/pkg/core/route/tracker.go
@@ -36,8 +36,9 @@
 const (
 	// startWeight is the weight at the beginning of slow start.
 	startWeight = 0.1
-	// probeWeight makes an ejected host with a due probe a rare candidate.
-	probeWeight = 0.05
+	// probeWeight is the weight of an ejected host whose probe is due. Admit
+	// lets one request through, so a higher weight only finds it sooner.
+	probeWeight = 0.25
 	// medianInterval is the minimum age of a median before it is computed
 	// again; sorting 11,000 latencies takes about a millisecond.
 	medianInterval = time.Second
@@ -131,6 +132,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	h := t.host(host)
+	t.settle(h, now)
 	switch h.phase {
 	case phaseProbing:
 		t.finishProbe(h, ok, now)
@@ -158,6 +160,7 @@
 	if h == nil {
 		return 1
 	}
+	t.settle(h, now)
 	switch h.phase {
 	case phaseEjected, phaseProbing:
 		if now.Before(h.until) {
@@ -166,16 +169,19 @@
 		return probeWeight
 	case phaseReturning:
 		part := float64(now.Sub(h.returned)) / float64(t.cfg.SlowStart)
-		if part >= 1 {
-			h.phase = phaseServing
-			h.ejections = 0
-			return 1
-		}
 		return startWeight + (1-startWeight)*max(part, 0)
 	}
 	return 1
 }
 
+// settle ends the slow start when its time has passed.
+func (t *Tracker) settle(h *hostState, now time.Time) {
+	if h.phase == phaseReturning && now.Sub(h.returned) >= t.cfg.SlowStart {
+		h.phase = phaseServing
+		h.ejections = 0
+	}
+}
+
 // Admit is called for each host of a choice just before work is sent. For an
 // ejected host it takes the probe; it reports false while another probe is on
 // its way or none is due, and the caller must then choose again without the
--- a/pkg/core/route/tracker_test.go
+++ b/pkg/core/route/tracker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -54,6 +55,39 @@
 	assert.Equal(t, last, 1.0)
 }
 
+// Guards against an ejected host that is never probed because others are
+// always chosen, and against a return that takes a full share at once.
+func TestProbeAndSlowStartByChoice(t *testing.T) {
+	const hosts, choices = 8, 4000
+	tab := NewTable()
+	tr := NewTracker(TrackerConfig{})
+	for i := range hosts {
+		tab.Update(&Upstream{Host: fmt.Sprint("h", i), Services: []string{"s"}, Slots: choices})
+	}
+	observe(tr, "h0", false, 0, testStart, DefaultErrorsInRow)
+	now := testStart.Add(DefaultBaseEjection)
+	rng := rand.New(rand.NewPCG(1, 1))
+	share := func() (chosen int) {
+		need := Need{Weight: func(host string) float64 { return tr.Weight(host, now) }}
+		for range choices {
+			u, err := tab.Service("s", need, rng)
+			assert.NilError(t, err)
+			if u.Host == "h0" {
+				chosen++
+			}
+		}
+		return chosen
+	}
+	assert.Assert(t, share() > choices/hosts/20, "no probe")
+	assert.Assert(t, tr.Admit("h0", now))
+	assert.Equal(t, share(), 0)
+	tr.Observe("h0", true, time.Millisecond, now)
+	first := share()
+	assert.Assert(t, first > 0 && first < choices/hosts/2, "%d of %d at the start", first, choices)
+	now = now.Add(DefaultSlowStart)
+	assert.Assert(t, share() > choices/hosts/2)
+}
+
 // Guards against an error rate below the limit of errors in a row that is
 // never noticed.
 func TestEjectByErrorRate(t *testing.T) {
--- a/pkg/core/sched/fairness_test.go
+++ b/pkg/core/sched/fairness_test.go
@@ -14,6 +14,7 @@
 	org      string
 	depth    int // requests kept queued; zero means idle
 	min, max int // range of the estimates
+	weight   int
 }
 
 // run serves floods for the given number of events, keeping each queue at its
@@ -37,7 +38,7 @@
 	for _, f := range floods {
 		for i := queued[flowName(f.rank, f.org)]; i < f.depth; i++ {
 			cost := rapid.IntRange(f.min, f.max).Draw(t, "cost")
-			assert.NilError(t, n.submit(Request{Rank: f.rank, Organisation: f.org, Cost: cost}))
+			assert.NilError(t, n.submit(Request{Rank: f.rank, Organisation: f.org, Cost: cost, Weight: float64(f.weight)}))
 		}
 	}
 }
@@ -57,9 +58,10 @@
 	}
 }
 
-// fairnessBound limits the service gap of two backlogged organisations over
-// any interval: at its start and at its end the gap is at most one request in
-// dispatch plus the open corrections of all slots.
+// fairnessBound limits the gap between the services, each divided by the
+// weight, of two backlogged organisations over any interval: at its start and
+// at its end the gap is at most one request in dispatch plus the open
+// corrections of all slots.
 func fairnessBound(slots int) int { return 2 * (slots + 1) * maxCost }
 
 // Guards against an organisation that gains by sending many or small requests,
@@ -68,9 +70,9 @@
 	rapid.Check(t, func(t *rapid.T) {
 		slots := rapid.IntRange(1, 4).Draw(t, "slots")
 		n := newNaive(Config{Slots: slots, UrgentReserve: -1})
-		big := flood{Standard, "big", rapid.IntRange(1, 20).Draw(t, "depth"), 1, rapid.IntRange(1, maxCost).Draw(t, "max")}
-		small := flood{Standard, "small", 1, 1, maxCost}
-		idle := flood{Standard, "idle", 0, 1, maxCost}
+		big := flood{Standard, "big", rapid.IntRange(1, 20).Draw(t, "depth"), 1, rapid.IntRange(1, maxCost).Draw(t, "max"), rapid.IntRange(1, 3).Draw(t, "weight")}
+		small := flood{Standard, "small", 1, 1, maxCost, rapid.IntRange(1, 3).Draw(t, "weight")}
+		idle := flood{Standard, "idle", 0, 1, maxCost, 1}
 
 		// A long request may keep the state of the idle organisation alive.
 		pinned := Request{Rank: Standard, Organisation: "idle", Cost: 1}
@@ -80,26 +82,26 @@
 			pinned, _ = n.next(t)
 			delete(n.running, pinned.ID)
 		}
-		n.run(t, []flood{big, small}, 150, n.fairWithin(t, slots, "big", "small"))
+		n.run(t, []flood{big, small}, 150, n.fairWithin(t, slots, big, small))
 		if long {
 			n.running[pinned.ID] = pinned
 		}
 		idle.depth = 1
 		floods := []flood{big, small, idle}
 		n.refill(t, floods)
-		observe := n.fairWithin(t, slots, "big", "idle")
+		observe := n.fairWithin(t, slots, big, idle)
 		n.run(t, floods, 150, observe)
 	})
 }
 
 // fairWithin returns a check that the service of a and b since now differs by
 // less than the bound. Both must stay backlogged.
-func (n *naive) fairWithin(t *rapid.T, slots int, a, b string) func() {
-	a, b = flowName(Standard, a), flowName(Standard, b)
-	startA, startB := n.served[a], n.served[b]
+func (n *naive) fairWithin(t *rapid.T, slots int, a, b flood) func() {
+	nameA, nameB := flowName(a.rank, a.org), flowName(b.rank, b.org)
+	startA, startB := n.served[nameA], n.served[nameB]
 	return func() {
-		gap := (n.served[a] - startA) - (n.served[b] - startB)
-		assert.Assert(t, max(gap, -gap) <= fairnessBound(slots), "service gap %d of %s and %s", gap, a, b)
+		gap := (n.served[nameA]-startA)/a.weight - (n.served[nameB]-startB)/b.weight
+		assert.Assert(t, max(gap, -gap) <= fairnessBound(slots), "service gap %d of %s and %s", gap, a.org, b.org)
 	}
 }
 
@@ -115,9 +117,9 @@
 		slots := rapid.IntRange(1, 4).Draw(t, "slots")
 		n := newNaive(Config{Slots: slots})
 		floods := []flood{
-			{Urgent, "a", rapid.IntRange(0, 5).Draw(t, "urgent depth"), 1, maxCost},
-			{Standard, "a", rapid.IntRange(0, 5).Draw(t, "standard depth"), 1, maxCost},
-			{Batch, "a", rapid.IntRange(0, 5).Draw(t, "batch depth"), 1, maxCost},
+			{Urgent, "a", rapid.IntRange(0, 5).Draw(t, "urgent depth"), 1, maxCost, 1},
+			{Standard, "a", rapid.IntRange(0, 5).Draw(t, "standard depth"), 1, maxCost, 1},
+			{Batch, "a", rapid.IntRange(0, 5).Draw(t, "batch depth"), 1, maxCost, 1},
 		}
 		n.run(t, floods, 50, func() {})
 		for i := range floods {
--- a/pkg/core/sched/load.go
+++ b/pkg/core/sched/load.go
@@ -160,6 +160,9 @@
 
 // duration returns the time that the upstream needs to serve tokens.
 func (m *rateMeter) duration(tokens float64, slots int) time.Duration {
+	if slots == 0 {
+		return maxWait
+	}
 	rate := m.perSecond(slots)
 	if rate <= 0 {
 		return 0
--- a/pkg/core/sched/sched_test.go
+++ b/pkg/core/sched/sched_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -23,7 +25,8 @@
 	queued  map[uint64]Request
 	running map[uint64]Request
 	used    map[uint64]int
-	ended   map[uint64]string
+	ended   map[uint64]bool
+	granted int            // accepted requests
 	served  map[string]int // tokens by rank and organisation
 	ranks   [Ranks]int     // tokens by rank
 }
@@ -36,7 +39,7 @@
 		queued:  map[uint64]Request{},
 		running: map[uint64]Request{},
 		used:    map[uint64]int{},
-		ended:   map[uint64]string{},
+		ended:   map[uint64]bool{},
 		served:  map[string]int{},
 	}
 }
@@ -54,6 +57,7 @@
 	err := n.s.Submit(n.now, r)
 	if err == nil {
 		n.queued[r.ID] = r
+		n.granted++
 	}
 	return err
 }
@@ -89,7 +93,7 @@
 		n.account(r, used-r.Cost)
 	}
 	delete(n.running, id)
-	n.ended[id] = "finished"
+	n.ended[id] = true
 }
 
 func (n *naive) expire(t *rapid.T) {
@@ -98,34 +102,23 @@
 		assert.Assert(t, known, "request %d expired without being queued", r.ID)
 		assert.Assert(t, !r.Deadline.After(n.now), "request %d expired before its deadline", r.ID)
 		delete(n.queued, r.ID)
-		n.ended[r.ID] = "expired"
+		n.ended[r.ID] = true
 	}
 	for _, r := range n.queued {
 		assert.Assert(t, r.Deadline.IsZero() || r.Deadline.After(n.now), "request %d outlived its deadline", r.ID)
 	}
 }
 
-// pick returns a key of m chosen by t, by ascending id.
+// pick returns the lowest or the highest key of m.
 func pick(t *rapid.T, m map[uint64]Request) (uint64, bool) {
 	if len(m) == 0 {
 		return 0, false
 	}
-	ids := make([]uint64, 0, len(m))
-	for id := range m {
-		ids = append(ids, id)
-	}
-	lowest := ids[0]
-	for _, id := range ids {
-		lowest = min(lowest, id)
-	}
+	ids := slices.Sorted(maps.Keys(m))
 	if rapid.Bool().Draw(t, "oldest") {
-		return lowest, true
-	}
-	highest := ids[0]
-	for _, id := range ids {
-		highest = max(highest, id)
+		return ids[0], true
 	}
-	return highest, true
+	return ids[len(ids)-1], true
 }
 
 // Guards against lost, doubled or late-started requests, queues beyond their
@@ -203,7 +196,7 @@
 		assert.Assert(t, n.s.Cancel(id))
 		assert.Assert(t, !n.s.Cancel(id), "cancelled twice")
 		delete(n.queued, id)
-		n.ended[id] = "cancelled"
+		n.ended[id] = true
 	}
 }
 
@@ -246,7 +239,7 @@
 	}
 	assert.Equal(t, len(n.queued), 0, "queued requests never started")
 	n.expire(t)
-	assert.Equal(t, uint64(len(n.ended)), n.accepted())
+	assert.Equal(t, len(n.ended), n.granted)
 	assert.Equal(t, len(n.s.items), 0)
 	assert.Equal(t, len(n.s.orgs), 0)
 	for r := range n.s.ranks {
@@ -255,11 +248,3 @@
 		assert.Equal(t, q.weights, 0.0)
 	}
 }
-
-func (n *naive) accepted() uint64 {
-	seen := map[uint64]bool{}
-	for id := range n.ended {
-		seen[id] = true
-	}
-	return uint64(len(seen))
-}
