session: forget closed sessions exactly in the order of closing

With 20,000 checks TestRegistryAgainstNaiveModel found a session that was forgotten before its retention had passed: sessions that were opened and closed again left several records, and an older record closed at the same instant removed the newer one.

--- a/pkg/core/session/registry.go
+++ b/pkg/core/session/registry.go
@@ -1,6 +1,7 @@
 package session
 
 import (
+	"container/list"
 	"time"
 
 	"github.com/plantainstair/plantainstair/pkg/fault"
@@ -13,44 +14,42 @@
 	max       int
 	retention time.Duration
 	guards    map[string]*entry
-	closed    []closedSession // in order of closing
-	open      int
+	closed    *list.List // of *entry, in order of closing
 }
 
 type entry struct {
+	id     string
 	guard  Guard
-	open   bool
 	closed time.Time
-}
-
-type closedSession struct {
-	id string
-	at time.Time
+	place  *list.Element // in the list of closed sessions; nil while open
 }
 
 // NewRegistry returns a registry for at most maxSessions open sessions.
 func NewRegistry(maxSessions int, retention time.Duration) *Registry {
-	return &Registry{max: maxSessions, retention: retention, guards: make(map[string]*entry)}
+	return &Registry{
+		max:       maxSessions,
+		retention: retention,
+		guards:    make(map[string]*entry),
+		closed:    list.New(),
+	}
 }
 
 // Open begins an epoch of a session at position next.
 func (r *Registry) Open(now time.Time, id string, epoch uint64, next uint32) error {
 	r.sweep(now)
 	e := r.guards[id]
-	if e == nil || !e.open {
-		if r.open >= r.max {
-			return fault.New(fault.Overloaded, "%d sessions are open", r.open).WithOutcome(fault.NotRun)
-		}
+	if open, _ := r.Len(); open >= r.max && (e == nil || e.place != nil) {
+		return fault.New(fault.Overloaded, "%d sessions are open", open).WithOutcome(fault.NotRun)
 	}
 	if e == nil {
-		e = &entry{}
+		e = &entry{id: id}
 	}
 	if err := e.guard.Open(epoch, next); err != nil {
 		return err
 	}
-	if !e.open {
-		e.open = true
-		r.open++
+	if e.place != nil {
+		r.closed.Remove(e.place)
+		e.place = nil
 	}
 	r.guards[id] = e
 	return nil
@@ -62,7 +61,7 @@
 	if e == nil {
 		return fault.New(fault.NotFound, "session is not open").WithField("session")
 	}
-	if !e.open && epoch >= e.guard.epoch {
+	if e.place != nil && epoch >= e.guard.epoch {
 		return fault.New(fault.NotFound, "session is closed").WithField("session")
 	}
 	return e.guard.Step(epoch, position, count)
@@ -72,34 +71,29 @@
 // has taken over, whose work must continue.
 func (r *Registry) Close(now time.Time, id string, epoch uint64) bool {
 	e := r.guards[id]
-	if e == nil || !e.open || e.guard.epoch != epoch {
+	if e == nil || e.place != nil || e.guard.epoch != epoch {
 		return false
 	}
-	e.open = false
 	e.closed = now
-	r.open--
-	r.closed = append(r.closed, closedSession{id: id, at: now})
+	e.place = r.closed.PushBack(e)
 	r.sweep(now)
 	return true
 }
 
-// Len returns the number of open and of remembered sessions.
-func (r *Registry) Len() (open, remembered int) { return r.open, len(r.guards) }
+// Len returns the number of open sessions, and of all that are remembered.
+func (r *Registry) Len() (open, remembered int) {
+	return len(r.guards) - r.closed.Len(), len(r.guards)
+}
 
-// sweep forgets sessions whose retention has passed. Remembered sessions are
+// sweep forgets sessions whose retention has passed. Closed sessions are
 // bounded by twice the maximum; beyond it the oldest are forgotten first.
 func (r *Registry) sweep(now time.Time) {
-	n := 0
-	for n < len(r.closed) {
-		c := r.closed[n]
-		if now.Sub(c.at) < r.retention && len(r.closed)-n <= 2*r.max {
-			break
-		}
-		e := r.guards[c.id]
-		if e != nil && !e.open && e.closed.Equal(c.at) {
-			delete(r.guards, c.id)
+	for oldest := r.closed.Front(); oldest != nil; oldest = r.closed.Front() {
+		e := oldest.Value.(*entry)
+		if now.Sub(e.closed) < r.retention && r.closed.Len() <= 2*r.max {
+			return
 		}
-		n++
+		r.closed.Remove(oldest)
+		delete(r.guards, e.id)
 	}
-	r.closed = r.closed[n:]
 }
