replica, wal: directory lock, interrupted creation, addresses for joining nodes

A joining node learns the voters from the heartbeats of the leader, as it must answer before it holds a log entry. A crash during the first creation of a log no longer leaves a directory that can't be opened.

--- a/pkg/core/raft/log.go
+++ b/pkg/core/raft/log.go
@@ -103,6 +103,17 @@
 	l.base, l.baseTerm = index, t
 }
 
+// behind returns an index that leaves not more than so many entries and bytes
+// of entries between it and the given index.
+func (l *entryLog) behind(index uint64, entries, bytes int) uint64 {
+	for index > l.base && entries > 0 && bytes > 0 {
+		entries--
+		bytes -= len(l.entries[index-l.base-1].Data)
+		index--
+	}
+	return index
+}
+
 // reset replaces the log by a snapshot.
 func (l *entryLog) reset(snap *wirepb.SnapshotMeta) {
 	l.base, l.baseTerm = snap.Index, snap.Term
--- a/pkg/core/raft/model_test.go
+++ b/pkg/core/raft/model_test.go
@@ -246,7 +246,7 @@
 		return
 	}
 	p.snap = &wirepb.SnapshotMeta{Index: index, Term: term, Voters: p.node.VotersAt(index), Cluster: p.cluster}
-	p.node.Compact(index - min(index, uint64(m.rng.IntN(4))))
+	p.node.Compact(index, m.rng.IntN(4), 100)
 	m.process(p)
 }
 
--- a/pkg/core/raft/node.go
+++ b/pkg/core/raft/node.go
@@ -250,9 +250,11 @@
 	n.hardDirty = true
 }
 
-// Compact drops log entries up to index, which a durable snapshot covers.
-func (n *Node) Compact(index uint64) {
-	n.log.compact(min(index, n.log.applied, n.log.stable))
+// Compact drops log entries up to index, which a durable snapshot covers. Not
+// more than so many entries and bytes before it stay for slow followers.
+func (n *Node) Compact(index uint64, entries, bytes int) {
+	index = min(index, n.log.applied, n.log.stable)
+	n.log.compact(n.log.behind(index, entries, bytes))
 }
 
 // TermAt returns the term of a held entry.
--- a/pkg/core/raft/replicate.go
+++ b/pkg/core/raft/replicate.go
@@ -70,10 +70,15 @@
 			continue
 		}
 		p := n.progress[v.Id]
-		n.send(&wirepb.RaftMessage{
+		m := &wirepb.RaftMessage{
 			Type: uint32(MsgHeartbeat), To: v.Id, Context: n.reads.round,
 			Commit: min(n.log.commit, p.match),
-		})
+		}
+		if v.Learner && p.match == 0 {
+			// A joining node needs addresses to answer before it holds any entry.
+			m.Snapshot = &wirepb.SnapshotMeta{Voters: n.Voters()}
+		}
+		n.send(m)
 	}
 }
 
@@ -145,6 +150,9 @@
 	if !n.followLeader(m) {
 		return
 	}
+	if len(n.Voters()) == 0 && m.Snapshot != nil {
+		n.out.Voters = m.Snapshot.Voters
+	}
 	// The leader sends only what this node confirmed, but that node may have
 	// been its predecessor on another disk.
 	n.commitTo(min(m.Commit, n.log.last()))
--- a/pkg/replica/bench_test.go
+++ b/pkg/replica/bench_test.go
@@ -98,16 +98,25 @@
 }
 
 // BenchmarkLeaderStopped measures for how long no proposal is accepted after
-// the leader was stopped, with the default time-outs. Use -benchtime=20x or
-// more.
+// the leader fell silent or was closed, with the default time-outs. Use
+// -benchtime=20x or more.
 func BenchmarkLeaderStopped(b *testing.B) {
+	for _, silent := range []bool{true, false} {
+		b.Run(fmt.Sprintf("silent=%v", silent), func(b *testing.B) { benchmarkLeaderStopped(b, silent) })
+	}
+}
+
+func benchmarkLeaderStopped(b *testing.B, silent bool) {
 	c := newCluster(b, 3, nil)
 	var gaps []time.Duration
 	for i := range b.N {
 		c.mustPropose(fmt.Sprint("before ", i))
 		lead := c.leader().opts.ID
-		c.net.isolate(lead, true)
+		c.net.isolate(lead, silent)
 		start := time.Now()
+		if !silent {
+			c.stop(lead)
+		}
 		c.mustPropose(fmt.Sprint("after ", i), lead)
 		gaps = append(gaps, time.Since(start))
 		c.stop(lead)
--- a/pkg/replica/cluster_test.go
+++ b/pkg/replica/cluster_test.go
@@ -66,6 +66,7 @@
 	replicas map[uint64]*Replica
 	cut      map[[2]uint64]bool // from, to
 	counts   map[[2]uint64]int  // from, type
+	known    map[[2]uint64]bool // from, to: pairs whose address is known
 }
 
 // sent returns how many messages of a type a replica sent.
@@ -78,7 +79,7 @@
 func (n *network) deliver(from, to uint64, f func(*Replica)) {
 	n.mu.Lock()
 	r := n.replicas[to]
-	cut := n.cut[[2]uint64{from, to}]
+	cut := n.cut[[2]uint64{from, to}] || !n.known[[2]uint64{from, to}]
 	n.mu.Unlock()
 	if r != nil && !cut {
 		f(r)
@@ -118,14 +119,18 @@
 }
 
 func (p port) SendSnapshot(to *wirepb.Voter, meta *wirepb.SnapshotMeta, data []byte) {
-	term := uint64(0)
-	p.net.deliver(p.id, p.id, func(r *Replica) { term = r.Status().Term })
 	p.net.deliver(p.id, to.Id, func(r *Replica) {
-		go func() { _ = r.InstallSnapshot(proto.CloneOf(meta), p.id, term, data) }()
+		go func() { _ = r.InstallSnapshot(proto.CloneOf(meta), p.id, meta.SenderTerm, data) }()
 	})
 }
 
-func (p port) SetVoters([]*wirepb.Voter) {}
+func (p port) SetVoters(voters []*wirepb.Voter) {
+	p.net.mu.Lock()
+	defer p.net.mu.Unlock()
+	for _, v := range voters {
+		p.net.known[[2]uint64{p.id, v.Id}] = true
+	}
+}
 
 // cluster is a set of replicas with their state machines and directories.
 type cluster struct {
@@ -144,7 +149,7 @@
 func newCluster(t testing.TB, size uint64, adjust func(*Options)) *cluster {
 	c := &cluster{
 		t: t, dir: t.TempDir(), adjust: adjust, machines: map[uint64]*register{},
-		net: &network{replicas: map[uint64]*Replica{}, cut: map[[2]uint64]bool{}, counts: map[[2]uint64]int{}},
+		net: &network{replicas: map[uint64]*Replica{}, cut: map[[2]uint64]bool{}, counts: map[[2]uint64]int{}, known: map[[2]uint64]bool{}},
 	}
 	for id := uint64(1); id <= size; id++ {
 		c.voters = append(c.voters, voter(id))
--- a/pkg/replica/recover.go
+++ b/pkg/replica/recover.go
@@ -169,6 +169,7 @@
 // form runs until the initial voters agreed on their disks. It returns false
 // when the replica was closed or must not run.
 func (r *Replica) form(ticks <-chan time.Time) bool {
+	r.log.Info("Waiting for all initial voters to form the cluster.")
 	r.opts.Transport.Send(r.formation.Requests())
 	for {
 		select {
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -54,6 +54,7 @@
 	SnapshotBytes   int // bytes of entries applied between two snapshots
 	// TrailingEntries stay in memory behind a snapshot for slow followers.
 	TrailingEntries int
+	TrailingBytes   int
 	// MaxProposalBytes keeps an append message under the largest frame.
 	MaxProposalBytes int
 	MaxPending       int // proposals that wait for their commit
@@ -74,6 +75,7 @@
 	DefaultHeartbeat        = 40 * time.Millisecond
 	DefaultSnapshotEntries  = 10_000
 	DefaultTrailingEntries  = 2_000
+	DefaultTrailingBytes    = 8 << 20
 	DefaultMaxProposalBytes = 512 << 10
 	DefaultMaxPending       = 8192
 	DefaultSnapshotBytes    = 32 << 20
@@ -114,6 +116,7 @@
 	stop      chan struct{}
 	done      chan struct{}
 	closeOnce sync.Once
+	closeErr  error
 	status    atomic.Pointer[Status]
 	failure   atomic.Pointer[fault.Error]
 
@@ -180,6 +183,7 @@
 	setDefault(&o.SegmentSize, wal.DefaultSegmentSize)
 	setDefault(&o.SnapshotEntries, DefaultSnapshotEntries)
 	setDefault(&o.TrailingEntries, DefaultTrailingEntries)
+	setDefault(&o.TrailingBytes, DefaultTrailingBytes)
 	setDefault(&o.MaxProposalBytes, DefaultMaxProposalBytes)
 	setDefault(&o.MaxPending, DefaultMaxPending)
 	setDefault(&o.SnapshotBytes, DefaultSnapshotBytes)
@@ -290,9 +294,10 @@
 	r.closeOnce.Do(func() {
 		r.handOver()
 		close(r.stop)
+		<-r.done
+		r.closeErr = r.wal.Close()
 	})
-	<-r.done
-	return r.wal.Close()
+	return r.closeErr
 }
 
 // call runs f in the owner.
--- a/pkg/replica/requests.go
+++ b/pkg/replica/requests.go
@@ -77,7 +77,9 @@
 
 func (r *Replica) notLeader() *fault.Error {
 	e := fault.New(fault.NotLeader, "replica %d is not the leader", r.opts.ID).WithOutcome(fault.NotRun)
-	e.Leader = r.leaderAddress()
+	if r.node.Leader() != r.opts.ID { // else it is handing the leadership over
+		e.Leader = r.leaderAddress()
+	}
 	if e.Leader == "" {
 		e.RetryAfter = r.opts.ElectionTimeout
 	}
--- a/pkg/replica/snapshots.go
+++ b/pkg/replica/snapshots.go
@@ -32,7 +32,7 @@
 		if s != nil && s.meta.Index == index && index > r.latest.meta.GetIndex() {
 			previous := r.latest.meta.GetIndex()
 			r.latest = *s
-			r.node.Compact(index - min(index, uint64(r.opts.TrailingEntries)))
+			r.node.Compact(index, r.opts.TrailingEntries, r.opts.TrailingBytes)
 			r.writer.add(job{compact: previous})
 		}
 	}
--- a/pkg/wal/fs.go
+++ b/pkg/wal/fs.go
@@ -4,6 +4,7 @@
 	"io"
 	"os"
 	"path/filepath"
+	"syscall"
 
 	"github.com/plantainstair/plantainstair/pkg/fault"
 )
@@ -21,6 +22,8 @@
 	Rename(from, to string) error
 	Remove(name string) error
 	MakeDir(dir string) error
+	// Lock keeps other processes from locking the same file until it is closed.
+	Lock(name string) (io.Closer, error)
 	// SyncDir makes created, renamed and removed names durable.
 	SyncDir(dir string) error
 }
@@ -75,6 +78,19 @@
 // MakeDir implements FS.
 func (OS) MakeDir(dir string) error { return os.MkdirAll(dir, dirPerm) }
 
+// Lock implements FS.
+func (OS) Lock(name string) (io.Closer, error) {
+	f, err := os.OpenFile(name, os.O_CREATE|os.O_RDWR, filePerm)
+	if err != nil {
+		return nil, err
+	}
+	if err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		_ = f.Close()
+		return nil, err
+	}
+	return f, nil
+}
+
 // SyncDir implements FS.
 func (OS) SyncDir(dir string) error {
 	d, err := os.Open(dir)
--- a/pkg/wal/hardstate.go
+++ b/pkg/wal/hardstate.go
@@ -3,8 +3,10 @@
 import (
 	"encoding/binary"
 	"hash/crc32"
+	iofs "io/fs"
 	"path/filepath"
 
+	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/plantainstair/plantainstair/pkg/fault"
@@ -79,6 +81,9 @@
 func readHardState(fs FS, dir string) (*HardState, error) {
 	name := filepath.Join(dir, hardStateFile)
 	b, err := fs.Read(name)
+	if errors.Is(err, iofs.ErrNotExist) {
+		return nil, corrupt(name, 0, "hard state is missing")
+	}
 	if err != nil {
 		return nil, diskFault(err, "read", name)
 	}
--- a/pkg/wal/memfs_test.go
+++ b/pkg/wal/memfs_test.go
@@ -1,6 +1,7 @@
 package wal
 
 import (
+	"io"
 	"io/fs"
 	"math/rand/v2"
 	"path/filepath"
@@ -89,6 +90,8 @@
 	return nil
 }
 
+func (m *memFS) Lock(string) (io.Closer, error) { return &memFile{fs: m}, nil }
+
 func (m *memFS) MakeDir(string) error { return nil }
 
 func (m *memFS) SyncDir(string) error {
--- a/pkg/wal/wal.go
+++ b/pkg/wal/wal.go
@@ -3,6 +3,7 @@
 package wal
 
 import (
+	"io"
 	"math/rand/v2"
 	"path/filepath"
 	"slices"
@@ -49,10 +50,12 @@
 	finished []segment
 	active   segment
 	file     File
+	lock     io.Closer
 	failed   error
 }
 
-// Exists reports whether dir holds a log.
+// Exists reports whether dir holds a log. An empty first segment without a hard
+// state is left by an interrupted Create and does not count.
 func Exists(fs FS, dir string) (bool, error) {
 	if err := fs.MakeDir(dir); err != nil {
 		return false, diskFault(err, "create", dir)
@@ -61,8 +64,18 @@
 	if err != nil {
 		return false, diskFault(err, "list", dir)
 	}
+	if slices.Contains(names, hardStateFile) {
+		return true, nil
+	}
 	for _, name := range names {
-		if _, ok := parseSegmentName(name); ok || name == hardStateFile {
+		if _, ok := parseSegmentName(name); !ok {
+			continue
+		}
+		content, err := fs.Read(filepath.Join(dir, name))
+		if err != nil {
+			return false, diskFault(err, "read", name)
+		}
+		if name != segmentName(1) || len(content) > segmentHeaderSize {
 			return true, nil
 		}
 	}
@@ -80,24 +93,43 @@
 	if exists {
 		return nil, fault.New(fault.Conflict, "directory holds a log").WithField(l.dir)
 	}
+	if err := l.lockDir(); err != nil {
+		return nil, err
+	}
 	hard.Member = randomID()
 	l.hard = hard
-	if err := l.startSegment(1); err != nil {
+	err = l.startSegment(1)
+	if err == nil {
+		err = l.saveHardState()
+	}
+	if err != nil {
+		_ = l.Close()
 		return nil, err
 	}
-	return l, l.saveHardState()
+	return l, nil
+}
+
+const lockFile = "lock"
+
+// lockDir keeps a second process from using the directory.
+func (l *Log) lockDir() error {
+	lock, err := l.fs.Lock(l.path(lockFile))
+	if err != nil {
+		return fault.Wrap(err, fault.Conflict, "directory is in use").WithField(l.dir)
+	}
+	l.lock = lock
+	return nil
 }
 
 // Open recovers the log in a directory.
 func Open(o Options) (*Log, *State, error) {
 	l := newLog(o)
-	hard, err := readHardState(l.fs, l.dir)
-	if err != nil {
+	if err := l.lockDir(); err != nil {
 		return nil, nil, err
 	}
-	l.hard = *hard
-	state := &State{HardState: *hard}
-	if err := l.recover(state); err != nil {
+	state, err := l.recover()
+	if err != nil {
+		_ = l.Close()
 		return nil, nil, err
 	}
 	return l, state, nil
@@ -123,7 +155,17 @@
 
 func (l *Log) path(name string) string { return filepath.Join(l.dir, name) }
 
-func (l *Log) recover(state *State) error {
+func (l *Log) recover() (*State, error) {
+	hard, err := readHardState(l.fs, l.dir)
+	if err != nil {
+		return nil, err
+	}
+	l.hard = *hard
+	state := &State{HardState: *hard}
+	return state, l.recoverSegments(state)
+}
+
+func (l *Log) recoverSegments(state *State) error {
 	sequences, err := l.listSegments()
 	if err != nil {
 		return err
@@ -336,12 +378,16 @@
 	return err
 }
 
-// Close closes the active segment.
+// Close closes the active segment and frees the directory.
 func (l *Log) Close() error {
-	if l.file == nil {
-		return nil
+	var err error
+	if l.file != nil {
+		err = l.file.Close()
 	}
-	if err := l.file.Close(); err != nil {
+	if lockErr := l.lock.Close(); err == nil {
+		err = lockErr
+	}
+	if err != nil {
 		return diskFault(err, "close", l.dir)
 	}
 	return nil
--- a/pkg/wal/wal_test.go
+++ b/pkg/wal/wal_test.go
@@ -175,10 +175,12 @@
 		after := m.crash(rng)
 		exists, err := Exists(after, "d")
 		assert.NilError(t, err)
-		if len(s.acked) == 0 && s.term == 0 {
+		if !exists {
+			assert.Assert(t, len(s.acked) == 0 && s.term == 0)
+			_, err := Create(Options{Dir: "d", FS: after}, HardState{ID: 1})
+			assert.NilError(t, err)
 			return
 		}
-		assert.Assert(t, exists)
 		_, state, err := Open(Options{Dir: "d", FS: after, SegmentSize: 300})
 		assert.NilError(t, err)
 		checkRecovered(t, s, state)
