load: report what was served within the measured time

Rates of answered requests by arrival counted what was served out of full queues after the arrivals had ended: in a trial with a twofold overload batch work appeared to be served faster than urgent work.

--- a/pkg/load/bound.go
+++ b/pkg/load/bound.go
@@ -7,14 +7,13 @@
 	"time"
 )
 
-// Bound compares what was offered and answered with what the stand-ins could
+// Bound compares what was offered and served with what the stand-ins could
 // serve at most.
 type Bound struct {
-	Kind, Name                string  // model or service
-	Offered, Answered, Limit  float64 // requests per second
-	TokensPerRequest          float64 // generated
-	PromptTokensPerRequest    float64
-	LimitTokens, ServedTokens float64 // generated tokens per second
+	Kind, Name             string  // model or service
+	Offered, Served, Limit float64 // requests per second
+	TokensPerRequest       float64 // generated
+	PromptTokensPerRequest float64
 }
 
 // Bounds returns the bound of each model and service that was offered and has
@@ -25,24 +24,25 @@
 	seconds := p.measured().Seconds()
 	var out []Bound
 	for name, o := range p.models {
+		if o.requests == 0 {
+			continue
+		}
 		b := Bound{
 			Kind: "model", Name: name,
 			Offered:                float64(o.requests) / seconds,
-			Answered:               float64(o.answered) / seconds,
+			Served:                 float64(o.served) / seconds,
 			TokensPerRequest:       float64(o.output) / float64(o.requests),
 			PromptTokensPerRequest: float64(o.prompt) / float64(o.requests),
 		}
 		b.Limit = p.scenario.modelLimit(name, o.layers, b.PromptTokensPerRequest, b.TokensPerRequest)
-		b.LimitTokens = b.Limit * b.TokensPerRequest
-		b.ServedTokens = b.Answered * b.TokensPerRequest
 		out = append(out, b)
 	}
-	for name, n := range p.services {
+	for name, o := range p.services {
 		out = append(out, Bound{
 			Kind: "service", Name: name,
-			Offered:  float64(n) / seconds,
-			Answered: p.answeredCalls(name) / seconds,
-			Limit:    p.scenario.serviceLimit(name),
+			Offered: float64(o.requests) / seconds,
+			Served:  float64(o.served) / seconds,
+			Limit:   p.scenario.serviceLimit(name),
 		})
 	}
 	slices.SortFunc(out, func(a, b Bound) int {
@@ -51,16 +51,6 @@
 	return out
 }
 
-func (p *Report) answeredCalls(service string) float64 {
-	n := 0
-	for _, m := range p.scenario.Mixes {
-		if m.Kind == KindService && m.Service == service {
-			n += p.group(scopeMix, m.Name).Outcomes[Answered]
-		}
-	}
-	return float64(n)
-}
-
 // modelLimit returns the requests per second that the engines can serve at
 // most. Every request uses each layer once, so the layer with the least
 // capacity bounds the model. An engine is counted with full batches.
--- a/pkg/load/load_test.go
+++ b/pkg/load/load_test.go
@@ -214,6 +214,7 @@
 		sum += n
 	}
 	assert.Equal(t, sum, total.Offered)
+	assert.Assert(t, total.Served > 0 && total.Served <= total.Outcomes[Answered])
 	assert.Equal(t, report.Resends, got["answered unknown_outcome"])
 
 	var table, lines, timeline bytes.Buffer
--- a/pkg/load/output.go
+++ b/pkg/load/output.go
@@ -26,7 +26,7 @@
 // WriteTable writes the figures for people.
 func (p *Report) WriteTable(w io.Writer) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(t, "group\toffered/s\tanswered/s\tanswered\tnot_run\tunknown\ttruncated\twrong\tnot_sent\tfirst p50\tp95\tp99\tmax\tgap p50\tp95\tp99\tmax\t")
+	fmt.Fprintln(t, "group\toffered/s\tserved/s\ttokens/s\tanswered\tnot_run\tunknown\ttruncated\twrong\tnot_sent\tfirst p50\tp95\tp99\tmax\tgap p50\tp95\tp99\tmax\t")
 	for _, scope := range scopes {
 		for i, g := range p.Groups(scope) {
 			if scope == scopeOrganisation && i >= maxTableOrganisations {
@@ -46,7 +46,8 @@
 
 func (p *Report) writeRow(t io.Writer, g *Group) {
 	seconds := p.measured().Seconds()
-	fmt.Fprintf(t, "%s %s\t%.2f\t%.2f\t", g.Scope, g.Name, float64(g.Offered)/seconds, float64(g.Outcomes[Answered])/seconds)
+	fmt.Fprintf(t, "%s %s\t%.2f\t%.2f\t%.1f\t", g.Scope, g.Name,
+		float64(g.Offered)/seconds, float64(g.Served)/seconds, float64(g.Received)/seconds)
 	for _, n := range g.Outcomes {
 		fmt.Fprintf(t, "%d\t", n)
 	}
@@ -72,19 +73,18 @@
 		if b.Limit == 0 {
 			continue // no capacities in the scenario
 		}
-		fmt.Fprintf(w, "\n%s %s: offered %.2f/s, bound %.2f/s, answered %.2f/s (%.1f%% of the lower)",
-			b.Kind, b.Name, b.Offered, b.Limit, b.Answered, 100*b.Answered/min(b.Offered, b.Limit))
+		fmt.Fprintf(w, "\n%s %s: offered %.2f/s, bound %.2f/s, served %.2f/s (%.1f%% of the lower)",
+			b.Kind, b.Name, b.Offered, b.Limit, b.Served, 100*b.Served/min(b.Offered, b.Limit))
 		if b.Kind == "model" {
-			fmt.Fprintf(w, "; %.1f of at most %.1f tokens/s", b.ServedTokens, b.LimitTokens)
+			fmt.Fprintf(w, "; bound of generated tokens %.1f/s", b.Limit*b.TokensPerRequest)
 		}
 	}
 }
 
 func (p *Report) writeNotes(w io.Writer) {
 	total := p.Total()
-	fmt.Fprintf(w, "\nlatencies in ms; measured %s after a warm-up of %s, seed %d; %.1f tokens/s received; sends at most %s late; %d resends\n",
-		p.measured(), p.scenario.Run.WarmUp, p.scenario.Run.Seed,
-		float64(p.Received)/p.measured().Seconds(), p.MaxLate.Round(time.Microsecond), p.Resends)
+	fmt.Fprintf(w, "\nlatencies in ms; measured %s after a warm-up of %s, seed %d; sends at most %s late; %d resends\n",
+		p.measured(), p.scenario.Run.WarmUp, p.scenario.Run.Seed, p.MaxLate.Round(time.Microsecond), p.Resends)
 	for _, code := range slices.Sorted(maps.Keys(total.Codes)) {
 		fmt.Fprintf(w, "%s: %d\n", code, total.Codes[code])
 	}
@@ -93,7 +93,7 @@
 // WriteCSV writes one line for each group.
 func (p *Report) WriteCSV(w io.Writer) error {
 	c := csv.NewWriter(w)
-	header := []string{"scope", "name", "offered", "offered_per_s", "answered_per_s", "offered_tokens", "served_tokens"}
+	header := []string{"scope", "name", "offered", "offered_per_s", "served_per_s", "offered_tokens", "received_tokens"}
 	header = append(header, outcomeNames[:]...)
 	for _, name := range []string{"first", "gap"} {
 		for _, q := range quantiles {
@@ -107,8 +107,8 @@
 			row := []string{
 				g.Scope, g.Name, strconv.Itoa(g.Offered),
 				fmt.Sprintf("%.3f", float64(g.Offered)/seconds),
-				fmt.Sprintf("%.3f", float64(g.Outcomes[Answered])/seconds),
-				strconv.Itoa(g.OfferedTokens), strconv.Itoa(g.ServedTokens),
+				fmt.Sprintf("%.3f", float64(g.Served)/seconds),
+				strconv.Itoa(g.OfferedTokens), strconv.Itoa(g.Received),
 			}
 			row = append(row, counts(g.Outcomes)...)
 			for _, h := range []*hdrhistogram.Histogram{g.First, g.Gap} {
--- a/pkg/load/report.go
+++ b/pkg/load/report.go
@@ -25,13 +25,16 @@
 )
 
 // Group holds the figures of the requests that share a scope and name.
-// Requests that arrived during the warm-up are left out.
+// Requests that arrived during the warm-up are left out, except from Served
+// and Received: what is served after the arrivals have ended, out of queues
+// that are still full, says nothing about the rate under load.
 type Group struct {
 	Scope, Name   string
 	Offered       int
 	Outcomes      [outcomes]int
 	OfferedTokens int // prompt plus requested
-	ServedTokens  int // prompt plus generated, of complete answers
+	Served        int // answers completed after the warm-up and before the end
+	Received      int // tokens received after the warm-up and before the end
 	Codes         map[string]int
 	// First holds the time from the planned arrival to the first token of
 	// chat requests and to the answer of service calls, in microseconds.
@@ -46,17 +49,14 @@
 	groups   map[[2]string]*Group
 	seconds  map[int]*Second
 	models   map[string]*offer
-	services map[string]int
-	// Received is the number of tokens received after the warm-up and before
-	// the end of the arrivals.
-	Received int
+	services map[string]*offer
 	MaxLate  time.Duration // largest delay of a send after its planned time
 	Resends  int
 }
 
-// offer sums the requests of one model.
+// offer sums the requests of one model or service.
 type offer struct {
-	requests, answered     int
+	requests, served       int
 	prompt, output, layers int
 }
 
@@ -74,7 +74,7 @@
 		groups:   make(map[[2]string]*Group),
 		seconds:  make(map[int]*Second),
 		models:   make(map[string]*offer),
-		services: make(map[string]int),
+		services: make(map[string]*offer),
 	}
 }
 
@@ -82,42 +82,49 @@
 func (p *Report) add(r *Result) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	run := &p.scenario.Run
-	for _, at := range r.Tokens {
-		if at >= run.WarmUp && at < run.Duration {
-			p.Received++
-		}
-	}
 	p.second(r)
-	if r.Arrival.At < run.WarmUp {
-		return
-	}
-	p.MaxLate = max(p.MaxLate, r.Late)
-	p.Resends += r.Resends
 	p.offer(r)
 	m := r.Arrival.Mix
-	p.group(scopeTotal, "all").add(r)
-	p.group(scopeRank, m.Rank).add(r)
-	p.group(scopeMix, m.Name).add(r)
-	p.group(scopeOrganisation, r.Arrival.Organisation).add(r)
+	names := [...][2]string{
+		{scopeTotal, "all"}, {scopeRank, m.Rank}, {scopeMix, m.Name}, {scopeOrganisation, r.Arrival.Organisation},
+	}
+	for _, name := range names {
+		g := p.group(name[0], name[1])
+		g.serve(r, &p.scenario.Run)
+		if p.counts(r) {
+			g.add(r)
+		}
+	}
+	if p.counts(r) {
+		p.MaxLate = max(p.MaxLate, r.Late)
+		p.Resends += r.Resends
+	}
 }
 
+// counts reports whether r arrived after the warm-up.
+func (p *Report) counts(r *Result) bool { return r.Arrival.At >= p.scenario.Run.WarmUp }
+
+// covers reports whether at lies after the warm-up and before the end.
+func (run *Run) covers(at time.Duration) bool { return at >= run.WarmUp && at < run.Duration }
+
 func (p *Report) offer(r *Result) {
 	m := r.Arrival.Mix
+	offers, name := p.models, m.Model
 	if m.Kind == KindService {
-		p.services[m.Service]++
-		return
+		offers, name = p.services, m.Service
 	}
-	o := p.models[m.Model]
+	o := offers[name]
 	if o == nil {
 		o = &offer{layers: m.Layers}
-		p.models[m.Model] = o
+		offers[name] = o
+	}
+	if r.Outcome == Answered && p.scenario.Run.covers(r.End) {
+		o.served++
 	}
-	o.requests++
-	o.prompt += r.Arrival.promptTokens()
-	o.output += r.Arrival.MaxTokens
-	if r.Outcome == Answered {
-		o.answered++
+	if p.counts(r) {
+		o.requests++
+		o.prompt += r.Arrival.promptTokens()
+		o.output += r.Arrival.MaxTokens
 	}
 }
 
@@ -155,6 +162,17 @@
 	return hdrhistogram.New(1, maxLatency.Microseconds(), histogramDigits)
 }
 
+func (g *Group) serve(r *Result, run *Run) {
+	if r.Outcome == Answered && run.covers(r.End) {
+		g.Served++
+	}
+	for _, at := range r.Tokens {
+		if run.covers(at) {
+			g.Received++
+		}
+	}
+}
+
 func (g *Group) add(r *Result) {
 	a := r.Arrival
 	g.Offered++
@@ -169,9 +187,6 @@
 		return
 	}
 	g.OfferedTokens += a.promptTokens() + a.MaxTokens
-	if r.Outcome == Answered {
-		g.ServedTokens += a.promptTokens() + len(r.Tokens)
-	}
 	if len(r.Tokens) == 0 {
 		return
 	}
