route: count the load of free slots and of other entries

Cause: free slots were costless, and an entry did not see what other entries sent since the last load report. A burst of 12 streams over two chains of 8 slots put all 12 on the chain with the shorter links. The agent's scheduler was ruled out: it held 8 running and 4 queued, as it should.

Change: work costs up to half more as a batch fills; requests sent since the report count once for each live entry; a host in slow start counts as smaller, as it would otherwise be the best of every sample that holds it.

--- /dev/null
+++ b/pkg/core/route/burst_test.go
@@ -0,0 +1,44 @@
+package route
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a burst that several entries send to one chain, so that
+// requests queue there beside free slots: two entries each place 6 requests
+// between two load reports on two chains of 8 slots, one with shorter links.
+func TestChain_BurstOfSeveralEntriesFindsFreeSlots(t *testing.T) {
+	const slots, requests = 8, 12
+	tables := []*Table{NewTable(), NewTable()}
+	for _, tab := range tables {
+		for i := range 4 {
+			first := i / 2 * 2
+			tab.Update(&Upstream{
+				Host:       fmt.Sprintf("h%d", i),
+				DataCentre: fmt.Sprintf("d%d", i%2), // h0 and h2 are neighbours, and so are h1 and h3
+				Slots:      slots,
+				InterToken: 5 * time.Millisecond,
+				RoundTrip:  time.Duration(1+i) * 200 * time.Microsecond,
+				Models:     []Held{{Model: "m", Version: "v", FirstLayer: first, LastLayer: first + 1}},
+			})
+		}
+	}
+	rng := rand.New(rand.NewPCG(1, 1))
+	used := map[string]int{}
+	for i := range requests {
+		need := Need{Model: "m", Layers: 4, MaxTokens: 120, DataCentre: "d0", Entries: len(tables)}
+		chain, err := tables[i%len(tables)].Chain(need, rng)
+		assert.NilError(t, err)
+		for _, s := range chain {
+			used[s.Host]++
+		}
+	}
+	for host, n := range used {
+		assert.Assert(t, n <= slots, "%s got %d requests for %d slots: %v", host, n, slots, used)
+	}
+}
--- a/pkg/core/route/cost.go
+++ b/pkg/core/route/cost.go
@@ -15,6 +15,10 @@
 	// to the first token. Cache events come late and with gaps, so a wrong
 	// guess may cost at most this much.
 	maxPrefixBonus = 0.5
+	// batchSlowdown is the part by which a full batch slows a step down beside
+	// an empty one. Without it free slots cost nothing, and until a queue forms
+	// every request takes the chain with the shortest links.
+	batchSlowdown = 0.5
 	// avoidPenalty makes a data centre to be avoided the last resort.
 	avoidPenalty = 30 * time.Second
 	// defaultFirstToken and defaultInterToken stand in for an engine that has
@@ -34,7 +38,8 @@
 // nodeCost estimates the time that u adds to the request, without its links.
 func (n *Need) nodeCost(u *Upstream, sent int64) time.Duration {
 	first, inter := u.speed()
-	work := first + n.tokensOf()*inter
+	sent *= int64(max(n.Entries, 1))
+	work := slowed(first+n.tokensOf()*inter, u, sent)
 	cost := n.queueCost(u, sent, work) + work - n.prefixBonus(u, first)
 	if n.AvoidDataCentre != "" && u.DataCentre == n.AvoidDataCentre {
 		cost += avoidPenalty
@@ -42,6 +47,13 @@
 	return cost
 }
 
+// slowed adds what the sessions that run or were sent since the report cost
+// each other in one batch.
+func slowed(work time.Duration, u *Upstream, sent int64) time.Duration {
+	used := float64(int64(u.Running)+sent) / float64(max(u.Slots, 1))
+	return work + time.Duration(float64(work)*batchSlowdown*min(used, 1))
+}
+
 func (u *Upstream) speed() (first, inter time.Duration) {
 	first, inter = u.FirstToken, u.InterToken
 	if first <= 0 {
--- a/pkg/core/route/sample.go
+++ b/pkg/core/route/sample.go
@@ -116,7 +116,10 @@
 	if weight <= 0 || slow && weight < 1 && s.rng.Float64() >= weight {
 		return out
 	}
-	cost := s.need.nodeCost(u, c.sentSinceReport())
+	// A host in slow start counts as smaller; being idle it would otherwise be
+	// the best choice of every sample that holds it.
+	sent := int64(float64(c.sentSinceReport()) / weight)
+	cost := s.need.nodeCost(u, sent)
 	return append(out, candidate{cell: c, up: u, cost: cost})
 }
 
--- a/pkg/core/route/upstream.go
+++ b/pkg/core/route/upstream.go
@@ -48,6 +48,9 @@
 	DataCentre              string   // of the caller
 	Exclude                 map[string]bool
 	AvoidDataCentre         string // used only when nothing else is left
+	// Entries is the number of processes that choose from the same upstreams.
+	// Each is taken to have sent as much since the last report as this one.
+	Entries int
 	// Weight returns the share of its normal traffic that a host may receive:
 	// 1 for a healthy host, 0 for an ejected one. Nil means 1 for all. It is
 	// called only for sampled hosts; Tracker.Weight fits.
--- a/pkg/role/entry/choose.go
+++ b/pkg/role/entry/choose.go
@@ -17,6 +17,7 @@
 // chooseChain chooses a chain whose hosts all admit work.
 func (e *Entry) chooseChain(s *snapshot, need route.Need) ([]route.Stage, error) {
 	need.Weight = e.weight()
+	need.Entries = s.view.LiveEntries
 	need.Exclude = copyOf(need.Exclude)
 	rng := newRand()
 	var last error
@@ -52,6 +53,7 @@
 // chooseService chooses an upstream that admits work.
 func (e *Entry) chooseService(s *snapshot, service string, need route.Need) (*route.Upstream, error) {
 	need.Weight = e.weight()
+	need.Entries = s.view.LiveEntries
 	need.Exclude = copyOf(need.Exclude)
 	rng := newRand()
 	for range maxChoices {
