upstreams, standin: test bounds, wrong answers, fencing, KV moves and decoders

A stage that the engine refuses ended only after its time-out, because the answer cannot be closed before the request body; it ends at once now. A cancelled stage of the stand-in frees its slot without waiting for the next step.

--- a/pkg/standin/enginehttp.go
+++ b/pkg/standin/enginehttp.go
@@ -1,10 +1,12 @@
 package standin
 
 import (
+	"context"
 	"encoding/json"
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/plantainstair/plantainstair/pkg/fault"
 	"github.com/plantainstair/plantainstair/pkg/upstreams"
@@ -161,6 +163,17 @@
 	}
 	defer release()
 	out := newLineWriter(w)
+	// A cancelled session must not wait for its next step.
+	fired := make(chan struct{})
+	stop := context.AfterFunc(s.ctx, func() {
+		defer close(fired)
+		_ = out.rc.SetReadDeadline(time.Unix(1, 0))
+	})
+	defer func() {
+		if !stop() {
+			<-fired
+		}
+	}()
 	if out.write(&upstreams.StageLine{Ready: true, CachedTokens: s.cachedTokens()}) != nil {
 		return
 	}
--- /dev/null
+++ b/pkg/standin/standin_test.go
@@ -0,0 +1,256 @@
+package standin
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+	"pgregory.net/rapid"
+
+	"github.com/plantainstair/plantainstair/pkg/fault"
+	"github.com/plantainstair/plantainstair/pkg/upstreams"
+)
+
+const layers = 4
+
+func startEngine(t testing.TB, change func(*EngineOptions)) (*Engine, string, *upstreams.Client) {
+	t.Helper()
+	opts := EngineOptions{
+		Name: "e", Layers: layers, Slots: 4, KVTokens: 1024, ChecksFencing: true,
+		Models: []upstreams.Model{
+			{Model: "m", Version: "v", LastLayer: layers - 1}, {Model: "m", Version: "v", LastLayer: 1},
+			{Model: "m", Version: "v", FirstLayer: 2, LastLayer: layers - 1},
+		},
+	}
+	if change != nil {
+		change(&opts)
+	}
+	e := NewEngine(opts)
+	t.Cleanup(e.Close)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	s := ServeEngine(e, ln)
+	t.Cleanup(s.Close)
+	c := upstreams.NewClient(upstreams.Options{})
+	t.Cleanup(c.Close)
+	return e, s.Address(), c
+}
+
+func open(session string, epoch uint64, first, last uint32) *upstreams.StageOpen {
+	return &upstreams.StageOpen{
+		Session: session, Epoch: epoch, Model: "m", Version: "v", FirstLayer: first, LastLayer: last, Last: last == layers-1,
+	}
+}
+
+func openStage(t testing.TB, c *upstreams.Client, address string, o *upstreams.StageOpen) *upstreams.Stage {
+	t.Helper()
+	s, err := c.OpenStage(context.Background(), address, o, time.Minute)
+	assert.NilError(t, err)
+	t.Cleanup(s.Close)
+	return s
+}
+
+func waitFor(t testing.TB, what string, cond func() bool) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if cond() {
+			return poll.Success()
+		}
+		return poll.Continue("%s", what)
+	}, poll.WithDelay(2*time.Millisecond))
+}
+
+// Guards against a model that hides a layer that was skipped, repeated or
+// swapped: each must change every later hidden state.
+func TestModel_OrderMatters(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		prompt := rapid.SliceOfN(rapid.Uint32(), 2, 30).Draw(t, "prompt")
+		at := rapid.IntRange(0, len(prompt)-1).Draw(t, "position")
+		mode := rapid.SampledFrom([]string{"skip", "repeat", "swap"}).Draw(t, "mode")
+		layer := rapid.IntRange(0, layers-2).Draw(t, "layer")
+		good, bad := make([]uint64, layers), make([]uint64, layers)
+		var want, got uint64
+		for p, token := range prompt {
+			want = runLayers(0, good, uint64(token))
+			if p != at {
+				got = runLayers(0, bad, uint64(token))
+				continue
+			}
+			got = runWrong(bad, uint64(token), layer, mode)
+		}
+		assert.Assert(t, want != got)
+	})
+}
+
+func runWrong(kv []uint64, below uint64, wrong int, mode string) uint64 {
+	order := []int{0, 1, 2, 3}
+	switch mode {
+	case "skip":
+		order = append(order[:wrong:wrong], order[wrong+1:]...)
+	case "repeat":
+		order = append(order[:wrong+1:wrong+1], order[wrong:]...)
+	case "swap":
+		order[wrong], order[wrong+1] = order[wrong+1], order[wrong]
+	}
+	for _, l := range order {
+		below = runLayer(uint32(l), below, kv[l])
+		kv[l] = below
+	}
+	return below
+}
+
+// Guards against an engine that runs a position twice, out of order or for a
+// fenced epoch.
+func TestEngine_RefusesPositionsAndEpochs(t *testing.T) {
+	e, address, c := startEngine(t, nil)
+	token := []uint32{1}
+	s := openStage(t, c, address, open("s", 2, 0, 1))
+	_, err := s.Step(&upstreams.StageStep{Epoch: 2, Position: 0, Tokens: token}, time.Minute)
+	assert.NilError(t, err)
+	_, err = s.Step(&upstreams.StageStep{Epoch: 2, Position: 0, Tokens: token}, time.Minute)
+	assert.Assert(t, fault.Is(err, fault.OutOfOrder), "%v", err)
+	_, err = c.OpenStage(context.Background(), address, open("s", 1, 0, 1), time.Minute)
+	assert.Assert(t, fault.Is(err, fault.StaleEpoch), "%v", err)
+	waitFor(t, "the slot of the refused stage", func() bool { return e.Records().Sessions == 0 })
+	_, err = c.OpenStage(context.Background(), address, open("s", 2, 0, 1), time.Minute)
+	assert.Assert(t, fault.Is(err, fault.OutOfOrder), "an epoch whose positions ran: %v", err)
+	old := openStage(t, c, address, open("s", 3, 0, 1))
+	openStage(t, c, address, open("s", 4, 0, 1))
+	_, err = old.Step(&upstreams.StageStep{Epoch: 3, Position: 0, Tokens: token}, time.Minute)
+	assert.Assert(t, err != nil, "a replaced epoch must not run")
+	assert.NilError(t, c.Cancel(context.Background(), address, "s", 4))
+	assert.Equal(t, e.Records().Cancelled, 1)
+	waitFor(t, "slots of ended sessions", func() bool { return e.Records().Sessions == 0 })
+	assert.Equal(t, len(e.Records().Layers), 1)
+	for epoch, kind := range map[uint64]fault.Kind{5: "", 4: fault.StaleEpoch} {
+		if epoch == 4 {
+			assert.NilError(t, c.SendOrder(context.Background(), address, &upstreams.Order{ID: "o", Epoch: 5}))
+		}
+		err := c.SendOrder(context.Background(), address, &upstreams.Order{ID: "o", Epoch: epoch})
+		assert.Equal(t, fault.KindOf(err), kind)
+	}
+}
+
+// Guards against KV state that changes on its way between engines.
+func TestEngine_KVMovesToAnotherEngine(t *testing.T) {
+	_, from, c := startEngine(t, nil)
+	_, to, _ := startEngine(t, nil)
+	prompt := []uint32{5, 6, 7}
+	want := Reference(prompt, layers, 0, 2)
+	s := openStage(t, c, from, open("s", 1, 0, layers-1))
+	line, err := s.Step(&upstreams.StageStep{Epoch: 1, Tokens: prompt}, time.Minute)
+	assert.NilError(t, err)
+	assert.Equal(t, line.Token, want[0])
+	state, err := c.ExportKV(context.Background(), from, "s", 1)
+	assert.NilError(t, err)
+	assert.NilError(t, c.ImportKV(context.Background(), to, "s", 2, state))
+	moved := openStage(t, c, to, open("s", 2, 0, layers-1))
+	assert.Equal(t, moved.Cached(), uint32(3))
+	line, err = moved.Step(&upstreams.StageStep{Epoch: 2, Position: 3, Tokens: want[:1]}, time.Minute)
+	assert.NilError(t, err)
+	assert.Equal(t, line.Token, want[1])
+}
+
+// Guards against a cache that grows without bound or serves a wrong state.
+func TestEngine_PrefixCacheIsBoundedAndExact(t *testing.T) {
+	e, address, c := startEngine(t, func(o *EngineOptions) { o.KVTokens = 4 * upstreams.PrefixBlock })
+	rapid.Check(t, func(rt *rapid.T) {
+		session := rapid.StringMatching(`[a-z]{16}`).Draw(rt, "session")
+		prompt := make([]uint32, rapid.IntRange(1, 80).Draw(rt, "length"))
+		for i := range prompt {
+			prompt[i] = uint32(i / 32) // prompts share prefixes
+		}
+		var got []uint32
+		r := &upstreams.GenerateRequest{Session: session, Epoch: 1, Model: "m", Version: "v", Prompt: prompt, MaxTokens: 3, Seed: 9}
+		_, err := c.Generate(context.Background(), address, r, time.Minute, func(l *upstreams.GenerateLine) error {
+			got = append(got, l.Token)
+			return nil
+		})
+		if fault.Is(err, fault.OutOfOrder) {
+			return // the session was drawn before
+		}
+		assert.NilError(rt, err)
+		assert.DeepEqual(rt, got, Reference(prompt, layers, 9, 3))
+		assert.Assert(rt, len(e.cache.entries) <= 4)
+	})
+	assert.Assert(t, e.Records().CacheHits > 0)
+}
+
+// Guards against reports that hide the loss of cache events, and against a
+// step time that does not grow with the batch.
+func TestEngine_ReportsAndBatches(t *testing.T) {
+	got := &received{}
+	agent := httptest.NewServer(upstreams.NewReceiver(got))
+	defer agent.Close()
+	b := newBatcher(Timing{Step: 3, StepPerSession: 5, PrefillPerToken: 7}, newSwitchboard(), newRecorder(false))
+	assert.Equal(t, b.cost([]*batchJob{{}, {prefill: 10}}), time.Duration(3+2*5+10*7))
+	_, address, c := startEngine(t, func(o *EngineOptions) {
+		o.Report = ReportOptions{
+			Agent: agent.Listener.Addr().String(), Heartbeat: 5 * time.Millisecond, LoadInterval: 5 * time.Millisecond,
+			LoadLag: 15 * time.Millisecond, CacheLoss: 2,
+		}
+	})
+	for i := uint32(0); !got.complete(); i++ {
+		prompt := make([]uint32, upstreams.PrefixBlock)
+		prompt[0] = i
+		r := &upstreams.GenerateRequest{Session: time.Now().String(), Epoch: 1, Model: "m", Version: "v", Prompt: prompt, MaxTokens: 1}
+		_, err := c.Generate(context.Background(), address, r, time.Minute, func(*upstreams.GenerateLine) error { return nil })
+		assert.NilError(t, err)
+	}
+}
+
+// received notes that an announcement, a lagging load report and a gap in the
+// cache events have arrived.
+type received struct {
+	mu                  sync.Mutex
+	announced, lag, gap bool
+	next                uint64
+}
+
+func (r *received) complete() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.announced && r.lag && r.gap
+}
+
+func (r *received) Announced(a *upstreams.Announcement) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.announced = a.Slots == 4
+	return nil
+}
+
+func (r *received) Left() {}
+
+func (r *received) Loaded(l *upstreams.Load) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lag = l.AgeMS == 15
+}
+
+func (r *received) Cached(c *upstreams.CacheEvents) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.gap = r.gap || c.Sequence > r.next
+	r.next = c.Sequence + uint64(len(c.Events))
+}
+
+// Guards against a frozen stand-in that still answers.
+func TestEngine_FreezeAndThaw(t *testing.T) {
+	e, address, c := startEngine(t, nil)
+	s := openStage(t, c, address, open("s", 1, 0, 1))
+	e.SetFaults(Faults{Freeze: true})
+	_, err := s.Step(&upstreams.StageStep{Epoch: 1, Tokens: []uint32{1}}, 50*time.Millisecond)
+	assert.ErrorContains(t, err, "silent")
+	resp, err := http.Get("http://" + address + "/records")
+	assert.NilError(t, err)
+	assert.NilError(t, resp.Body.Close())
+	e.SetFaults(Faults{})
+	openStage(t, c, address, open("s", 2, 0, 1))
+}
--- a/pkg/upstreams/check.go
+++ b/pkg/upstreams/check.go
@@ -75,7 +75,9 @@
 	field := fmt.Sprintf("offset %d", offset)
 	switch e := err.(type) {
 	case *json.UnmarshalTypeError:
-		field = e.Field
+		if e.Field != "" {
+			field = e.Field
+		}
 	case *json.SyntaxError:
 		field = fmt.Sprintf("offset %d", e.Offset)
 	}
--- a/pkg/upstreams/stage.go
+++ b/pkg/upstreams/stage.go
@@ -41,12 +41,17 @@
 		return nil, err
 	}
 	req.Header.Set("Content-Type", ndjsonType)
-	resp, err := c.do(c.engine, req)
+	resp, err := c.engine.Do(req)
 	if err != nil {
 		s.Close()
-		return nil, err
+		return nil, transportError(ctx, err, "open stage")
 	}
 	s.body = resp.Body
+	if resp.StatusCode >= http.StatusBadRequest {
+		// The request body must end before the answer can be closed.
+		defer s.Close()
+		return nil, statusError(resp)
+	}
 	s.lines = NewLineReader(resp.Body, c.opts.MaxLine)
 	if err := s.readReady(); err != nil {
 		s.Close()
