--- /dev/null
+++ b/pkg/role/agent/bench_test.go
@@ -0,0 +1,312 @@
+package agent
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"runtime"
+	"strconv"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/plantainstair/plantainstair/pkg/standin"
+	"github.com/plantainstair/plantainstair/pkg/upstreams"
+	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
+)
+
+// The benchmarks run engines, other agents and the load in processes of their
+// own, so that the processor time and memory of this process are the agent's.
+// Each measures several sizes and reports the slope of a least-squares line.
+// Run them with: go test -run '^$' -bench . -benchtime 1x -cpu 2 ./pkg/role/agent
+
+// helperEnv carries the task of a helper process as JSON.
+const helperEnv = "PLANTAIN_BENCH_HELPER"
+
+type helperTask struct {
+	Engine *helperEngine
+	Chain  []helperEngine // agents with engines
+	Load   *helperLoad
+}
+
+type helperEngine struct {
+	First, Last, Slots uint32
+	Step               time.Duration
+}
+
+type helperLoad struct {
+	Stages   []*wirepb.StageRef
+	Streams  int
+	Tokens   uint32
+	Watchers int
+	Reports  int
+}
+
+func helperChange(s *Settings) {
+	s.UpstreamSilence = time.Hour
+	s.StepTimeout = time.Minute
+	s.MaxQueued = 1 << 16
+	s.UrgentReserve = -1
+}
+
+// TestHelperProcess is not a test of its own: it runs the task of a benchmark.
+func TestHelperProcess(t *testing.T) {
+	text := os.Getenv(helperEnv)
+	if text == "" {
+		t.Skip("runs only for the benchmarks")
+	}
+	var task helperTask
+	assert.NilError(t, json.Unmarshal([]byte(text), &task))
+	if task.Engine != nil {
+		e := task.Engine
+		engine := standin.NewEngine(benchEngine(*e))
+		server := standin.ServeEngine(engine, listen(t))
+		fmt.Println("address", server.Address())
+	}
+	for i, e := range task.Chain {
+		n := startEngineNode(t, "h"+strconv.Itoa(i), e.First, e.Last, helperChange, func(o *standin.EngineOptions) {
+			report := o.Report
+			*o = benchEngine(e)
+			o.Report = report
+		})
+		fmt.Println("address", n.agent.Address())
+	}
+	if task.Load != nil {
+		runLoad(t, task.Load)
+	}
+	_, _ = io.Copy(io.Discard, os.Stdin)
+}
+
+func benchEngine(e helperEngine) standin.EngineOptions {
+	return standin.EngineOptions{
+		Name: "bench", Layers: testLayers, Slots: e.Slots, NoRecords: true, Timing: standin.Timing{Step: e.Step},
+		Models: []upstreams.Model{{Model: "m", Version: "v", FirstLayer: e.First, LastLayer: e.Last}},
+	}
+}
+
+func runLoad(t *testing.T, l *helperLoad) {
+	c := newClient(t)
+	var wg sync.WaitGroup
+	for i := range l.Streams {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			r := request(fmt.Sprintf("%d-%d-%d", os.Getpid(), i, time.Now().UnixNano()), 1, prompt(8), l.Tokens)
+			r.Stages = l.Stages
+			_, _, err := collect(context.Background(), c, r, nil)
+			assert.Check(t, err)
+		}()
+	}
+	for range l.Watchers {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			left := l.Reports
+			_ = c.WatchLoad(ctx, l.Stages[0].Address, func(*wirepb.LoadReport) {
+				if left--; left == 0 {
+					cancel()
+				}
+			})
+		}()
+	}
+	wg.Wait()
+	fmt.Println("done")
+}
+
+type helper struct {
+	lines *bufio.Scanner
+	end   func()
+}
+
+func startHelper(b *testing.B, task helperTask) *helper {
+	b.Helper()
+	text, err := json.Marshal(task)
+	assert.NilError(b, err)
+	cmd := exec.Command(os.Args[0], "-test.run=^TestHelperProcess$", "-test.timeout=5m")
+	cmd.Env = append(os.Environ(), helperEnv+"="+string(text), "GOMAXPROCS=2")
+	in, err := cmd.StdinPipe()
+	assert.NilError(b, err)
+	out, err := cmd.StdoutPipe()
+	assert.NilError(b, err)
+	assert.NilError(b, cmd.Start())
+	h := &helper{lines: bufio.NewScanner(out)}
+	var once sync.Once
+	h.end = func() {
+		once.Do(func() {
+			_ = in.Close()
+			_, _ = io.Copy(io.Discard, out)
+			_ = cmd.Wait()
+		})
+	}
+	b.Cleanup(h.end)
+	return h
+}
+
+// word returns the last word of the next line that begins with prefix.
+func (h *helper) word(b *testing.B, prefix string) string {
+	b.Helper()
+	for h.lines.Scan() {
+		var first, second string
+		if _, _ = fmt.Sscan(h.lines.Text(), &first, &second); first == prefix {
+			return second
+		}
+	}
+	b.Fatalf("helper ended before %q", prefix)
+	return ""
+}
+
+// benchNode starts an agent whose engine runs in a helper process.
+func benchNode(b *testing.B, e helperEngine) *node {
+	b.Helper()
+	n := startAgent(b, "bench", newFakeControl(), helperChange)
+	n.first, n.last = e.First, e.Last
+	a := &upstreams.Announcement{
+		Name: "bench", Kind: upstreams.KindEngine, Slots: e.Slots, Address: startHelper(b, helperTask{Engine: &e}).word(b, "address"),
+		Models: []upstreams.Model{{Model: "m", Version: "v", FirstLayer: e.First, LastLayer: e.Last}},
+	}
+	assert.NilError(b, n.agent.upstream.Announced(a))
+	return n
+}
+
+func cpuTime(b *testing.B) time.Duration {
+	b.Helper()
+	var u syscall.Rusage
+	assert.NilError(b, syscall.Getrusage(syscall.RUSAGE_SELF, &u))
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+func memoryInUse() float64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc + m.StackInuse)
+}
+
+// slope returns the slope and intercept of the least-squares line.
+func slope(x, y []float64) (a, b float64) {
+	n := float64(len(x))
+	var sx, sy, sxx, sxy float64
+	for i := range x {
+		sx += x[i]
+		sy += y[i]
+		sxx += x[i] * x[i]
+		sxy += x[i] * y[i]
+	}
+	a = (n*sxy - sx*sy) / (n*sxx - sx*sx)
+	return a, (sy - a*sx) / n
+}
+
+// tokenCost measures the processor time of a load of several lengths.
+func tokenCost(b *testing.B, stages []*wirepb.StageRef, streams int) {
+	b.Helper()
+	var x, y []float64
+	for _, tokens := range []uint32{50, 50, 200, 800, 1600} {
+		before := cpuTime(b)
+		h := startHelper(b, helperTask{Load: &helperLoad{Stages: stages, Streams: streams, Tokens: tokens}})
+		h.word(b, "done")
+		used := cpuTime(b) - before
+		h.end()
+		b.Logf("%d streams of %d tokens: %v", streams, tokens, used)
+		x = append(x, float64(tokens))
+		y = append(y, float64(used.Microseconds())/float64(streams))
+	}
+	perToken, perRequest := slope(x[1:], y[1:]) // the first run warms up
+	b.ReportMetric(perToken, "cpu-us/token")
+	b.ReportMetric(perRequest, "cpu-us/request")
+	b.ReportMetric(0, "ns/op")
+}
+
+func BenchmarkWholeModel(b *testing.B) {
+	for _, streams := range []int{1, 16, 64} {
+		b.Run(strconv.Itoa(streams), func(b *testing.B) {
+			n := benchNode(b, helperEngine{First: 0, Last: testLayers - 1, Slots: 256})
+			tokenCost(b, []*wirepb.StageRef{n.ref()}, streams)
+		})
+	}
+}
+
+// BenchmarkStage measures one agent at each place in a chain of three.
+func BenchmarkStage(b *testing.B) {
+	layers := []helperEngine{{First: 0, Last: 2, Slots: 256}, {First: 3, Last: 5, Slots: 256}, {First: 6, Last: 8, Slots: 256}}
+	for place, name := range []string{"head", "middle", "last"} {
+		b.Run(name, func(b *testing.B) {
+			var others []helperEngine
+			for i, e := range layers {
+				if i != place {
+					others = append(others, e)
+				}
+			}
+			h := startHelper(b, helperTask{Chain: others})
+			n := benchNode(b, layers[place])
+			var stages []*wirepb.StageRef
+			for i, e := range layers {
+				ref := n.ref()
+				if i != place {
+					ref = &wirepb.StageRef{Host: "h", Address: h.word(b, "address"), FirstLayer: e.First, LastLayer: e.Last}
+				}
+				stages = append(stages, ref)
+			}
+			tokenCost(b, stages, 16)
+		})
+	}
+}
+
+func BenchmarkLoadReport(b *testing.B) {
+	n := benchNode(b, helperEngine{Last: testLayers - 1, Slots: 8})
+	const reports = 30
+	var x, y []float64
+	for _, watchers := range []int{10, 10, 40, 160} {
+		before := cpuTime(b)
+		load := &helperLoad{Stages: []*wirepb.StageRef{n.ref()}, Watchers: watchers, Reports: reports}
+		h := startHelper(b, helperTask{Load: load})
+		h.word(b, "done")
+		used := cpuTime(b) - before
+		h.end()
+		b.Logf("%d watchers, %d reports each: %v", watchers, reports, used)
+		x = append(x, float64(watchers*reports))
+		y = append(y, float64(used.Microseconds()))
+	}
+	perReport, _ := slope(x[1:], y[1:])
+	b.ReportMetric(perReport, "cpu-us/report")
+	b.ReportMetric(0, "ns/op")
+}
+
+// memoryCost measures the memory of requests that are held at the agent.
+func memoryCost(b *testing.B, slots uint32, counted func(*node) int) {
+	b.Helper()
+	var x, y []float64
+	for _, streams := range []int{50, 200, 400, 800} {
+		n := benchNode(b, helperEngine{Last: testLayers - 1, Slots: slots, Step: 20 * time.Second})
+		before := memoryInUse()
+		h := startHelper(b, helperTask{Load: &helperLoad{Stages: []*wirepb.StageRef{n.ref()}, Streams: streams, Tokens: 100}})
+		waitFor(b, "requests", func() bool { return counted(n) >= streams-1 })
+		used := memoryInUse() - before
+		b.Logf("%d requests: %.0f KB", streams, used/1024)
+		x = append(x, float64(streams))
+		y = append(y, used)
+		h.lines = nil
+		n.agent.Close()
+		h.end()
+	}
+	perRequest, _ := slope(x, y)
+	b.ReportMetric(perRequest/1024, "KB/request")
+	b.ReportMetric(0, "ns/op")
+}
+
+func BenchmarkMemoryPerStream(b *testing.B) {
+	memoryCost(b, 1000, func(n *node) int { return n.agent.queue.load().Running })
+}
+
+func BenchmarkMemoryPerQueued(b *testing.B) {
+	memoryCost(b, 1, func(n *node) int { return n.agent.queue.load().Ranks[1].Queued })
+}
