--- a/pkg/role/agent/bench_test.go
+++ b/pkg/role/agent/bench_test.go
@@ -123,11 +123,12 @@
 }
 
 type helper struct {
-	lines *bufio.Scanner
-	end   func()
+	process *os.Process
+	lines   *bufio.Scanner
+	end     func()
 }
 
-func startHelper(b *testing.B, task helperTask) *helper {
+func startHelper(b testing.TB, task helperTask) *helper {
 	b.Helper()
 	text, err := json.Marshal(task)
 	assert.NilError(b, err)
@@ -138,7 +139,7 @@
 	out, err := cmd.StdoutPipe()
 	assert.NilError(b, err)
 	assert.NilError(b, cmd.Start())
-	h := &helper{lines: bufio.NewScanner(out)}
+	h := &helper{process: cmd.Process, lines: bufio.NewScanner(out)}
 	var once sync.Once
 	h.end = func() {
 		once.Do(func() {
@@ -152,7 +153,7 @@
 }
 
 // word returns the last word of the next line that begins with prefix.
-func (h *helper) word(b *testing.B, prefix string) string {
+func (h *helper) word(b testing.TB, prefix string) string {
 	b.Helper()
 	for h.lines.Scan() {
 		var first, second string
--- a/pkg/role/agent/generate.go
+++ b/pkg/role/agent/generate.go
@@ -212,7 +212,7 @@
 // with the caller.
 func blame(err error, index int) error {
 	f := fault.As(err)
-	if f.FailedStage == fault.NoStage && f.Kind != fault.Cancelled && f.Kind != fault.StaleEpoch {
+	if f.FailedStage == fault.NoStage && stageAtFault(f.Kind) {
 		f.FailedStage = index
 	}
 	return f
--- a/pkg/role/agent/generate_test.go
+++ b/pkg/role/agent/generate_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"syscall"
 	"testing"
 	"time"
 
@@ -198,3 +199,57 @@
 	n.engine.Die()
 	waitFor(t, "withdrawal after death", func() bool { return !announced() })
 }
+
+// Guards against a chain that waits for a host that is frozen or cut off: its
+// sessions stay open and no connection is refused.
+func TestGenerate_FrozenAgentIsBlamed(t *testing.T) {
+	h := startHelper(t, helperTask{Chain: []helperEngine{{First: 3, Last: 5, Slots: 16}}})
+	first := startEngineNode(t, "a", 0, 2, nil, nil)
+	last := startEngineNode(t, "c", 6, 8, nil, nil)
+	r := request("s", 1, prompt(20), 100000, first, first, last)
+	r.Stages[1] = &wirepb.StageRef{Host: "h0", Address: h.word(t, "address"), FirstLayer: 3, LastLayer: 5}
+	defer func() { _ = h.process.Signal(syscall.SIGCONT) }()
+	var frozen time.Time
+	_, _, err := collect(context.Background(), newClient(t), r, func(tok *wirepb.Token) {
+		if tok.Position == 4 {
+			frozen = time.Now()
+			assert.Check(t, h.process.Signal(syscall.SIGSTOP))
+		}
+	})
+	f := fault.As(err)
+	assert.Assert(t, f != nil)
+	assert.Equal(t, f.FailedStage, 1, "%v", f)
+	t.Logf("blamed after %v", time.Since(frozen))
+	waitFor(t, "free slots", func() bool {
+		return first.engine.Records().Sessions == 0 && first.agent.queue.load().Running == 0
+	})
+}
+
+// Guards against a stage that runs a step of another position or epoch.
+func TestStage_RefusesPositionAndEpoch(t *testing.T) {
+	n := startEngineNode(t, "a", 6, 8, nil, nil)
+	c := newClient(t)
+	open := &wirepb.StageOpen{Session: "s", Epoch: 2, Model: "m", Version: "v", Index: 2, Stages: []*wirepb.StageRef{n.ref()}}
+	hidden := [][]byte{make([]byte, 8)}
+	for name, step := range map[string]*wirepb.StageStep{
+		"position": {Epoch: 2, Position: 1, Hidden: hidden},
+		"epoch":    {Epoch: 1, Position: 0, Hidden: hidden},
+		"empty":    {Epoch: 2},
+	} {
+		open.Session = name
+		s, err := c.OpenStage(context.Background(), n.agent.Address(), open)
+		assert.NilError(t, err)
+		_, err = s.Step(step)
+		f := fault.As(err)
+		assert.Assert(t, f != nil, name)
+		if name == "epoch" {
+			assert.Equal(t, f.Kind, fault.StaleEpoch) // the sender's fault
+		} else {
+			assert.Equal(t, f.FailedStage, 2, "%v", f)
+		}
+		s.Close()
+		_, err = c.OpenStage(context.Background(), n.agent.Address(), open)
+		assert.Assert(t, fault.Is(err, fault.StaleEpoch), "an epoch opens once: %v", err)
+	}
+	assert.Equal(t, len(n.engine.Records().Layers), 0)
+}
--- a/pkg/role/agent/peers.go
+++ b/pkg/role/agent/peers.go
@@ -91,15 +91,21 @@
 }
 
 // reported passes on the error of a later stage. An agent that blames no stage
-// is itself the one that failed.
+// is itself the one that failed, unless the work was cancelled or replaced.
 func (n *nextStage) reported(w *wirepb.Error) *fault.Error {
 	e := fault.FromWire(w)
-	if e.FailedStage < n.index {
+	if e.FailedStage < n.index && stageAtFault(e.Kind) {
 		e.FailedStage = n.index
 	}
 	return e
 }
 
+// stageAtFault reports whether an error of this kind is the fault of a stage
+// and not of the sender.
+func stageAtFault(kind fault.Kind) bool {
+	return kind != fault.Cancelled && kind != fault.StaleEpoch
+}
+
 // cancelled returns the reason why ctx ended.
 func cancelled(ctx context.Context) *fault.Error {
 	f := fault.As(context.Cause(ctx))
--- a/pkg/role/agent/stage.go
+++ b/pkg/role/agent/stage.go
@@ -39,7 +39,7 @@
 	if up = a.upstream.view(); up == nil {
 		return blame(errNoUpstream(), int(open.Index))
 	}
-	err = a.runStage(ctx, up, open, steps)
+	err = a.runStage(ctx, up, open, slot, steps)
 	if err != nil {
 		a.noteUpstreamError(up, fault.As(err), int(open.Index))
 		a.cancelSession(up, open.Session, open.Epoch)
@@ -81,12 +81,13 @@
 	return nil
 }
 
-func (a *Agent) runStage(ctx context.Context, up *upstreamView, open *wirepb.StageOpen, steps *entry.Steps) error {
+func (a *Agent) runStage(ctx context.Context, up *upstreamView, open *wirepb.StageOpen, slot *slot, steps *entry.Steps) error {
 	h, err := a.openHop(ctx, up, open)
 	if err != nil {
 		return err
 	}
 	defer h.close()
+	defer func() { slot.charge(int(h.guard.Position())) }()
 	if err := steps.Ready(&wirepb.StageReady{CachedTokens: h.cached}); err != nil {
 		return err
 	}
