--- a/pkg/core/raft/election.go
+++ b/pkg/core/raft/election.go
@@ -21,9 +21,17 @@
 	return n.role == Leader || (n.lead != None && n.electionElapsed < n.cfg.ElectionTicks)
 }
 
+// mayCampaign reports whether this node is a voter, or is one until its
+// removal is committed: it may be the only node whose log holds the removal,
+// and then no other could win.
+func (n *Node) mayCampaign() bool {
+	v := findVoter(n.VotersAt(n.log.commit), n.cfg.ID)
+	return n.isVoter(n.cfg.ID) || (v != nil && !v.Learner)
+}
+
 // campaign starts with a pre-vote unless skipPreVote is set.
 func (n *Node) campaign(skipPreVote bool) {
-	if !n.isVoter(n.cfg.ID) {
+	if !n.mayCampaign() {
 		return
 	}
 	n.lead = None
@@ -191,6 +199,22 @@
 	return true
 }
 
+// BestFollower returns the voter that holds most of the log and answered
+// lately, or None.
+func (n *Node) BestFollower() uint64 {
+	best, match := None, uint64(0)
+	for _, v := range n.Voters() {
+		p := n.progress[v.Id]
+		if v.Learner || v.Id == n.cfg.ID || p == nil || p.state != replicating {
+			continue
+		}
+		if best == None || p.match > match {
+			best, match = v.Id, p.match
+		}
+	}
+	return best
+}
+
 // finishTransfer lets the chosen voter start its election once it holds the
 // whole log.
 func (n *Node) finishTransfer(id uint64, p *progress) {
--- a/pkg/core/route/sample.go
+++ b/pkg/core/route/sample.go
@@ -26,8 +26,7 @@
 type sampler struct {
 	need    *Need
 	rng     *rand.Rand
-	adapter bool // check that the adapter is held
-	model   string
+	service string // or, when empty, the range of the model:
 	version string
 	first   int
 	last    int
@@ -100,7 +99,8 @@
 }
 
 // consider appends c if it is eligible and new. With slow, a host of weight w
-// is taken with probability w, which limits its traffic during slow start.
+// is taken with probability w, which limits its traffic during slow start. The
+// weight does not raise the cost as well: a due probe would never be chosen.
 func (s *sampler) consider(c *cell, out []candidate, start int, slow bool) []candidate {
 	if slices.ContainsFunc(out[start:], func(o candidate) bool { return o.cell == c }) {
 		return out
@@ -116,28 +116,36 @@
 	if weight <= 0 || slow && weight < 1 && s.rng.Float64() >= weight {
 		return out
 	}
-	cost := s.need.nodeCost(u, c.sentSinceReport(), weight)
+	cost := s.need.nodeCost(u, c.sentSinceReport())
 	return append(out, candidate{cell: c, up: u, cost: cost})
 }
 
+// eligible checks the current state of a host. A reader may see a newer state
+// than the group it found the host in, so what the host holds is checked too.
 func (s *sampler) eligible(u *Upstream) bool {
 	if u.Draining || u.Stale || s.need.Exclude[u.Host] {
 		return false
 	}
-	return !s.adapter || s.holdsAdapter(u)
-}
-
-func (s *sampler) holdsAdapter(u *Upstream) bool {
+	if s.service != "" {
+		return slices.Contains(u.Services, s.service)
+	}
 	for i := range u.Models {
-		h := &u.Models[i]
-		if h.Model == s.model && h.Version == s.version &&
-			h.FirstLayer == s.first && h.LastLayer == s.last {
-			return slices.Contains(h.Adapters, s.need.Adapter)
+		if s.fits(&u.Models[i]) {
+			return true
 		}
 	}
 	return false
 }
 
+// fits reports whether h is the wanted range with the wanted adapter.
+func (s *sampler) fits(h *Held) bool {
+	if h.FirstLayer != s.first || h.LastLayer != s.last ||
+		h.Model != s.need.Model || h.Version != s.version {
+		return false
+	}
+	return s.need.Adapter == "" || slices.Contains(h.Adapters, s.need.Adapter)
+}
+
 // jumpHash maps key to one of n buckets; a change of n moves few keys
 // (Lamping and Veach, 2014).
 func jumpHash(key uint64, n int) int {
--- a/pkg/core/state/store.go
+++ b/pkg/core/state/store.go
@@ -55,7 +55,9 @@
 	s.applied = index
 	s.advance(cmd.GetTimeUnixMs())
 	result := s.dispatch(cmd)
-	result.Index = index
+	if result.Index == 0 {
+		result.Index = index // a first outcome keeps its own index
+	}
 	return result
 }
 
@@ -65,7 +67,7 @@
 	horizon := s.ClaimHorizon().Milliseconds()
 	s.expiredBefore = max(s.expiredBefore, s.now-horizon)
 	s.claims.purge(s.expiredBefore)
-	s.dedup.purge(s.now - horizon)
+	s.dedup.purge(s.expiredBefore)
 }
 
 func (s *Store) dispatch(cmd *wirepb.Command) *wirepb.CommandResult {
@@ -91,6 +93,11 @@
 	if len(cmd.GetRequestId()) > maxNameLength || len(cmd.GetOperator()) > maxNameLength {
 		return s.refuse(fault.New(fault.Invalid, "request id or operator is over %d bytes", maxNameLength).WithField("request_id"))
 	}
+	if body := cmd.GetRefused(); body != nil {
+		// Repeating it adds an audit record and nothing else, and bad requests
+		// must not fill the table of request ids.
+		return s.refused(cmd, body)
+	}
 	first, err := s.dedup.find(cmd)
 	if err != nil {
 		return s.refuse(err)
@@ -113,8 +120,6 @@
 		return s.change(cmd, body.Change)
 	case *wirepb.Command_Order:
 		return s.order(cmd, body.Order)
-	case *wirepb.Command_Refused:
-		return s.refused(cmd, body.Refused)
 	case *wirepb.Command_Voter:
 		return s.voter(cmd, body.Voter)
 	}
--- a/pkg/replica/requests.go
+++ b/pkg/replica/requests.go
@@ -77,7 +77,9 @@
 
 func (r *Replica) notLeader() *fault.Error {
 	e := fault.New(fault.NotLeader, "replica %d is not the leader", r.opts.ID).WithOutcome(fault.NotRun)
-	e.Leader = r.leaderAddress()
+	if r.node.Leader() != r.opts.ID { // else it is handing the leadership over
+		e.Leader = r.leaderAddress()
+	}
 	if e.Leader == "" {
 		e.RetryAfter = r.opts.ElectionTimeout
 	}
@@ -90,6 +92,9 @@
 		commands[i] = p.data
 	}
 	index, term, ok := r.node.Propose(commands)
+	if ok {
+		metricProposals.Add(len(batch))
+	}
 	for i, p := range batch {
 		if !ok {
 			p.finish(nil, r.notLeader())
--- a/pkg/role/entry/entry.go
+++ b/pkg/role/entry/entry.go
@@ -34,9 +34,11 @@
 	tracker    *route.Tracker
 	budget     *route.Budget
 	limits     *limiter
+	gate       *gate
 	metrics    *meters
 	lifecycle  *platform.Lifecycle
 	leaving    atomic.Bool
+	warm       atomic.Bool // the first load reports have arrived
 	owner      sync.WaitGroup
 }
 
@@ -48,15 +50,18 @@
 	if opts.PrefixHashes == nil {
 		opts.PrefixHashes = func(string, string, string, []uint32) []uint64 { return nil }
 	}
-	return &Entry{
+	e := &Entry{
 		opts:       opts,
 		claimReads: make(chan struct{}, maxClaimReads),
 		tracker:    route.NewTracker(route.TrackerConfig{}),
 		budget:     route.NewBudget(),
 		limits:     newLimiter(),
+		gate:       newGate(opts.Settings.MaxRequests),
 		metrics:    newMeters(),
 		lifecycle:  platform.NewLifecycle(),
 	}
+	e.metrics.watch(e)
+	return e
 }
 
 // Start runs the control goroutine until ctx ends.
--- a/pkg/role/entry/harness_test.go
+++ b/pkg/role/entry/harness_test.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"fmt"
 	"net"
+	"net/http"
 	"net/http/httptest"
 	"sync"
 	"sync/atomic"
@@ -13,6 +14,7 @@
 	"time"
 
 	openai "github.com/sashabaranov/go-openai"
+	"go.uber.org/goleak"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
@@ -32,6 +34,11 @@
 	testLayers = 4
 )
 
+// Guards against goroutines that outlive their request, watch or upstream.
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
 // fakeControl is a control client whose view, currency and claims are set by
 // the test.
 type fakeControl struct {
@@ -78,6 +85,7 @@
 	silent    atomic.Bool
 	requests  atomic.Int64
 	cancelled atomic.Int64
+	reports   atomic.Int64
 	mu        sync.Mutex
 	epochs    map[string]uint64
 }
@@ -87,7 +95,7 @@
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(tb, err)
 	a := &fakeAgent{host: host, behave: behave, epochs: make(map[string]uint64)}
-	a.server = link.NewServer(ln, link.Options{MaxFrame: maxFrame}, a.serve, nil)
+	a.server = link.NewServer(ln, link.Options{}, a.serve, nil)
 	tb.Cleanup(func() { _ = a.server.Close() })
 	return a
 }
@@ -115,6 +123,7 @@
 			if s.Write(&wirepb.Frame{Body: &wirepb.Frame_LoadReport{LoadReport: r}}) != nil {
 				return
 			}
+			a.reports.Add(1)
 		}
 		select {
 		case <-ended:
@@ -135,8 +144,11 @@
 	return nil
 }
 
+// endOf returns the position after the last token of an answer.
+func endOf(req *wirepb.GenerateRequest) uint32 { return uint32(len(req.Emitted)) + req.MaxTokens }
+
 func token(req *wirepb.GenerateRequest, position, id uint32) *wirepb.Token {
-	return &wirepb.Token{Session: req.Session, Epoch: req.Epoch, Position: position, Id: id, Last: position+1 == req.MaxTokens}
+	return &wirepb.Token{Session: req.Session, Epoch: req.Epoch, Position: position, Id: id, Last: position+1 == endOf(req)}
 }
 
 func sendToken(s *wire.Stream, t *wirepb.Token) error {
@@ -149,8 +161,8 @@
 		_ = s.WriteError(err)
 		return false
 	}
-	all := standin.Reference(req.Prompt, testLayers, req.Seed, int(req.MaxTokens))
-	for p := uint32(len(req.Emitted)); p < min(end, req.MaxTokens); p++ {
+	all := standin.Reference(req.Prompt, testLayers, req.Seed, int(endOf(req)))
+	for p := uint32(len(req.Emitted)); p < min(end, endOf(req)); p++ {
 		if sendToken(s, token(req, p, all[p])) != nil {
 			return false
 		}
@@ -166,8 +178,8 @@
 		return
 	}
 	req := f.GetGenerate()
-	if a.generate(s, req, req.MaxTokens) {
-		done := &wirepb.GenerateDone{FinishReason: finishLength, CompletionTokens: req.MaxTokens}
+	if a.generate(s, req, endOf(req)) {
+		done := &wirepb.GenerateDone{FinishReason: finishLength, CompletionTokens: endOf(req)}
 		_ = s.Write(&wirepb.Frame{Body: &wirepb.Frame_GenerateDone{GenerateDone: done}})
 	}
 }
@@ -266,7 +278,7 @@
 	s := &system{tb: tb, agents: agents, control: &fakeControl{changed: make(chan struct{}, 1)}}
 	s.control.view.Store(testView(agents, limits))
 	s.control.claim.Store(control.ClaimAbsent)
-	pool := link.NewPool(link.Options{MaxFrame: maxFrame})
+	pool := link.NewPool(link.Options{})
 	s.entry = New(Options{
 		Settings: testSettings(tb, settings), Control: s.control, Agents: agent.NewClient(pool), Log: logs.Nop(),
 		Tokenize: upstreams.Tokenize, Detokenize: upstreams.Detokenize, PrefixHashes: upstreams.PrefixHashes,
@@ -278,6 +290,7 @@
 	conf.BaseURL = s.server.URL + "/v1"
 	s.client = openai.NewClientWithConfig(conf)
 	tb.Cleanup(func() {
+		http.DefaultClient.CloseIdleConnections()
 		s.server.Close()
 		cancel()
 		s.entry.owner.Wait()
@@ -302,7 +315,7 @@
 
 func chatRequest(maxTokens, seed int) openai.ChatCompletionRequest {
 	return openai.ChatCompletionRequest{
-		Model: "m", MaxTokens: maxTokens, Seed: &seed,
+		Model: "m", MaxCompletionTokens: maxTokens, Seed: &seed,
 		Messages: []openai.ChatCompletionMessage{{Role: "user", Content: "where is my order"}},
 	}
 }
--- a/pkg/role/entry/owner.go
+++ b/pkg/role/entry/owner.go
@@ -16,7 +16,10 @@
 	checkInterval = 50 * time.Millisecond
 	// pauseLimit is a gap between checks that shows that this process itself
 	// was not running.
-	pauseLimit     = 5 * checkInterval
+	pauseLimit = 5 * checkInterval
+	// warmUp bounds the wait of a new entry for the first report of each
+	// upstream; a shorter wait would refuse work for lack of a chain.
+	warmUp         = time.Second
 	eventQueueSize = 4096
 )
 
@@ -36,6 +39,7 @@
 	view      *control.View
 	events    chan event
 	lastCheck time.Time
+	viewSince time.Time // when the first view arrived
 }
 
 func newOwner(ctx context.Context, e *Entry) *owner {
@@ -74,6 +78,9 @@
 	if v == nil || v == o.view {
 		return
 	}
+	if o.view == nil {
+		o.viewSince = o.entry.opts.Now()
+	}
 	o.view = v
 	for host, p := range o.peers {
 		if _, ok := v.Upstreams[host]; !ok {
@@ -125,7 +132,7 @@
 func (o *owner) remove(p *peer) {
 	p.cancel()
 	if p.state != agent.Alive {
-		o.entry.opts.Agents.Drop(p.announcement.AgentAddress)
+		o.drop(p)
 	}
 	host := p.announcement.Host
 	delete(o.peers, host)
@@ -176,6 +183,30 @@
 		}
 		o.judge(p, now)
 	}
+	o.checkWarm(now)
+}
+
+// checkWarm lets the entry become ready once every listed upstream can be
+// chosen, or after warmUp.
+func (o *owner) checkWarm(now time.Time) {
+	if o.entry.warm.Load() || o.view == nil {
+		return
+	}
+	if now.Sub(o.viewSince) >= warmUp || len(o.peers) > 0 && o.allUsable() {
+		o.entry.warm.Store(true)
+	}
+}
+
+// allUsable reports whether each upstream has sent a report that lets it be
+// chosen. After a start of the whole system agents may confirm their
+// configuration a little later than the entry does.
+func (o *owner) allUsable() bool {
+	for _, p := range o.peers {
+		if p.report == nil || p.report.StaleConfig {
+			return false
+		}
+	}
+	return true
 }
 
 func (o *owner) judge(p *peer, now time.Time) {
@@ -188,6 +219,12 @@
 	if state == agent.Ejected {
 		o.entry.metrics.ejections.Inc()
 		o.entry.opts.Log.Warn("upstream is silent and ejected", logs.Str("upstream", p.announcement.Host))
-		o.entry.opts.Agents.Drop(p.announcement.AgentAddress)
+		o.drop(p)
 	}
 }
+
+// drop ends the session to an upstream. It may wait for a dial to a frozen
+// host, which must not delay the reports of the others.
+func (o *owner) drop(p *peer) {
+	go o.entry.opts.Agents.Drop(p.announcement.AgentAddress)
+}
