operators, state: bound attempts of the client and refuse names that break paths

A frozen replica kept the client from asking the next address. A leader that lost its term during a voter change named its successor by the peer address, which does not serve the admin API.

--- a/pkg/core/state/model_test.go
+++ b/pkg/core/state/model_test.go
@@ -352,3 +352,47 @@
 	assert.NilError(t, err)
 	assert.Equal(t, reply.Status, ClaimPending)
 }
+
+// Guards against an entry that entries or agents cannot use, a key that two
+// organisations hold, and refusals that do not name the field.
+func TestChange_NamesInvalidField(t *testing.T) {
+	hash := fmt.Sprintf("%064x", 1)
+	organisation := func(name string, keys ...string) *wirepb.Entry {
+		return &wirepb.Entry{Kind: KindOrganisation, Name: name, Owner: "o", Organisation: &wirepb.OrganisationSpec{KeySha256: keys}}
+	}
+	with := func(change func(e *wirepb.Entry)) []*wirepb.Entry {
+		e := organisation("new")
+		change(e)
+		return []*wirepb.Entry{e}
+	}
+	s := New()
+	first := &wirepb.Change{Put: []*wirepb.Entry{organisation("first", hash)}}
+	result := s.Apply(1, &wirepb.Command{RequestId: "0", Body: &wirepb.Command_Change{Change: first}})
+	assert.Assert(t, result.Error == nil, "%v", result.Error)
+	cases := map[string][]*wirepb.Entry{
+		"put":                                  nil,
+		"put[0].owner":                         with(func(e *wirepb.Entry) { e.Owner = "" }),
+		"put[0].class":                         with(func(e *wirepb.Entry) { e.Class = "gold" }),
+		"put[0].kind":                          with(func(e *wirepb.Entry) { e.Kind = "team" }),
+		"put[0].organisation":                  with(func(e *wirepb.Entry) { e.Organisation = nil }),
+		"put[0].service":                       with(func(e *wirepb.Entry) { e.Service = &wirepb.ServiceSpec{} }),
+		"put[0].organisation.weight":           with(func(e *wirepb.Entry) { e.Organisation.Weight = maxWeight + 1 }),
+		"put[0].organisation.key_sha256[0]":    {organisation("new", hash)},
+		"put[1].organisation.key_sha256[0]":    {organisation("a", fmt.Sprintf("%064x", 2)), organisation("b", fmt.Sprintf("%064x", 2))},
+		"put[1].name":                          {organisation("a"), organisation("a")},
+		"put[0].name":                          {{Kind: KindService, Name: "a/b", Owner: "o", Service: &wirepb.ServiceSpec{}}},
+		"put[0].model.layers":                  {{Kind: KindModel, Name: "m", Owner: "o", Model: &wirepb.ModelSpec{Version: "1"}}},
+		"put[0].service.repeatable_methods[0]": {{Kind: KindService, Name: "s", Owner: "o", Service: &wirepb.ServiceSpec{RepeatableMethods: []string{"get"}}}},
+		"put[0].policy.urgent_percent":         {{Kind: KindPolicy, Name: PolicyName, Owner: "o", Policy: &wirepb.PolicySpec{UrgentPercent: 60}}},
+		"put[0].policy.claim_horizon_seconds":  {{Kind: KindPolicy, Name: PolicyName, Owner: "o", Policy: &wirepb.PolicySpec{ClaimHorizonSeconds: 1}}},
+	}
+	for field, put := range cases {
+		ch := &wirepb.Change{BaseRevision: 1, Put: put}
+		result := s.Apply(s.applied+1, &wirepb.Command{RequestId: field, Body: &wirepb.Command_Change{Change: ch}})
+		assert.Equal(t, result.Error.GetField(), field, "%v", result.Error)
+		assert.Equal(t, result.Error.GetOutcome(), fault.NotRun)
+	}
+	moved := &wirepb.Change{BaseRevision: 1, Put: []*wirepb.Entry{organisation("first"), organisation("second", hash)}}
+	result = s.Apply(s.applied+1, &wirepb.Command{RequestId: "move", Body: &wirepb.Command_Change{Change: moved}})
+	assert.Equal(t, result.Revision, uint64(2), "%v", result.Error)
+}
--- a/pkg/core/state/store.go
+++ b/pkg/core/state/store.go
@@ -90,8 +90,8 @@
 	if cmd.GetRequestId() == "" {
 		return s.refuse(fault.New(fault.Invalid, "request id is missing").WithField("request_id"))
 	}
-	if len(cmd.GetRequestId()) > maxNameLength || len(cmd.GetOperator()) > maxNameLength {
-		return s.refuse(fault.New(fault.Invalid, "request id or operator is over %d bytes", maxNameLength).WithField("request_id"))
+	if len(cmd.GetRequestId()) > maxRequestLength || len(cmd.GetOperator()) > maxRequestLength {
+		return s.refuse(fault.New(fault.Invalid, "request id or operator is over %d bytes", maxRequestLength).WithField("request_id"))
 	}
 	if body := cmd.GetRefused(); body != nil {
 		// Repeating it adds an audit record and nothing else, and bad requests
--- a/pkg/core/state/validate.go
+++ b/pkg/core/state/validate.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strconv"
+	"strings"
 
 	"google.golang.org/protobuf/proto"
 
@@ -13,6 +14,7 @@
 // Bounds of a change and of its entries.
 const (
 	maxNameLength    = 128
+	maxRequestLength = 256
 	maxCommentLength = 1024
 	maxEdits         = 1000
 	maxChangeBytes   = 480 << 10 // leaves room for the envelope in a proposal of 512 KiB
@@ -94,6 +96,9 @@
 	case KindModel:
 		return validateModel(e.GetModel())
 	case KindService:
+		if strings.Contains(e.GetName(), "/") {
+			return invalid("name", "the name of a service is one part of a path and has no slash")
+		}
 		return validateService(e.GetService())
 	default:
 		return validatePolicy(e)
@@ -203,6 +208,9 @@
 	if len(name) > maxNameLength {
 		return invalid(field, "longer than %d bytes", maxNameLength)
 	}
+	if name == "." || name == ".." {
+		return invalid(field, "%q has a meaning in paths", name)
+	}
 	for _, r := range name {
 		if !isNameRune(r) {
 			return invalid(field, "%q has characters other than letters, digits and . _ - / : @", name)
--- a/pkg/operators/api_test.go
+++ b/pkg/operators/api_test.go
@@ -98,10 +98,10 @@
 	for body, want := range map[string]string{
 		`{"request_id":"r","putt":[]}`:                 "putt",
 		`{"request_id":"r","put":[{"knd":"service"}]}`: "knd",
-		`{"put":[]}`:                                   "request_id",
-		`{"request_id":"r","put":[null]}`:              "put",
-		`{"request_id":"r"} {}`:                        "after the JSON value",
-		``:                                             "missing",
+		`{"put":[]}`:                      "request_id",
+		`{"request_id":"r","put":[null]}`: "put",
+		`{"request_id":"r"} {}`:           "after the JSON value",
+		``:                                "missing",
 	} {
 		refused := len(f.refused)
 		code, e := send(t, addr, testToken, body)
--- a/pkg/operators/changes.go
+++ b/pkg/operators/changes.go
@@ -23,8 +23,8 @@
 	if err := decode(body, req); err != nil {
 		return err
 	}
-	if req.RequestID == "" {
-		return missing("request_id")
+	if err := checkRequestID(req.RequestID); err != nil {
+		return err
 	}
 	for _, e := range req.Put {
 		if e.Value == nil {
@@ -50,3 +50,17 @@
 func missing(field string) error {
 	return fault.New(fault.Invalid, "%s is missing", field).WithField(field).WithOutcome(fault.NotRun)
 }
+
+// maxRequestID bounds a request id in bytes. The log takes twice as many, for
+// the steps of one request.
+const maxRequestID = 128
+
+func checkRequestID(id string) error {
+	if id == "" {
+		return missing("request_id")
+	}
+	if len(id) > maxRequestID {
+		return fault.New(fault.Invalid, "request id is over %d bytes", maxRequestID).WithField("request_id").WithOutcome(fault.NotRun)
+	}
+	return nil
+}
--- a/pkg/operators/client.go
+++ b/pkg/operators/client.go
@@ -21,6 +21,11 @@
 	dialTimeout  = 2 * time.Second
 	clientRounds = 4
 	roundDelay   = 250 * time.Millisecond
+	// readAttempt bounds a read at one address, so that a frozen replica does
+	// not keep the client from asking the next.
+	readAttempt = 3 * time.Second
+	// answerAllowance is the time beyond the server's own limit.
+	answerAllowance = 2 * time.Second
 )
 
 // Client calls the admin API. It tries the addresses one after another.
@@ -45,7 +50,7 @@
 // attempts at several addresses count as one request.
 func (c *Client) Apply(ctx context.Context, req *ChangeRequest) (*ChangeReply, error) {
 	req.RequestID = orNewID(req.RequestID)
-	return call[ChangeReply](ctx, c, http.MethodPost, "/v1/changes", nil, req)
+	return call[ChangeReply](ctx, c, operation{http.MethodPost, "/v1/changes", nil, req, req.attemptLimit()})
 }
 
 // Catalogue returns the catalogue, or with since what changed after it.
@@ -54,52 +59,52 @@
 	if since != nil {
 		query.Set("since", strconv.FormatUint(*since, 10))
 	}
-	return call[CatalogueReply](ctx, c, http.MethodGet, "/v1/catalogue", query, nil)
+	return call[CatalogueReply](ctx, c, read("/v1/catalogue", query))
 }
 
 // History returns up to limit accepted changes after a revision.
 func (c *Client) History(ctx context.Context, after uint64, limit int) (*HistoryReply, error) {
-	return call[HistoryReply](ctx, c, http.MethodGet, "/v1/history", pageQuery(after, limit), nil)
+	return call[HistoryReply](ctx, c, read("/v1/history", pageQuery(after, limit)))
 }
 
 // Audit returns up to limit audit records after a sequence number.
 func (c *Client) Audit(ctx context.Context, after uint64, limit int) (*AuditReply, error) {
-	return call[AuditReply](ctx, c, http.MethodGet, "/v1/audit", pageQuery(after, limit), nil)
+	return call[AuditReply](ctx, c, read("/v1/audit", pageQuery(after, limit)))
 }
 
 // Status returns the status of the first replica that answers.
 func (c *Client) Status(ctx context.Context) (*StatusReply, error) {
-	return call[StatusReply](ctx, c, http.MethodGet, "/v1/status", nil, nil)
+	return call[StatusReply](ctx, c, read("/v1/status", nil))
 }
 
 // Drain orders the upstream on a host to finish its work and take no more.
 func (c *Client) Drain(ctx context.Context, host string, req DrainRequest) (*OrderReply, error) {
 	req.RequestID = orNewID(req.RequestID)
 	path := "/v1/upstreams/" + url.PathEscape(host) + "/drain"
-	return call[OrderReply](ctx, c, http.MethodPost, path, nil, req)
+	return call[OrderReply](ctx, c, operation{http.MethodPost, path, nil, req, orderLimit(req.TimeoutMS) + answerAllowance})
 }
 
 // Voters returns the voters and learners.
 func (c *Client) Voters(ctx context.Context) (*VotersReply, error) {
-	return call[VotersReply](ctx, c, http.MethodGet, "/v1/voters", nil, nil)
+	return call[VotersReply](ctx, c, read("/v1/voters", nil))
 }
 
 // ChangeVoter adds, removes or replaces a voter.
 func (c *Client) ChangeVoter(ctx context.Context, req *VoterRequest) (*VotersReply, error) {
 	req.RequestID = orNewID(req.RequestID)
-	return call[VotersReply](ctx, c, http.MethodPost, "/v1/voters", nil, req)
+	return call[VotersReply](ctx, c, operation{http.MethodPost, "/v1/voters", nil, req, voterTimeout + answerAllowance})
 }
 
 // Order gives an order to an upstream and returns when it was carried out.
 func (c *Client) Order(ctx context.Context, req *OrderRequest) (*OrderReply, error) {
 	req.RequestID = orNewID(req.RequestID)
-	return call[OrderReply](ctx, c, http.MethodPost, "/v1/orders", nil, req)
+	return call[OrderReply](ctx, c, operation{http.MethodPost, "/v1/orders", nil, req, req.Limit() + answerAllowance})
 }
 
 // Snapshot makes one replica write a snapshot. It uses only the first address.
 func (c *Client) Snapshot(ctx context.Context) (*SnapshotReply, error) {
 	one := &Client{Addresses: c.Addresses[:min(1, len(c.Addresses))], Token: c.Token, HTTP: c.HTTP}
-	return call[SnapshotReply](ctx, one, http.MethodPost, "/v1/snapshot", nil, struct{}{})
+	return call[SnapshotReply](ctx, one, operation{http.MethodPost, "/v1/snapshot", nil, struct{}{}, requestTimeout})
 }
 
 func orNewID(id string) string {
@@ -117,13 +122,33 @@
 	return query
 }
 
+// operation is one request to the API.
+type operation struct {
+	method string
+	path   string
+	query  url.Values
+	body   any
+	limit  time.Duration // for one attempt
+}
+
+func read(path string, query url.Values) operation {
+	return operation{method: http.MethodGet, path: path, query: query, limit: readAttempt}
+}
+
+func (c *ChangeRequest) attemptLimit() time.Duration {
+	if !c.Wait {
+		return changeTimeout + answerAllowance
+	}
+	return changeTimeout + c.WaitLimit() + answerAllowance
+}
+
 // call tries each address a few times. Repeating a request is safe: reads
 // change nothing, and everything else carries a request id.
-func call[T any](ctx context.Context, c *Client, method, path string, query url.Values, body any) (*T, error) {
+func call[T any](ctx context.Context, c *Client, op operation) (*T, error) {
 	if len(c.Addresses) == 0 {
 		return nil, fault.New(fault.Invalid, "no control address").WithField("addresses").WithOutcome(fault.NotRun)
 	}
-	payload, err := encode(body)
+	payload, err := encode(op.body)
 	if err != nil {
 		return nil, err
 	}
@@ -135,7 +160,7 @@
 		}
 		for _, addr := range c.Addresses {
 			reply := new(T)
-			err := c.attempt(ctx, addr, method, path, query, payload, reply)
+			err := c.attempt(ctx, addr, op, payload, reply)
 			if err == nil {
 				return reply, nil
 			}
@@ -166,12 +191,14 @@
 	return false
 }
 
-func (c *Client) attempt(ctx context.Context, addr, method, path string, query url.Values, payload []byte, reply any) error {
-	target := "http://" + addr + path
-	if len(query) > 0 {
-		target += "?" + query.Encode()
+func (c *Client) attempt(ctx context.Context, addr string, op operation, payload []byte, reply any) error {
+	ctx, cancel := context.WithTimeout(ctx, op.limit)
+	defer cancel()
+	target := "http://" + addr + op.path
+	if len(op.query) > 0 {
+		target += "?" + op.query.Encode()
 	}
-	req, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(payload))
+	req, err := http.NewRequestWithContext(ctx, op.method, target, bytes.NewReader(payload))
 	if err != nil {
 		return fault.Wrap(err, fault.Invalid, "address %q", addr).WithField("addresses").WithOutcome(fault.NotRun)
 	}
--- a/pkg/operators/orders.go
+++ b/pkg/operators/orders.go
@@ -38,8 +38,8 @@
 }
 
 func (o *OrderRequest) validate() error {
-	if o.RequestID == "" {
-		return missing("request_id")
+	if err := checkRequestID(o.RequestID); err != nil {
+		return err
 	}
 	if o.Host == "" {
 		return missing("host")
@@ -55,9 +55,11 @@
 }
 
 // Limit returns how long the answer waits for the upstream.
-func (o *OrderRequest) Limit() time.Duration {
-	if o.TimeoutMS == 0 {
+func (o *OrderRequest) Limit() time.Duration { return orderLimit(o.TimeoutMS) }
+
+func orderLimit(ms uint32) time.Duration {
+	if ms == 0 {
 		return defaultOrderMax
 	}
-	return min(time.Duration(o.TimeoutMS)*time.Millisecond, orderTimeout)
+	return min(time.Duration(ms)*time.Millisecond, orderTimeout)
 }
--- a/pkg/operators/voters.go
+++ b/pkg/operators/voters.go
@@ -20,8 +20,8 @@
 }
 
 func (v *VoterRequest) validate() error {
-	if v.RequestID == "" {
-		return missing("request_id")
+	if err := checkRequestID(v.RequestID); err != nil {
+		return err
 	}
 	if v.Action != AddVoter && v.Action != RemoveVoter && v.Action != ReplaceVoter {
 		return fault.New(fault.Invalid, "%q is none of add, remove, replace", v.Action).WithField("action").WithOutcome(fault.NotRun)
--- a/pkg/role/control/settings.go
+++ b/pkg/role/control/settings.go
@@ -24,7 +24,7 @@
 	Join            bool          `ini:"replica.join" default:"false" help:"Wait with an empty folder until the replica is added to an existing cluster."`
 	ElectionTimeout time.Duration `ini:"replica.election_timeout" default:"200ms" min:"50ms" max:"10s" help:"Least time without a leader before an election; the actual time is up to twice that."`
 	Heartbeat       time.Duration `ini:"replica.heartbeat" default:"40ms" min:"10ms" max:"2s" help:"Interval of the heartbeats of the leader."`
-	SnapshotEntries int           `ini:"replica.snapshot_entries" default:"10000" min:"100" max:"10000000" help:"Log entries between two snapshots."`
+	SnapshotEntries int           `ini:"replica.snapshot_entries" default:"50000" min:"100" max:"10000000" help:"Log entries between two snapshots."`
 	AdminAddress    string        `ini:"admin.address" required:"true" format:"address" help:"Address of the admin API, health, readiness and metrics."`
 	Operators       []string      `ini:"admin.operators" required:"true" help:"Operators as name:sha256, with the hexadecimal SHA-256 of the admin token."`
 	DrainTimeout    time.Duration `ini:"process.drain_timeout" default:"10s" min:"1s" max:"10m" help:"Time for admin requests in progress at shutdown."`
--- a/pkg/role/control/voters.go
+++ b/pkg/role/control/voters.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"time"
 
+	"github.com/google/uuid"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/plantainstair/plantainstair/pkg/fault"
@@ -52,9 +54,22 @@
 	}
 	err := c.node.ChangeVoter(ctx, step.GetVoter(), step.GetRemove())
 	c.recordVoter(operator, request, step, err)
+	if fault.Is(err, fault.NotLeader) {
+		return c.lostLeadership(err)
+	}
 	return err
 }
 
+// lostLeadership names the admin address of the new leader, where the node
+// names its peer address.
+func (c *Control) lostLeadership(err error) error {
+	if e := c.requireLeader(); e != nil {
+		return e
+	}
+	return fault.Wrap(err, fault.Unavailable, "leadership changed during the request").
+		WithOutcome(fault.As(err).Outcome).WithRetryAfter(time.Second)
+}
+
 func sameVoter(known, wanted *wirepb.Voter) error {
 	if known.GetPeerAddress() == wanted.GetPeerAddress() && known.GetAdminAddress() == wanted.GetAdminAddress() {
 		return nil
@@ -75,7 +90,7 @@
 	}
 	if cause != nil {
 		record.Error = cause.Error()
-		suffix += "/failed"
+		suffix += "/failed/" + uuid.NewString() // each attempt has its own record
 	}
 	_, err := c.proposer.propose(ctx, &wirepb.Command{
 		RequestId: request + suffix,
