--- /dev/null
+++ b/pkg/role/control/watch_test.go
@@ -0,0 +1,85 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/plantainstair/plantainstair/pkg/fault"
+	"github.com/plantainstair/plantainstair/pkg/link"
+	"github.com/plantainstair/plantainstair/pkg/wire"
+	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
+)
+
+// rawWatch opens a watch without a client behind it.
+func rawWatch(t *testing.T, m *Control, host string, revision uint64) *wire.Stream {
+	t.Helper()
+	session, err := link.Dial(background(t), m.Address(), link.Options{Identity: link.Identity{Role: roleAgent, Host: host}})
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = session.Close() })
+	s, err := session.Open()
+	assert.NilError(t, err)
+	_ = s.SetDeadline(time.Now().Add(15 * time.Second))
+	req := &wirepb.WatchRequest{Role: roleAgent, Host: host, Revision: revision}
+	assert.NilError(t, s.Write(&wirepb.Frame{Body: &wirepb.Frame_Watch{Watch: req}}))
+	return s
+}
+
+func ping(t *testing.T, s *wire.Stream, sequence, applied uint64) {
+	t.Helper()
+	p := &wirepb.Ping{Sequence: sequence, AppliedRevision: applied}
+	assert.NilError(t, s.Write(&wirepb.Frame{Body: &wirepb.Frame_Ping{Ping: p}}))
+}
+
+// Guards against a wait that counts a watcher which has received a change but
+// not confirmed it, and does not say which one it is.
+func TestApply_NamesLaggingWatcher(t *testing.T) {
+	c := startCluster(t, 3)
+	s := rawWatch(t, c.members[0], "slow", 0)
+	f, err := s.Read()
+	assert.NilError(t, err)
+	assert.Assert(t, f.GetWatchEvent().GetFull())
+	ping(t, s, 1, 0)
+	req := change(0, "first", "o")
+	req.Wait, req.WaitMS = true, 700
+	reply, err := c.members[1].Apply(background(t), "ann", req)
+	assert.NilError(t, err)
+	assert.Assert(t, !reply.Confirmation.Confirmed)
+	assert.DeepEqual(t, reply.Confirmation.Lagging, []string{"slow"})
+	assert.Equal(t, reply.Confirmation.LaggingTotal, 1)
+	ping(t, s, 2, 1)
+	again, err := c.members[2].Apply(background(t), "ann", req)
+	assert.NilError(t, err)
+	assert.Assert(t, again.Confirmation.Confirmed, "%+v", again.Confirmation)
+}
+
+// Guards against a replica that confirms a watcher while it is cut off, and
+// against one that takes back a revision the watcher already has.
+func TestWatch_EndsWhenNotCurrent(t *testing.T) {
+	c := startCluster(t, 3)
+	s := rawWatch(t, c.members[0], "h1", 0)
+	_, err := s.Read()
+	assert.NilError(t, err)
+	ping(t, s, 1, 0)
+	f, err := s.Read()
+	assert.NilError(t, err)
+	assert.Equal(t, f.GetCurrent().GetSequence(), uint64(1))
+	c.isolate(1, true)
+	cut := time.Now()
+	for sequence := uint64(2); f.GetError() == nil; sequence++ {
+		// A confirmation that was on its way when the replica was cut off is true.
+		assert.Assert(t, time.Since(cut) < 10*time.Second)
+		ping(t, s, sequence, 0)
+		f, err = s.Read()
+		assert.NilError(t, err)
+	}
+	assert.Equal(t, f.GetError().GetKind(), string(fault.Unavailable))
+	f, err = rawWatch(t, c.members[0], "h2", 0).Read()
+	assert.NilError(t, err)
+	assert.Equal(t, f.GetError().GetKind(), string(fault.Unavailable))
+	c.isolate(1, false)
+	f, err = rawWatch(t, c.members[1], "h3", 9).Read()
+	assert.NilError(t, err)
+	assert.Equal(t, f.GetError().GetKind(), string(fault.StaleConfig))
+}
