--- a/pkg/core/route/tracker_test.go
+++ b/pkg/core/route/tracker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -54,15 +55,37 @@
 	assert.Equal(t, last, 1.0)
 }
 
-// Guards against an error rate below the limit of errors in a row that is
-// never noticed.
-func TestEjectByErrorRate(t *testing.T) {
+// Guards against an ejected host that is never probed because others are
+// always chosen, and against a return that takes a full share at once.
+func TestProbeAndSlowStartByChoice(t *testing.T) {
+	const hosts, choices = 8, 4000
+	tab := NewTable()
 	tr := NewTracker(TrackerConfig{})
-	for range 12 {
-		observe(tr, "a", true, time.Millisecond, testStart, 1)
-		observe(tr, "a", false, 0, testStart, 3)
+	for i := range hosts {
+		tab.Update(&Upstream{Host: fmt.Sprint("h", i), Services: []string{"s"}, Slots: choices})
 	}
-	assert.Equal(t, tr.Weight("a", testStart), 0.0)
+	observe(tr, "h0", false, 0, testStart, DefaultErrorsInRow)
+	now := testStart.Add(DefaultBaseEjection)
+	rng := rand.New(rand.NewPCG(1, 1))
+	share := func() (chosen int) {
+		need := Need{Weight: func(host string) float64 { return tr.Weight(host, now) }}
+		for range choices {
+			u, err := tab.Service("s", need, rng)
+			assert.NilError(t, err)
+			if u.Host == "h0" {
+				chosen++
+			}
+		}
+		return chosen
+	}
+	assert.Assert(t, share() > choices/hosts/20, "no probe")
+	assert.Assert(t, tr.Admit("h0", now))
+	assert.Equal(t, share(), 0)
+	tr.Observe("h0", true, time.Millisecond, now)
+	first := share()
+	assert.Assert(t, first > 0 && first < choices/hosts/2, "%d of %d at the start", first, choices)
+	now = now.Add(DefaultSlowStart)
+	assert.Assert(t, share() > choices/hosts/2)
 }
 
 // Guards against slowness that ejects more than half of a group, a slow host
@@ -101,18 +124,21 @@
 	})
 }
 
-// Guards against one slow host among equals that is not ejected.
-func TestOneSlowHost(t *testing.T) {
+// Guards against a slow host among equals that is not ejected, and a rate of
+// errors that is never noticed because successes lie between them.
+func TestEjectBySlownessAndErrorRate(t *testing.T) {
 	tr := NewTracker(TrackerConfig{})
 	now := testStart
 	for range 30 {
 		now = now.Add(100 * time.Millisecond)
-		for _, host := range []string{"a", "b", "c", "d"} {
+		for _, host := range []string{"a", "b", "c", "d", "failing"} {
 			tr.Observe(host, true, 20*time.Millisecond, now)
 		}
-		tr.Observe("e", true, 200*time.Millisecond, now)
+		observe(tr, "failing", false, 0, now, 3)
+		tr.Observe("slow", true, 200*time.Millisecond, now)
 	}
-	assert.Assert(t, tr.Weight("e", now) < 1)
+	assert.Assert(t, tr.Weight("slow", now) < 1)
+	assert.Assert(t, tr.Weight("failing", now) < 1)
 	assert.Equal(t, tr.Weight("a", now), 1.0)
 }
 
