upstreams: notice a lost engine during a step

Cause: the request body of a stage was wrapped without its Close, so the HTTP/2 transport, on losing the connection, waited for a read of the open pipe before it ended the stream. Only streams that happened to write at that moment failed at once; the others waited for the step time-out. Ruled out: the agent's and entry's handling, whose logs show the error passed on within 1 ms.

Change: the body closes the pipe.

Conclusion: TestStage_LostConnectionEndsStep fails without the change.

--- a/pkg/upstreams/stage.go
+++ b/pkg/upstreams/stage.go
@@ -35,7 +35,8 @@
 	// The transport notices the end of ctx only between two reads of the body.
 	context.AfterFunc(ctx, func() { _ = in.CloseWithError(context.Cause(ctx)) })
 	s := &Stage{ctx: ctx, cancel: cancel, out: out, watchdog: newWatchdog(readyTimeout, readyTimeout, cancel), maxLine: c.opts.MaxLine}
-	req, err := newRequest(ctx, http.MethodPost, address, PathStage, io.MultiReader(bytes.NewReader(first), in))
+	body := stageBody{Reader: io.MultiReader(bytes.NewReader(first), in), pipe: in}
+	req, err := newRequest(ctx, http.MethodPost, address, PathStage, body)
 	if err != nil {
 		s.Close()
 		return nil, err
@@ -60,6 +61,17 @@
 	return s, nil
 }
 
+// stageBody is the request body of a stage. The transport closes it when the
+// connection is lost; a close that left the pipe open would keep the transport
+// in a read of the pipe, and the loss would go unnoticed until the next step.
+type stageBody struct {
+	io.Reader
+	pipe *io.PipeReader
+}
+
+// Close implements io.Closer.
+func (b stageBody) Close() error { return b.pipe.Close() }
+
 func (s *Stage) readReady() error {
 	line, err := s.read()
 	if err != nil {
--- /dev/null
+++ b/pkg/upstreams/stage_test.go
@@ -0,0 +1,78 @@
+package upstreams_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/plantainstair/plantainstair/pkg/upstreams"
+)
+
+// countingListener lets a test cut every connection of a server.
+type countingListener struct {
+	net.Listener
+	mu    sync.Mutex
+	conns []net.Conn
+}
+
+func (l *countingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err == nil {
+		l.mu.Lock()
+		l.conns = append(l.conns, c)
+		l.mu.Unlock()
+	}
+	return c, err
+}
+
+func (l *countingListener) cut() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, c := range l.conns {
+		_ = c.Close()
+	}
+}
+
+// Guards against the loss of an engine that a stage notices only when its step
+// times out: a step in progress must fail when the connection is lost.
+func TestStage_LostConnectionEndsStep(t *testing.T) {
+	ln := &countingListener{Listener: listen(t)}
+	stepped := make(chan struct{})
+	h2 := &http.Protocols{}
+	h2.SetUnencryptedHTTP2(true)
+	server := &http.Server{Protocols: h2, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		lines := upstreams.NewLineReader(r.Body, 1<<16)
+		var open upstreams.StageOpen
+		_ = lines.ReadJSON(&open)
+		_, _ = io.WriteString(w, "{\"ready\":true}\n")
+		w.(http.Flusher).Flush()
+		var step upstreams.StageStep
+		_ = lines.ReadJSON(&step)
+		close(stepped)
+		<-r.Context().Done()
+	})}
+	go func() { _ = server.Serve(ln) }()
+	t.Cleanup(func() { _ = server.Close() })
+	client := newClient(t, upstreams.Options{LineTimeout: time.Hour})
+	stage, err := client.OpenStage(context.Background(), ln.Addr().String(), &upstreams.StageOpen{Session: "s", Epoch: 1}, time.Hour)
+	assert.NilError(t, err)
+	defer stage.Close()
+	go func() { <-stepped; ln.cut() }()
+	failed := make(chan error, 1)
+	go func() {
+		_, err := stage.Step(&upstreams.StageStep{Epoch: 1, Tokens: []uint32{1}}, time.Hour)
+		failed <- err
+	}()
+	select {
+	case err := <-failed:
+		assert.Assert(t, err != nil)
+	case <-time.After(10 * time.Second):
+		t.Fatal("the step did not notice that the connection was lost")
+	}
+}
--- a/test/e2e/harness_test.go
+++ b/test/e2e/harness_test.go
@@ -96,7 +96,7 @@
 	paths, _ := filepath.Glob(filepath.Join(dir, "*.log"))
 	for _, path := range paths {
 		data, _ := os.ReadFile(path)
-		t.Logf("--- %s\n%s", filepath.Base(path), data[max(0, len(data)-4096):])
+		t.Logf("--- %s\n%s", filepath.Base(path), data[max(0, len(data)-60000):])
 	}
 }
 
