control: collect the parts of a large event before publishing it

Cause: a catalogue over 512 KiB comes in several frames of one revision. Each part was published as a view of its own, so that entries were missing for a moment and a ping could confirm an incomplete revision.

Change: the watcher joins the parts and publishes the whole event.

Conclusion: TestWatch_CollectsPartsBeforePublishing failed to compile and to hold without it.

--- a/pkg/control/client_test.go
+++ b/pkg/control/client_test.go
@@ -148,3 +148,23 @@
 	assert.NilError(t, err)
 	assert.Equal(t, v.Upstreams["h"].Incarnation, uint64(2))
 }
+
+// Guards against a view that lacks the entries of parts still on their way.
+func TestWatch_CollectsPartsBeforePublishing(t *testing.T) {
+	c := NewClient(Options{Log: logs.Nop()})
+	defer c.Close()
+	w := newWatch(c, "")
+	part := func(name string, more bool) *wirepb.WatchEvent {
+		e := &wirepb.Entry{Kind: KindModel, Name: name}
+		return &wirepb.WatchEvent{Revision: 3, Full: name == "a", Entries: []*wirepb.Entry{e}, More: more}
+	}
+	assert.NilError(t, w.apply(part("a", true)))
+	assert.NilError(t, w.apply(part("b", true)))
+	assert.Assert(t, c.View() == nil)
+	_, err := w.collect(&wirepb.WatchEvent{Revision: 4})
+	assert.Assert(t, fault.Is(err, fault.Protocol))
+	ev, err := w.collect(part("c", false))
+	assert.NilError(t, err)
+	assert.Equal(t, len(ev.Entries), 3)
+	assert.Assert(t, ev.Full)
+}
--- a/pkg/control/watch.go
+++ b/pkg/control/watch.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/plantainstair/plantainstair/pkg/fault"
 	"github.com/plantainstair/plantainstair/pkg/logs"
 	"github.com/plantainstair/plantainstair/pkg/wire"
@@ -20,6 +22,8 @@
 	// retained holds upstreams taken over from the replica watched before.
 	retained      map[string]struct{}
 	retainedUntil time.Time
+	// parts collects an event that comes in several frames.
+	parts *wirepb.WatchEvent
 }
 
 func newWatch(c *Client, addr string) *watch {
@@ -93,7 +97,32 @@
 	return fault.New(fault.Protocol, "unexpected message on the watch stream")
 }
 
-func (w *watch) apply(ev *wirepb.WatchEvent) error {
+// collect joins the parts of an event and returns it once it is complete. A
+// view made of some of the parts would lack entries.
+func (w *watch) collect(part *wirepb.WatchEvent) (*wirepb.WatchEvent, error) {
+	if w.parts == nil {
+		w.parts = part
+	} else {
+		if part.Revision != w.parts.Revision {
+			return nil, fault.New(fault.Protocol, "part of revision %d within an event of revision %d", part.Revision, w.parts.Revision)
+		}
+		full, upstreamsFull := w.parts.Full || part.Full, w.parts.UpstreamsFull || part.UpstreamsFull
+		proto.Merge(w.parts, part)
+		w.parts.Full, w.parts.UpstreamsFull = full, upstreamsFull
+	}
+	if part.More {
+		return nil, nil
+	}
+	ev := w.parts
+	w.parts = nil
+	return ev, nil
+}
+
+func (w *watch) apply(part *wirepb.WatchEvent) error {
+	ev, err := w.collect(part)
+	if err != nil || ev == nil {
+		return err
+	}
 	known := w.client.View()
 	first := known == nil
 	if first {
