role/agent: free resources of waiting resends, keep outcomes true mid-stream

A refusal by a later stage after the first step carried the outcome not_run; a generation that has begun is now unknown. The queue wait of a stage counts against the deadline of the next one. A time-out of a service call is reported as deadline_exceeded.

--- a/pkg/role/agent/call_test.go
+++ b/pkg/role/agent/call_test.go
@@ -224,6 +224,35 @@
 	assert.Equal(t, n.service.Records().Calls, 0)
 }
 
+// Guards against resends of a key without an outcome that keep other keys from
+// running.
+func TestCall_PendingKeyDoesNotBlockOthers(t *testing.T) {
+	fake := newFakeControl()
+	n := startServiceNode(t, "a", fake, func(s *Settings) { s.MaxPendingClaims = 2 }, newService())
+	c := newClient(t)
+	stuck := call("stuck", "stuck")
+	_, _ = fake.Claim(context.Background(), n.agent.claimOf(stuck))
+	stuck.DeadlineMs = 60_000
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	for i := range 4 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			_, err := c.Call(ctx, n.agent.Address(), stuck)
+			assert.Check(t, err != nil, "resend %d", i)
+		}()
+		waitFor(t, "a waiting resend", func() bool {
+			return n.agent.lifecycle.InFlight() == i+1 && len(n.agent.pending) == 0 && n.agent.queue.load().Running == 0
+		})
+	}
+	_, err := c.Call(context.Background(), n.agent.Address(), call("r", "k"))
+	assert.NilError(t, err)
+	cancel()
+	wg.Wait()
+	waitFor(t, "the end of the resends", func() bool { return n.agent.lifecycle.InFlight() == 0 })
+}
+
 // Guards against an outcome of unknown for a call that provably never reached
 // the service.
 func TestCall_RefusedConnectionIsNotRun(t *testing.T) {
--- a/pkg/role/agent/chain.go
+++ b/pkg/role/agent/chain.go
@@ -149,6 +149,7 @@
 		return nil, err
 	}
 	defer h.close()
+	g.begun = true
 	sequence := append(append([]uint32(nil), g.req.Prompt...), g.req.Emitted...)
 	// The last position always runs, because it yields the token.
 	start := min(h.cached, uint32(len(sequence)-1)/upstreams.PrefixBlock*upstreams.PrefixBlock)
@@ -182,7 +183,7 @@
 func (g *generation) stageOpen() *wirepb.StageOpen {
 	r := g.req
 	return &wirepb.StageOpen{
-		Session: r.Session, Epoch: r.Epoch, Organisation: r.Organisation, Rank: r.Rank, DeadlineMs: r.DeadlineMs,
+		Session: r.Session, Epoch: r.Epoch, Organisation: r.Organisation, Rank: r.Rank, DeadlineMs: g.slot.remaining(r.DeadlineMs),
 		Model: r.Model, Version: r.Version, Adapter: r.Adapter, Seed: r.Seed, Index: headIndex, Stages: r.Stages,
 		Weight: r.Weight, CostTokens: uint32(len(r.Prompt)+len(r.Emitted)) + r.MaxTokens,
 		Prefixes: upstreams.PrefixHashes(r.Model, r.Version, r.Adapter, r.Prompt),
--- a/pkg/role/agent/generate.go
+++ b/pkg/role/agent/generate.go
@@ -116,6 +116,7 @@
 	emit  func(*wirepb.Token) error
 	sent  uint32 // tokens emitted, those of earlier epochs included
 	last  time.Time
+	begun bool // an engine may have run a layer
 }
 
 func (g *generation) run() (*wirepb.GenerateDone, error) {
@@ -142,6 +143,9 @@
 		f = cancelled(g.ctx)
 	}
 	f.Position = g.sent
+	if g.begun || f.Outcome != fault.NotRun {
+		f.Outcome = fault.MayHaveRun
+	}
 	g.agent.noteUpstreamError(g.up, f, headIndex)
 	if f.Outcome != fault.NotRun {
 		g.agent.cancelSession(g.up, g.req.Session, g.req.Epoch)
@@ -152,6 +156,7 @@
 // token passes one token on.
 func (g *generation) token(id uint32, last bool) error {
 	t := &wirepb.Token{Session: g.req.Session, Epoch: g.req.Epoch, Position: g.sent, Id: id, Last: last}
+	g.begun = true
 	if err := g.emit(t); err != nil {
 		return fault.Wrap(err, fault.Cancelled, "send token").WithOutcome(fault.MayHaveRun)
 	}
@@ -179,6 +184,7 @@
 		Prompt: g.req.Prompt, Emitted: g.req.Emitted, MaxTokens: g.req.MaxTokens, Seed: g.req.Seed,
 	}
 	finished := false
+	// The client reports not_run only when the engine refused the request.
 	first := g.agent.prefillTimeout(len(r.Prompt) + len(r.Emitted))
 	line, err := g.agent.client.Generate(g.ctx, g.up.announced.Address, r, first, func(l *upstreams.GenerateLine) error {
 		if finished {
--- a/pkg/role/agent/once.go
+++ b/pkg/role/agent/once.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/sha256"
+	"sync"
 	"time"
 
 	"github.com/google/uuid"
@@ -32,6 +33,8 @@
 	claim    *wirepb.ClaimRequest
 	admitted *admittedCall
 
+	reserved sync.Once            // gives back the room for the outcome
+	unasked  chan struct{}        // closed when no caller waits any more
 	answered chan struct{}        // closed when response is set
 	response *wirepb.CallResponse // answer of the service
 	finished chan struct{}        // closed when result and err are set
@@ -46,7 +49,11 @@
 	}
 	deadline := time.NewTimer(callerTime(req))
 	defer deadline.Stop()
-	c := &onceCall{agent: a, req: req, claim: a.claimOf(req), answered: make(chan struct{}), finished: make(chan struct{})}
+	c := &onceCall{
+		agent: a, req: req, claim: a.claimOf(req),
+		unasked: make(chan struct{}), answered: make(chan struct{}), finished: make(chan struct{}),
+	}
+	defer close(c.unasked)
 	if err := c.admit(ctx); err != nil {
 		return c.refused(ctx, fault.As(err))
 	}
@@ -95,6 +102,9 @@
 	return nil
 }
 
+// freeRoom gives back the room for the outcome. Later calls do nothing.
+func (c *onceCall) freeRoom() { c.reserved.Do(func() { <-c.agent.pending }) }
+
 // refused answers a call that this agent did not claim. Whether the key ran
 // is for a linearizable read to say.
 func (c *onceCall) refused(ctx context.Context, f *fault.Error) (*wirepb.CallResponse, error) {
@@ -152,7 +162,7 @@
 
 // run makes the claim and follows its reply to the end.
 func (c *onceCall) run() {
-	defer func() { <-c.agent.pending }()
+	defer c.freeRoom()
 	defer c.admitted.release()
 	ctx, cancel := context.WithTimeout(context.Background(), c.agent.set.ClaimTimeout)
 	reply, err := c.agent.control.Claim(ctx, c.claim)
@@ -232,13 +242,17 @@
 	c.follow(reply)
 }
 
-// waitForOther waits for the outcome of the attempt that holds the key.
+// waitForOther waits for the outcome of the attempt that holds the key, as long
+// as the caller waits.
 func (c *onceCall) waitForOther() {
+	// This attempt has no outcome to record. Resends of a key that stays
+	// pending must not keep other keys from running.
 	c.admitted.freeSlot()
+	c.freeRoom()
 	until := c.agent.now().Add(min(callerTime(c.req), maxOtherWait))
 	for {
 		left := until.Sub(c.agent.now())
-		if left <= 0 {
+		if left <= 0 || c.isUnasked() {
 			c.finish(nil, fault.New(fault.Unknown, "an earlier attempt has no outcome yet").WithOutcome(fault.MayHaveRun))
 			return
 		}
@@ -250,6 +264,15 @@
 	}
 }
 
+func (c *onceCall) isUnasked() bool {
+	select {
+	case <-c.unasked:
+		return true
+	default:
+		return false
+	}
+}
+
 const (
 	readClaimWait = time.Second
 	// maxOtherWait bounds how long a resend occupies memory here.
--- a/pkg/role/agent/queue.go
+++ b/pkg/role/agent/queue.go
@@ -156,6 +156,16 @@
 	return q.sched.Load(q.now())
 }
 
+// remaining returns what the queue left of a deadline, at least 1 ms. Zero
+// means no deadline.
+func (s *slot) remaining(deadlineMS uint32) uint32 {
+	if deadlineMS == 0 {
+		return 0
+	}
+	used := uint32(min(s.Queued/time.Millisecond, time.Duration(deadlineMS-1)))
+	return deadlineMS - used
+}
+
 // charge sets the tokens used so far.
 func (s *slot) charge(tokens int) {
 	s.queue.mu.Lock()
--- a/pkg/upstreams/client.go
+++ b/pkg/upstreams/client.go
@@ -135,6 +135,9 @@
 		if errors.As(cause, &f) {
 			return f
 		}
+		if errors.Is(cause, context.DeadlineExceeded) {
+			return fault.Wrap(cause, fault.Deadline, "%s", what).WithOutcome(fault.MayHaveRun)
+		}
 		return fault.Wrap(cause, fault.Cancelled, "%s", what).WithOutcome(fault.MayHaveRun)
 	}
 	return fault.Wrap(err, fault.Upstream, "%s", what).WithOutcome(fault.MayHaveRun)
