--- a/pkg/role/agent/generate_test.go
+++ b/pkg/role/agent/generate_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -242,6 +243,7 @@
 		_, err = s.Step(step)
 		f := fault.As(err)
 		assert.Assert(t, f != nil, name)
+		assert.Assert(t, !strings.Contains(f.Message, "upstream:"), "the agent must not leave the check to the engine: %v", f)
 		if name == "epoch" {
 			assert.Equal(t, f.Kind, fault.StaleEpoch) // the sender's fault
 		} else {
@@ -253,3 +255,29 @@
 	}
 	assert.Equal(t, len(n.engine.Records().Layers), 0)
 }
+
+// Guards against an older epoch that goes on after its replacement has begun,
+// as that of an entry that was cut off does.
+func TestGenerate_NewEpochEndsOlder(t *testing.T) {
+	nodes := startChain(t, nil, func(o *standin.EngineOptions) { o.Timing.Step = time.Millisecond })
+	c := newClient(t)
+	p := prompt(5)
+	want := standin.Reference(p, testLayers, testSeed, 10)
+	var got []uint32
+	var replaceErr error
+	older, _, err := collect(context.Background(), c, request("s", 1, p, 100000, nodes...), func(tok *wirepb.Token) {
+		if tok.Position == 3 {
+			r := request("s", 2, p, 6, nodes...)
+			r.Emitted = want[:4]
+			got, _, replaceErr = collect(context.Background(), c, r, nil)
+		}
+	})
+	assert.NilError(t, replaceErr)
+	assert.DeepEqual(t, got, want[4:])
+	f := fault.As(err)
+	assert.Equal(t, f.Kind, fault.StaleEpoch, "%v after %d tokens", err, len(older))
+	assert.Assert(t, strings.Contains(f.Message, "replaced"), "%v", f)
+	for _, n := range nodes {
+		waitFor(t, "free slots", func() bool { return n.agent.queue.load().Running == 0 && n.engine.Records().Sessions == 0 })
+	}
+}
