--- a/pkg/load/bound.go
+++ b/pkg/load/bound.go
@@ -53,21 +53,45 @@
 
 // modelLimit returns the requests per second that the engines can serve at
 // most. Every request uses each layer once, so the layer with the least
-// capacity bounds the model. An engine is counted with full batches.
+// capacity bounds the model. The capacity of an engine is bounded by its time,
+// counted with full batches, and by its slots, which a request holds on every
+// engine of its chain until it ends.
 func (s *Scenario) modelLimit(model string, layers int, prompt, output float64) float64 {
+	held := s.shortestSeconds(model, layers, prompt, output)
 	limit := math.Inf(1)
 	for layer := range layers {
-		sum := 0.0
+		byTime, slots := 0.0, 0
 		for _, c := range s.Capacities {
-			if c.Model == model && c.Service == "" && c.FirstLayer <= layer && layer <= c.LastLayer {
-				sum += float64(c.Count) / c.engineSeconds(prompt, output)
+			if c.holds(model) && c.FirstLayer <= layer && layer <= c.LastLayer {
+				byTime += float64(c.Count) / c.engineSeconds(prompt, output)
+				slots += c.Count * c.Slots
 			}
 		}
-		limit = min(limit, sum)
+		limit = min(limit, byTime, float64(slots)/held)
 	}
 	return limit
 }
 
+func (c *Capacity) holds(model string) bool { return c.Service == "" && c.Model == model }
+
+// shortestSeconds is the least time of a request alone on its chain: each
+// token passes every stage before the next one begins.
+func (s *Scenario) shortestSeconds(model string, layers int, prompt, output float64) float64 {
+	reach := make([]float64, layers+1) // least time for the layers before the index
+	for layer := range layers {
+		reach[layer+1] = math.Inf(1)
+	}
+	for layer := range layers {
+		for _, c := range s.Capacities {
+			if c.holds(model) && c.FirstLayer == layer && c.LastLayer < layers {
+				alone := prompt*c.PrefillPerToken.Seconds() + output*(c.Step+c.StepPerSession).Seconds()
+				reach[c.LastLayer+1] = min(reach[c.LastLayer+1], reach[layer]+alone)
+			}
+		}
+	}
+	return max(reach[layers], time.Nanosecond.Seconds())
+}
+
 // engineSeconds is the time of an engine that one request takes in full
 // batches.
 func (c *Capacity) engineSeconds(prompt, output float64) float64 {
--- a/pkg/load/load_test.go
+++ b/pkg/load/load_test.go
@@ -283,14 +283,23 @@
 	assert.Equal(t, floodAgain, flood)
 }
 
-// Guards against a bound that ignores the layer with the least capacity.
+// Guards against a bound that ignores the layer with the least capacity, or
+// the slots that a request holds on every stage at once.
 func TestBound(t *testing.T) {
 	s := parse(t, "127.0.0.1:1")
+	rounded := func(layers int, prompt, output float64) float64 {
+		return math.Round(s.modelLimit("m", layers, prompt, output)*1000) / 1000
+	}
 	// Two engines; 6 prompt tokens of 1 ms and 4 tokens of 4/4 + 1 ms each.
-	assert.Equal(t, math.Round(s.modelLimit("m", 4, 6, 4)*1000)/1000, 142.857)
-	assert.Equal(t, s.modelLimit("m", 5, 6, 4), 0.0)
-	s.Capacities = append(s.Capacities, &Capacity{Count: 1, Model: "m", FirstLayer: 2, LastLayer: 4, Slots: 1, Step: 20 * time.Millisecond})
-	assert.Equal(t, s.modelLimit("m", 5, 6, 4), 12.5)
+	assert.Equal(t, rounded(4, 6, 4), 142.857)
+	// Two slots, each held for 100 * (40 + 1) ms.
+	s.Capacities[0].Step = 40 * time.Millisecond
+	s.Capacities[0].Slots = 1
+	assert.Equal(t, rounded(4, 0, 100), 0.488)
+	assert.Equal(t, rounded(5, 6, 4), 0.0)
+	s.Capacities = append(s.Capacities, &Capacity{Count: 1, Model: "m", FirstLayer: 4, LastLayer: 4, Slots: 1, Step: 60 * time.Millisecond})
+	// One slot, held for 10 * (41 + 60) ms.
+	assert.Equal(t, rounded(5, 0, 10), 0.99)
 	assert.Equal(t, s.serviceLimit("orders"), 100.0)
 }
 
