--- a/pkg/core/raft/election.go
+++ b/pkg/core/raft/election.go
@@ -26,6 +26,9 @@
 // and then no other could win.
 func (n *Node) mayCampaign() bool {
 	v := findVoter(n.VotersAt(n.log.commit), n.cfg.ID)
+	if v != nil && v.Member != 0 && v.Member != n.cfg.Member {
+		return false // the others know this id with another disk
+	}
 	return n.isVoter(n.cfg.ID) || (v != nil && !v.Learner)
 }
 
--- a/pkg/replica/applier.go
+++ b/pkg/replica/applier.go
@@ -8,11 +8,13 @@
 	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
 )
 
-// task is one piece of work of the applier: an entry, or a snapshot to restore.
+// task is one piece of work of the applier: an entry, a snapshot to restore, or
+// the order to take a snapshot.
 type task struct {
 	entry    *wirepb.LogEntry
 	proposal *proposal // set on the replica that proposed the entry
 	restore  *snapshot
+	take     bool
 }
 
 // appliedState tells the owner how far the applier is.
@@ -90,6 +92,9 @@
 		a.report(func(s *appliedState) { s.applied = index })
 		return nil
 	}
+	if t.take {
+		return a.takeSnapshot(a.state.applied)
+	}
 	a.apply(t)
 	a.bytes += len(t.entry.Data)
 	if t.entry.Index-a.lastSnap < a.interval && a.bytes < a.maxBytes {
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -125,6 +125,7 @@
 	reads       map[uint64]*read
 	readContext uint64
 	changes     []*voterChange
+	snapshots   []*snapshotCall
 	applied     uint64
 	hard        wal.HardState // the parts that raft does not own
 	latest      snapshot      // newest durable snapshot
