role/agent: report the cached prefixes of recent prompts first

A prefix that many prompts share is stored once, so that the 32 newest stored ones soon left it out and entries saw no affinity. The report now begins with the cached prefixes of recent prompts, and holds 64.

--- a/pkg/role/agent/call_test.go
+++ b/pkg/role/agent/call_test.go
@@ -305,8 +305,17 @@
 	return fault.FromWire(w)
 }
 
-// Guards against load reports with gaps in their numbers, and against cache
-// events that are applied twice or bring back an evicted prefix.
+func prefixRange(first uint64, n int) []uint64 {
+	out := make([]uint64, n)
+	for i := range out {
+		out[i] = first + uint64(i)
+	}
+	return out
+}
+
+// Guards against load reports with gaps in their numbers, against cache events
+// that are applied twice or bring back an evicted prefix, and against the
+// prefixes of a used prompt that disappear behind newer ones.
 func TestReport_SequencePerWatcher(t *testing.T) {
 	n := startEngineNode(t, "a", 0, testLayers-1, nil, nil)
 	c := newClient(t)
@@ -314,6 +323,19 @@
 		{Action: upstreams.CacheStored, Prefix: 1}, {Action: upstreams.CacheStored, Prefix: 2}, {Action: upstreams.CacheEvicted, Prefix: 1},
 	}})
 	n.agent.upstream.Cached(&upstreams.CacheEvents{Sequence: 1 << 40, Events: []upstreams.CacheEvent{{Action: upstreams.CacheStored, Prefix: 1}}})
+	shared := prefixRange(1000, 100)
+	set := newPrefixSet(maxKnownPrefixes)
+	store := func(sequence uint64, hashes []uint64) {
+		for i, h := range hashes {
+			set.apply(&upstreams.CacheEvents{Sequence: sequence + uint64(i), Events: []upstreams.CacheEvent{{Action: upstreams.CacheStored, Prefix: h}}})
+		}
+	}
+	store(0, shared)
+	set.use(shared)
+	store(100, prefixRange(2000, 100)) // another prompt, stored later
+	report := set.report(reportedPrefixes)
+	assert.Equal(t, len(report), reportedPrefixes)
+	assert.DeepEqual(t, report[:8], []uint64{1063, 1031, 1015, 1007, 1003, 1001, 1000, 1099})
 	for range 2 {
 		ctx, cancel := context.WithCancel(context.Background())
 		next := uint64(1)
--- a/pkg/role/agent/chain.go
+++ b/pkg/role/agent/chain.go
@@ -186,7 +186,7 @@
 		Session: r.Session, Epoch: r.Epoch, Organisation: r.Organisation, Rank: r.Rank, DeadlineMs: g.slot.remaining(r.DeadlineMs),
 		Model: r.Model, Version: r.Version, Adapter: r.Adapter, Seed: r.Seed, Index: headIndex, Stages: r.Stages,
 		Weight: r.Weight, CostTokens: uint32(len(r.Prompt)+len(r.Emitted)) + r.MaxTokens,
-		Prefixes: upstreams.PrefixHashes(r.Model, r.Version, r.Adapter, r.Prompt),
+		Prefixes: g.prefixes,
 	}
 }
 
--- a/pkg/role/agent/generate.go
+++ b/pkg/role/agent/generate.go
@@ -117,9 +117,13 @@
 	sent  uint32 // tokens emitted, those of earlier epochs included
 	last  time.Time
 	begun bool // an engine may have run a layer
+
+	prefixes []uint64
 }
 
 func (g *generation) run() (*wirepb.GenerateDone, error) {
+	g.prefixes = upstreams.PrefixHashes(g.req.Model, g.req.Version, g.req.Adapter, g.req.Prompt)
+	g.agent.upstream.used(g.prefixes)
 	var done *wirepb.GenerateDone
 	var err error
 	if len(g.req.Stages) == 1 {
--- a/pkg/role/agent/prefixes.go
+++ b/pkg/role/agent/prefixes.go
@@ -2,25 +2,57 @@
 
 import (
 	"container/list"
+	"slices"
 
 	"github.com/plantainstair/plantainstair/pkg/upstreams"
 )
 
 // reportedPrefixes bounds the prefixes in one load report, which is sent ten
 // times a second to each entry.
-const reportedPrefixes = 32
+const reportedPrefixes = 64
 
 // prefixSet remembers which prefixes the engine has cached, as far as its
 // events told. It may be wrong: a wrong guess costs only a prefill.
 type prefixSet struct {
-	max     int
-	next    uint64 // sequence of the next event
-	order   *list.List
-	entries map[uint64]*list.Element
+	next   uint64 // sequence of the next event
+	cached *recentSet
+	// used holds prefixes of recent prompts. A prefix that many prompts share
+	// is stored once and would soon be the oldest of those cached.
+	used *recentSet
 }
 
 func newPrefixSet(max int) prefixSet {
-	return prefixSet{max: max, order: list.New(), entries: make(map[uint64]*list.Element)}
+	return prefixSet{cached: newRecentSet(max), used: newRecentSet(reportedPrefixes)}
+}
+
+// use notes the prompt of a request by its prefix hashes. Those of one, two,
+// four and so on blocks and of the whole prompt stand for the rest, so that a
+// long prompt does not take all the room.
+func (p *prefixSet) use(hashes []uint64) {
+	if len(hashes) == 0 {
+		return
+	}
+	p.used.add(hashes[len(hashes)-1])
+	for blocks := 1; blocks <= len(hashes); blocks *= 2 {
+		p.used.add(hashes[blocks-1])
+	}
+}
+
+// report returns at most n prefixes that are cached, those of recent prompts
+// first.
+func (p *prefixSet) report(n int) []uint64 {
+	var out []uint64
+	for e := p.used.order.Front(); e != nil && len(out) < n; e = e.Next() {
+		if prefix := e.Value.(uint64); p.cached.has(prefix) {
+			out = append(out, prefix)
+		}
+	}
+	for e := p.cached.order.Front(); e != nil && len(out) < n; e = e.Next() {
+		if prefix := e.Value.(uint64); !slices.Contains(out, prefix) {
+			out = append(out, prefix)
+		}
+	}
+	return out
 }
 
 // apply takes events in the order of their sequence. Events that were applied
@@ -40,37 +72,49 @@
 func (p *prefixSet) applyOne(e upstreams.CacheEvent) {
 	switch e.Action {
 	case upstreams.CacheStored:
-		p.add(e.Prefix)
+		p.cached.add(e.Prefix)
 	case upstreams.CacheEvicted:
-		p.remove(e.Prefix)
+		p.cached.remove(e.Prefix)
 	case upstreams.CacheCleared:
-		p.order.Init()
-		clear(p.entries)
+		p.cached.clear()
 	}
 }
 
-func (p *prefixSet) add(prefix uint64) {
-	if known, ok := p.entries[prefix]; ok {
-		p.order.MoveToFront(known)
+// recentSet is a bounded set that drops its oldest member.
+type recentSet struct {
+	max     int
+	order   *list.List // newest first
+	entries map[uint64]*list.Element
+}
+
+func newRecentSet(max int) *recentSet {
+	return &recentSet{max: max, order: list.New(), entries: make(map[uint64]*list.Element)}
+}
+
+func (r *recentSet) has(v uint64) bool {
+	_, ok := r.entries[v]
+	return ok
+}
+
+func (r *recentSet) add(v uint64) {
+	if known, ok := r.entries[v]; ok {
+		r.order.MoveToFront(known)
 		return
 	}
-	if len(p.entries) >= p.max {
-		p.remove(p.order.Back().Value.(uint64))
+	if len(r.entries) >= r.max {
+		r.remove(r.order.Back().Value.(uint64))
 	}
-	p.entries[prefix] = p.order.PushFront(prefix)
+	r.entries[v] = r.order.PushFront(v)
 }
 
-func (p *prefixSet) remove(prefix uint64) {
-	if known, ok := p.entries[prefix]; ok {
-		p.order.Remove(known)
-		delete(p.entries, prefix)
+func (r *recentSet) remove(v uint64) {
+	if known, ok := r.entries[v]; ok {
+		r.order.Remove(known)
+		delete(r.entries, v)
 	}
 }
 
-func (p *prefixSet) newest(n int) []uint64 {
-	var out []uint64
-	for e := p.order.Front(); e != nil && len(out) < n; e = e.Next() {
-		out = append(out, e.Value.(uint64))
-	}
-	return out
+func (r *recentSet) clear() {
+	r.order.Init()
+	clear(r.entries)
 }
--- a/pkg/role/agent/stage.go
+++ b/pkg/role/agent/stage.go
@@ -39,6 +39,7 @@
 	if up = a.upstream.view(); up == nil {
 		return blame(errNoUpstream(), int(open.Index))
 	}
+	a.upstream.used(open.Prefixes)
 	open.DeadlineMs = slot.remaining(open.DeadlineMs)
 	err = a.runStage(ctx, up, open, slot, steps)
 	if err != nil {
--- a/pkg/role/agent/upstream.go
+++ b/pkg/role/agent/upstream.go
@@ -237,11 +237,18 @@
 	u.prefixes.apply(c)
 }
 
+// used notes the prompt of a request by its prefix hashes.
+func (u *upstreamState) used(hashes []uint64) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.prefixes.use(hashes)
+}
+
 // engineReport fills in what the engine last reported.
 func (u *upstreamState) engineReport(r *wirepb.LoadReport) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	r.Prefixes = u.prefixes.newest(reportedPrefixes)
+	r.Prefixes = u.prefixes.report(reportedPrefixes)
 	if u.loadAt.IsZero() {
 		return
 	}
