--- a/pkg/local/roles.go
+++ b/pkg/local/roles.go
@@ -19,7 +19,7 @@
 	for i := range d.Plan.Controls {
 		c := &Control{ID: i + 1, PeerAddress: addresses[2*i], AdminAddress: addresses[2*i+1]}
 		c.Dir = filepath.Join(d.Dir, fmt.Sprintf("control%d", c.ID))
-		voters = append(voters, fmt.Sprintf("%d=%s/%s/control%d", c.ID, c.PeerAddress, c.AdminAddress, c.ID))
+		voters = append(voters, c.voter())
 		d.Controls = append(d.Controls, c)
 	}
 	for _, c := range d.Controls {
@@ -54,6 +54,27 @@
 	return c.Start()
 }
 
+// JoinControl starts a further replica that waits to be added to the voters.
+func (d *Deployment) JoinControl() (*Control, error) {
+	addresses, err := FreeAddresses(2)
+	if err != nil {
+		return nil, err
+	}
+	c := &Control{ID: len(d.Controls) + 1, PeerAddress: addresses[0], AdminAddress: addresses[1]}
+	c.Dir = filepath.Join(d.Dir, fmt.Sprintf("control%d", c.ID))
+	var voters []string
+	for _, other := range d.Controls {
+		voters = append(voters, other.voter())
+	}
+	d.Controls = append(d.Controls, c)
+	return c, d.startControl(c, voters, true)
+}
+
+// voter returns the replica as an element of the voters setting.
+func (c *Control) voter() string {
+	return fmt.Sprintf("%d=%s/%s/control%d", c.ID, c.PeerAddress, c.AdminAddress, c.ID)
+}
+
 func (d *Deployment) controlAddresses() string {
 	var peers []string
 	for _, c := range d.Controls {
