--- a/cmd/plantainctl/settings.go
+++ b/cmd/plantainctl/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 
 	"github.com/plantainstair/plantainstair/pkg/config"
 	"github.com/plantainstair/plantainstair/pkg/ctl"
@@ -49,13 +50,25 @@
 func (c *commands) addSettings() {
 	sub := newSub("settings", "Prints the settings reference of every role.")
 	c.list = append(c.list, command{sub: sub, run: func() error {
-		for _, role := range roles {
-			settings, err := settingsOf(role)
-			if err != nil {
-				return err
-			}
-			fmt.Printf("### %s\n\n%s\n", role, config.Reference(settings))
+		text, err := settingsReference()
+		if err != nil {
+			return err
 		}
+		fmt.Print(text)
 		return nil
 	}})
 }
+
+// settingsReference returns docs/settings.md.
+func settingsReference() (string, error) {
+	var b strings.Builder
+	b.WriteString("# Settings\n\nWritten by `plantainctl settings`. Files are in INI format; `plantainctl check-config ROLE FILE` checks one.\n")
+	for _, role := range roles {
+		settings, err := settingsOf(role)
+		if err != nil {
+			return "", err
+		}
+		fmt.Fprintf(&b, "\n## %s\n\n%s", role, config.Reference(settings))
+	}
+	return b.String(), nil
+}
--- a/pkg/platform/server.go
+++ b/pkg/platform/server.go
@@ -25,7 +25,8 @@
 	// Ready reports why the process cannot take work; nil means that the
 	// state of the lifecycle decides alone.
 	Ready func() error
-	// Metrics is the set of the process; nil means the global set.
+	// Metrics is the set of the process, written together with the global set,
+	// which holds what does not belong to one process; nil means the latter only.
 	Metrics *metrics.Set
 }
 
@@ -97,12 +98,10 @@
 
 func writeMetrics(w http.ResponseWriter, set *metrics.Set) {
 	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
-	if set == nil {
-		metrics.WritePrometheus(w, true)
-		return
+	if set != nil {
+		set.WritePrometheus(w)
 	}
-	set.WritePrometheus(w)
-	metrics.WriteProcessMetrics(w)
+	metrics.WritePrometheus(w, true)
 }
 
 func noStore(next http.Handler) http.Handler {
