link: say why a peer refuses a handshake

Cause: a client whose certificate was refused reported a protocol error, since TLS 1.3 tells it only with its first read; a client without TLS saw a bare EOF.

Change: a refused certificate is unauthenticated, a closed connection names the likely mismatch.

--- a/pkg/link/handshake.go
+++ b/pkg/link/handshake.go
@@ -4,7 +4,10 @@
 	"crypto/hmac"
 	"crypto/rand"
 	"crypto/sha256"
+	"io"
+	"net"
 
+	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/plantainstair/plantainstair/pkg/fault"
@@ -98,7 +101,7 @@
 	}
 	f, err := s.Read()
 	if err != nil {
-		return Identity{}, 0, fault.Wrap(err, fault.Protocol, "handshake answer")
+		return Identity{}, 0, answerError(err)
 	}
 	if e := f.GetError(); e != nil {
 		return Identity{}, 0, fault.FromWire(e)
@@ -118,6 +121,19 @@
 	return peer, reply.Version, nil
 }
 
+// answerError explains why the server did not answer the handshake. In TLS 1.3
+// the client learns that its certificate was refused only with its first read.
+func answerError(err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "remote error" {
+		return fault.Wrap(err, fault.Unauthenticated, "peer refused the certificate")
+	}
+	if errors.Is(err, io.EOF) {
+		return fault.Wrap(err, fault.Protocol, "peer closed the connection; both sides must use TLS or neither")
+	}
+	return fault.Wrap(err, fault.Protocol, "handshake answer")
+}
+
 func confirmServer(hello *wirepb.Hello, reply *wirepb.HelloReply, keys *Keyring) (*wirepb.HelloConfirm, error) {
 	if reply.Version < MinVersion || reply.Version > MaxVersion {
 		return nil, fault.New(fault.Protocol, "peer chose protocol version %d; this build speaks %d to %d",
