--- a/pkg/catalogue/catalogue_test.go
+++ b/pkg/catalogue/catalogue_test.go
@@ -52,3 +52,15 @@
   [organisation] : is not a known kind of section
   [model m] : occurs more than once`)
 }
+
+// Guards against a panic on malformed files.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(file))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		entries, err := Parse("fuzz", data)
+		if err != nil {
+			return
+		}
+		_ = Format(entries)
+	})
+}
--- a/pkg/config/common.go
+++ b/pkg/config/common.go
@@ -93,12 +93,14 @@
 // system.
 func mutualTLS(cert tls.Certificate, pool *x509.CertPool) *tls.Config {
 	return &tls.Config{
-		Certificates:          []tls.Certificate{cert},
-		MinVersion:            tls.VersionTLS13,
-		ClientAuth:            tls.RequireAndVerifyClientCert,
-		ClientCAs:             pool,
-		InsecureSkipVerify:    true, // replaced by VerifyPeerCertificate
-		VerifyPeerCertificate: verifyChain(pool),
+		Certificates: []tls.Certificate{cert},
+		MinVersion:   tls.VersionTLS13,
+		// A resumed session would skip VerifyPeerCertificate.
+		SessionTicketsDisabled: true,
+		ClientAuth:             tls.RequireAndVerifyClientCert,
+		ClientCAs:              pool,
+		InsecureSkipVerify:     true, // replaced by VerifyPeerCertificate
+		VerifyPeerCertificate:  verifyChain(pool),
 	}
 }
 
