Add benchmarks for messages, sessions, views, relays and watches

The capacity page needs processor time, memory and bytes for each session, watcher, announcement, registration and message kind.

--- /dev/null
+++ b/pkg/role/agent/bench_test.go
@@ -0,0 +1,130 @@
+package agent
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	client "github.com/plantainstair/plantainstair/pkg/agent"
+	"github.com/plantainstair/plantainstair/pkg/link"
+	"github.com/plantainstair/plantainstair/pkg/standin"
+	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
+)
+
+func benchProcessorTime() time.Duration {
+	var u syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+func benchMemory() int64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc + m.StackInuse)
+}
+
+// observation is the span over which idle agents and watches are measured.
+const observation = 2 * time.Second
+
+// idleCost returns the processor time that the process spends in a second.
+func idleCost(b *testing.B) float64 {
+	started, spent := time.Now(), benchProcessorTime()
+	waitFor(b, "end of the observation", func() bool { return time.Since(started) >= observation })
+	return float64((benchProcessorTime() - spent).Nanoseconds()) / time.Since(started).Seconds()
+}
+
+// BenchmarkRelay measures the processor time of one request on an engine with
+// all layers and on a chain of three. It includes the entry's side and the
+// stand-in engines, so it bounds the agents from above.
+func BenchmarkRelay(b *testing.B) {
+	for _, tokens := range []int{1, 64, 512} {
+		b.Run(fmt.Sprintf("whole/tokens=%d", tokens), func(b *testing.B) {
+			benchmarkRelay(b, tokens, startEngineNode(b, "w", 0, testLayers-1, nil, nil))
+		})
+		b.Run(fmt.Sprintf("chain/tokens=%d", tokens), func(b *testing.B) {
+			benchmarkRelay(b, tokens, startChain(b, nil, nil)...)
+		})
+	}
+}
+
+func benchmarkRelay(b *testing.B, tokens int, nodes ...*node) {
+	c := newClient(b)
+	spent := benchProcessorTime()
+	for i := range b.N {
+		_, _, err := collect(context.Background(), c, request(fmt.Sprint("s", i), 1, prompt(20), uint32(tokens), nodes...), nil)
+		assert.NilError(b, err)
+	}
+	b.ReportMetric(float64((benchProcessorTime()-spent).Nanoseconds())/float64(b.N), "cpu-ns/op")
+}
+
+// BenchmarkBuildReport measures a load report without its stream.
+func BenchmarkBuildReport(b *testing.B) {
+	n := startAgent(b, "a", newFakeControl(), nil)
+	for b.Loop() {
+		n.agent.buildReport()
+	}
+}
+
+// BenchmarkIdle measures the processor time in each second and the memory of
+// agents without work or watchers. It includes their stand-in engines.
+func BenchmarkIdle(b *testing.B) {
+	alone := idleCost(b)
+	for _, n := range []int{4, 16, 64} {
+		b.Run(fmt.Sprintf("agents=%d", n), func(b *testing.B) {
+			before := benchMemory()
+			for i := range n {
+				startEngineNode(b, fmt.Sprint("h", i), 0, testLayers-1, nil, func(o *standin.EngineOptions) {
+					o.Report.Heartbeat, o.Report.LoadInterval = time.Second, time.Second
+				})
+			}
+			used := benchMemory() - before
+			idle := idleCost(b) - alone
+			for b.Loop() { // nothing is timed
+			}
+			b.ReportMetric(float64(used)/float64(n), "B/agent")
+			b.ReportMetric(idle/float64(n), "cpu-ns-each-s/agent")
+		})
+	}
+}
+
+// BenchmarkLoadWatchers measures what the load watches of many entries cost
+// in each second and in memory. It includes the entries' side.
+func BenchmarkLoadWatchers(b *testing.B) {
+	for _, n := range []int{25, 100, 400} {
+		b.Run(fmt.Sprintf("watchers=%d", n), func(b *testing.B) {
+			agent := startAgent(b, "a", newFakeControl(), nil)
+			alone := idleCost(b)
+			before := benchMemory()
+			ctx, cancel := context.WithCancel(context.Background())
+			b.Cleanup(cancel)
+			watched := make(chan struct{}, n)
+			for i := range n {
+				pool := link.NewPool(link.Options{Identity: link.Identity{Role: "entry", Host: fmt.Sprint("e", i)}})
+				b.Cleanup(pool.Close)
+				first := true
+				go client.NewClient(pool).Follow(ctx, agent.agent.Address(), func(*wirepb.LoadReport) {
+					if first {
+						first = false
+						watched <- struct{}{}
+					}
+				}, func(time.Duration) {})
+			}
+			for range n {
+				<-watched
+			}
+			used := benchMemory() - before
+			idle := idleCost(b) - alone
+			for b.Loop() { // nothing is timed
+			}
+			b.ReportMetric(float64(used)/float64(n), "B/watcher")
+			b.ReportMetric(idle/float64(n), "cpu-ns-each-s/watcher")
+		})
+	}
+}
--- /dev/null
+++ b/pkg/role/control/session_bench_test.go
@@ -0,0 +1,103 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
+)
+
+func benchProcessorTime() time.Duration {
+	var u syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+func benchMemory() int64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc + m.StackInuse)
+}
+
+// observation is the span over which idle sessions are measured. Watchers and
+// agents send twice in each half of it.
+const observation = 2 * time.Second
+
+// idleCost returns the processor time that the process spends in a second.
+func idleCost(b *testing.B) float64 {
+	started, spent := time.Now(), benchProcessorTime()
+	until(b, "end of the observation", func() bool { return time.Since(started) >= observation })
+	return float64((benchProcessorTime() - spent).Nanoseconds()) / time.Since(started).Seconds()
+}
+
+// Measures watches and registrations over real sessions to one replica: the
+// processor time in each second and the memory. It includes both ends.
+func BenchmarkSessions(b *testing.B) {
+	for _, n := range []int{50, 200, 600} {
+		b.Run(fmt.Sprintf("watch/sessions=%d", n), func(b *testing.B) {
+			benchmarkSessions(b, n, func(c *cluster, i int) { c.run(c.client(roleAgent, fmt.Sprint("h", i))) },
+				func(c *cluster) bool { return c.members[0].watchers.count() == n })
+		})
+		b.Run(fmt.Sprintf("register/sessions=%d", n), func(b *testing.B) {
+			benchmarkSessions(b, n, register, func(c *cluster) bool { return len(c.members[0].registry.Since(0, true).Put) == n })
+		})
+	}
+}
+
+func register(c *cluster, i int) {
+	host := fmt.Sprint("h", i)
+	k := c.client(roleAgent, host)
+	ctx, cancel := context.WithCancel(context.Background())
+	var done sync.WaitGroup
+	done.Go(func() {
+		a := announced(host, 1)
+		k.Register(ctx, func() *wirepb.Announcement { return a }, nil, func(*wirepb.Order) *wirepb.OrderResult { return nil })
+	})
+	c.t.Cleanup(func() { cancel(); done.Wait() })
+}
+
+func benchmarkSessions(b *testing.B, n int, start func(*cluster, int), ready func(*cluster) bool) {
+	c := startCluster(b, 1)
+	alone := idleCost(b)
+	before, spent := benchMemory(), benchProcessorTime()
+	for i := range n {
+		start(c, i)
+	}
+	until(b, "sessions", func() bool { return ready(c) })
+	starting := benchProcessorTime() - spent
+	used := benchMemory() - before
+	idle := idleCost(b) - alone
+	for b.Loop() { // nothing is timed
+	}
+	b.ReportMetric(float64(starting.Nanoseconds())/float64(n), "start-cpu-ns/session")
+	b.ReportMetric(float64(used)/float64(n), "B/session")
+	b.ReportMetric(idle/float64(n), "cpu-ns-each-s/session")
+}
+
+// Measures a new full event, which each change of the catalogue or of the
+// registry makes necessary for the next watcher.
+func BenchmarkFullBuild(b *testing.B) {
+	for _, n := range []int{1000, 5000, 11_000} {
+		b.Run(fmt.Sprintf("upstreams=%d", n), func(b *testing.B) {
+			t := newBench(b, 1)
+			for i := range n {
+				a := announced(fmt.Sprintf("host-%d", i), 1)
+				a.Models = []*wirepb.ModelHeld{{Model: "model-27-instruct", Version: "2026-11-03", LastLayer: 40}}
+				_, err := t.feed.registry.Register(time.Now(), a, deadStream{})
+				assert.NilError(b, err)
+			}
+			for b.Loop() {
+				t.feed.buildFull(true)
+			}
+		})
+	}
+}
--- a/pkg/role/entry/bench_test.go
+++ b/pkg/role/entry/bench_test.go
@@ -234,3 +234,21 @@
 		})
 	}
 }
+
+// BenchmarkUpstreamMemory measures the routing state of each upstream without
+// its load watch.
+func BenchmarkUpstreamMemory(b *testing.B) {
+	for _, n := range []int{1000, 5000, 11000} {
+		b.Run(fmt.Sprintf("upstreams=%d", n), func(b *testing.B) {
+			before := memoryInUse()
+			e, o, events := newMemoryEntry(b, n)
+			used := memoryInUse() - before
+			for b.Loop() { // nothing is timed
+			}
+			b.ReportMetric(float64(used)/float64(n), "B/upstream")
+			runtime.KeepAlive(e)
+			runtime.KeepAlive(o)
+			runtime.KeepAlive(events)
+		})
+	}
+}
--- /dev/null
+++ b/pkg/wire/bench_test.go
@@ -0,0 +1,138 @@
+package wire_test
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"net"
+	"slices"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"github.com/plantainstair/plantainstair/pkg/wire"
+	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
+)
+
+const (
+	benchSession = "0190a5b2-7c3d-7e4f-8a5b-0123456789ab"
+	benchHost    = "host-10234"
+	benchAddress = "10.12.134.21:7401"
+	benchTimeMS  = 1_700_000_000_000
+	frameHeader  = 4
+)
+
+// sink takes writes and drops them.
+type sink struct{ net.Conn }
+
+func (sink) Write(b []byte) (int, error)      { return len(b), nil }
+func (sink) Read([]byte) (int, error)         { return 0, io.EOF }
+func (sink) SetWriteDeadline(time.Time) error { return nil }
+
+func measure(b *testing.B, name string, f *wirepb.Frame) {
+	b.Run(name, func(b *testing.B) {
+		s := wire.NewStream(sink{}, 0)
+		for b.Loop() {
+			assert.NilError(b, s.Write(f))
+		}
+		b.ReportMetric(float64(frameHeader+proto.Size(f)), "wire-B")
+	})
+}
+
+func benchStages(n int) []*wirepb.StageRef {
+	out := make([]*wirepb.StageRef, n)
+	for i := range out {
+		out[i] = &wirepb.StageRef{Host: benchHost, Address: benchAddress, Incarnation: benchTimeMS * 1_000_000, FirstLayer: 27, LastLayer: 53}
+	}
+	return out
+}
+
+func benchAnnouncement(models int) *wirepb.Announcement {
+	a := &wirepb.Announcement{Host: benchHost, DataCentre: "dc-11", Region: "region-3", AgentAddress: benchAddress,
+		Incarnation: benchTimeMS * 1_000_000, Kind: "engine", Accelerator: "kind-7", Slots: 52, KvTokens: 2_000_000,
+		ChecksFencing: true, OrderEpoch: 1234, State: "serving"}
+	for range models {
+		a.Models = append(a.Models, &wirepb.ModelHeld{Model: "model-27-instruct", Version: "2026-11-03", FirstLayer: 27, LastLayer: 53, Adapters: []string{"defects-v4"}})
+	}
+	return a
+}
+
+func benchReport(prefixes, links int) *wirepb.LoadReport {
+	r := &wirepb.LoadReport{Sequence: 123_456, Host: benchHost, Incarnation: benchTimeMS * 1_000_000, Slots: 52, Running: 47,
+		TokensPerSecond: 1454.5, FirstTokenMsP50: 180, InterTokenUsP50: 31_000, Revision: 1_234_567,
+		EngineRunning: 47, EngineQueued: 3, EngineKvFreeTokens: 812_345, EngineAgeMs: 240}
+	for rank := range 3 {
+		r.Ranks = append(r.Ranks, &wirepb.RankLoad{Rank: wirepb.Rank(rank + 1), Queued: 12, QueuedTokens: 4_321, Running: 15, EstimatedWaitMs: 240})
+	}
+	for i := range prefixes {
+		r.Prefixes = append(r.Prefixes, uint64(i+1)*0x9E3779B97F4A7C15)
+	}
+	for range links {
+		r.Links = append(r.Links, &wirepb.PeerLink{Host: benchHost, RoundTripUs: 350})
+	}
+	return r
+}
+
+func benchOrganisations(n int) []*wirepb.Entry {
+	out := make([]*wirepb.Entry, n)
+	for i := range out {
+		out[i] = &wirepb.Entry{Kind: "organisation", Name: "organisation-2345", Owner: "platform-team", Class: "standard", Revision: 1_234_567,
+			Limits:       &wirepb.Limits{ConcurrentRequests: 100, TokensPerSecond: 10_000, QueuedRequests: 50, BodyBytes: 1 << 20},
+			Organisation: &wirepb.OrganisationSpec{KeySha256: []string{fmt.Sprintf("%064x", 2*i), fmt.Sprintf("%064x", 2*i+1)}, Weight: 10}}
+	}
+	return out
+}
+
+func benchClaim() *wirepb.ClaimRequest {
+	return &wirepb.ClaimRequest{Organisation: "organisation-2345", Service: "certificate-filing", Key: benchSession,
+		KeyCreatedUnixMs: benchTimeMS, Attempt: benchSession, RequestDigest: make([]byte, 32), Host: benchHost}
+}
+
+// BenchmarkMessage measures the bytes of each message kind on its stream, with
+// the frame header and without the headers below it, and the time to encode it.
+func BenchmarkMessage(b *testing.B) {
+	claim := benchClaim()
+	fixed := map[string]*wirepb.Frame{
+		"token":           {Body: &wirepb.Frame_Token{Token: &wirepb.Token{Session: benchSession, Epoch: 1, Position: 300, Id: 3_123_456_789}}},
+		"generate_done":   {Body: &wirepb.Frame_GenerateDone{GenerateDone: &wirepb.GenerateDone{FinishReason: "length", PromptTokens: 800, CachedTokens: 400, CompletionTokens: 239, QueuedMs: 20}}},
+		"stage_result":    {Body: &wirepb.Frame_StageResult{StageResult: &wirepb.StageResult{Epoch: 1, Position: 1100, Token: 3_123_456_789}}},
+		"ping":            {Body: &wirepb.Frame_Ping{Ping: &wirepb.Ping{Sequence: 123_456, AppliedRevision: 1_234_567}}},
+		"current":         {Body: &wirepb.Frame_Current{Current: &wirepb.Current{Sequence: 123_456, Revision: 1_234_567, LiveEntries: 2100}}},
+		"heartbeat":       {Body: &wirepb.Frame_Heartbeat{Heartbeat: &wirepb.Heartbeat{Sequence: 123_456, Revision: 1_234_567}}},
+		"heartbeat_reply": {Body: &wirepb.Frame_HeartbeatReply{HeartbeatReply: &wirepb.HeartbeatReply{Sequence: 123_456, LiveEntries: 2100, OrderEpoch: 1234, OrderEpochRead: true}}},
+		"claim":           {Body: &wirepb.Frame_Claim{Claim: claim}},
+		"claim_reply":     {Body: &wirepb.Frame_ClaimReply{ClaimReply: &wirepb.ClaimReply{Status: "won", Attempt: benchSession}}},
+		"order":           {Body: &wirepb.Frame_Order{Order: &wirepb.Order{Epoch: 1234, Id: benchSession, Action: "load_model", Model: "model-27-instruct", Version: "2026-11-03", FirstLayer: 27, LastLayer: 53}}},
+	}
+	for _, name := range slices.Sorted(maps.Keys(fixed)) {
+		measure(b, name, fixed[name])
+	}
+	for _, n := range []int{100, 800, 4000} {
+		prompt := make([]uint32, n)
+		for i := range prompt {
+			prompt[i] = uint32(i+1) * 2_654_435_761
+		}
+		measure(b, fmt.Sprintf("generate/prompt=%d", n), &wirepb.Frame{Body: &wirepb.Frame_Generate{Generate: &wirepb.GenerateRequest{
+			Session: benchSession, Epoch: 1, Organisation: "organisation-2345", Rank: 2, DeadlineMs: 380, Model: "model-27-instruct",
+			Version: "2026-11-03", Prompt: prompt, MaxTokens: 400, Seed: benchTimeMS, Stages: benchStages(3), Revision: 1_234_567, Weight: 10}}})
+	}
+	for _, n := range []int{1, 8, 32, 64} {
+		hidden := make([][]byte, n)
+		for i := range hidden {
+			hidden[i] = make([]byte, 8)
+		}
+		measure(b, fmt.Sprintf("stage_step/positions=%d", n), &wirepb.Frame{Body: &wirepb.Frame_StageStep{StageStep: &wirepb.StageStep{Epoch: 1, Position: 1100, Hidden: hidden}}})
+		measure(b, fmt.Sprintf("load_report/prefixes=%d", n), &wirepb.Frame{Body: &wirepb.Frame_LoadReport{LoadReport: benchReport(n, 8)}})
+		measure(b, fmt.Sprintf("load_report/links=%d", n), &wirepb.Frame{Body: &wirepb.Frame_LoadReport{LoadReport: benchReport(0, n)}})
+	}
+	for _, n := range []int{1, 4, 16} {
+		measure(b, fmt.Sprintf("announcement/models=%d", n), &wirepb.Frame{Body: &wirepb.Frame_Register{Register: &wirepb.Register{Announcement: benchAnnouncement(n), Role: "agent"}}})
+		measure(b, fmt.Sprintf("watch_event/organisations=%d", n), &wirepb.Frame{Body: &wirepb.Frame_WatchEvent{WatchEvent: &wirepb.WatchEvent{Revision: 1_234_567, Entries: benchOrganisations(n), LiveEntries: 2100}}})
+	}
+	for _, n := range []int{0, 1000, 16_000} {
+		response := &wirepb.CallResponse{RequestId: benchSession, Status: 200, Body: make([]byte, n), Headers: []*wirepb.Header{{Name: "Content-Type", Value: "application/json"}}}
+		measure(b, fmt.Sprintf("claim_resolve/body=%d", n), &wirepb.Frame{Body: &wirepb.Frame_ClaimResolve{ClaimResolve: &wirepb.ClaimResolve{Claim: claim, Response: response}}})
+	}
+}
