Add plantain-capacity and the script that measures slopes

The command parses go test -bench output, fits a weighted least-squares line to each series, and works out the control work of each role for today's layout and for one with subsets, relays and sharded claims.

--- /dev/null
+++ b/pkg/capacity/agent.go
@@ -0,0 +1,79 @@
+package capacity
+
+// Agent returns the control work of one agent. The limits of a node are used
+// as a yardstick, because the design page gives none for servers.
+func (c Calculator) Agent() []Row {
+	p, m, l := c.Plan, c.Measured, c.Layout
+	rows := c.watchRows()
+	rows = append(rows, c.agentReports()...)
+	rows = append(rows, c.agentRegistrations()...)
+	idle := m.slope("pkg/role/agent.Idle", "agents", "cpu-ns-each-s/agent")
+	base := m.slope("pkg/role/agent.Idle", "agents", "B/agent")
+	organisation := m.slope("pkg/control.ViewFull", "organisations", "heap-B")
+	rows = append(rows, c.keepAlive(l.AgentSessions.Value+l.Registrations.Value))
+	const bothDirections = 2
+	pings := p.ChainPeers.Value * l.PeerPings.Value * bothDirections * 2 * c.overhead()
+	rows = append(rows,
+		row("pings between agents, traffic", UnitBytesPerSecond, p.NodeBytes.Value, pings, "agents measured; two frames for each ping, both directions", Term{Text: "none"}),
+		row("timers, processor", UnitCorePercent, p.NodeProcessor.Value, cost(idle.Value, 1), "stand-in engine counted", idle),
+		row("agent, memory", UnitBytes, p.NodeMemory.Value, base.Value, "stand-in engine counted", base),
+		row("catalogue, memory", UnitBytes, p.NodeMemory.Value, organisation.Value*c.organisations(), "two API keys for each organisation", organisation),
+	)
+	return append(rows,
+		sum("all control work, traffic", p.NodeBytes.Value, rows, UnitBytesPerSecond),
+		sum("all control work, processor", p.NodeProcessor.Value, rows, UnitCorePercent),
+		sum("all control work, memory", p.NodeMemory.Value, rows, UnitBytes))
+}
+
+func (c Calculator) agentReports() []Row {
+	p, l := c.Plan, c.Layout
+	frames := l.LoadWatchers.Value * l.AgentRate.Value
+	bytes, stream := c.reportBytes(), c.reportCost()
+	memory := c.Measured.slope("pkg/role/agent.LoadWatchers", "watchers", "B/watcher")
+	return []Row{
+		row("load watches, traffic", UnitBytesPerSecond, p.NodeBytes.Value, frames*(bytes.Value+c.overhead()), "layout", bytes),
+		row("load watches, processor", UnitCorePercent, p.NodeProcessor.Value, cost(stream.Value, frames), "both ends counted", stream),
+		row("load watches, memory", UnitBytes, p.NodeMemory.Value, memory.Value*l.LoadWatchers.Value, "both ends counted", memory),
+	}
+}
+
+// carriedReport is the report that rides on a heartbeat.
+func (c Calculator) carriedReport() Term {
+	if c.Layout.LoadWatchers.Value > 0 {
+		return Term{Text: "no report on the heartbeat"}
+	}
+	return c.reportBytes()
+}
+
+func (c Calculator) agentRegistrations() []Row {
+	p, m, l := c.Plan, c.Measured, c.Layout
+	beat, reply, report := c.message("heartbeat"), c.message("heartbeat_reply"), c.carriedReport()
+	exchange := beat.Value + reply.Value + report.Value + 2*c.overhead()
+	work := m.slope("pkg/role/control.Sessions/register", "sessions", "cpu-ns-each-s/session")
+	memory := m.slope("pkg/role/control.Sessions/register", "sessions", "B/session")
+	return []Row{
+		row("registrations, traffic", UnitBytesPerSecond, p.NodeBytes.Value, l.Registrations.Value*controlBeat*exchange, "layout", beat, reply, report),
+		row("registrations, processor", UnitCorePercent, p.NodeProcessor.Value, cost(work.Value, l.Registrations.Value), "both ends counted", work),
+		row("registrations, memory", UnitBytes, p.NodeMemory.Value, memory.Value*l.Registrations.Value, "both ends counted", memory),
+	}
+}
+
+// AgentTraffic returns the requests of one agent, which are no control work.
+func (c Calculator) AgentTraffic() []Row {
+	p, m := c.Plan, c.Measured
+	stages := p.Stages.Value
+	requests := p.Requests.Value * stages / p.Servers.Value
+	steps := p.Tokens.Value * stages / p.Servers.Value
+	step := m.slope("pkg/role/agent.Relay/chain", "tokens", "cpu-ns/op")
+	whole := m.slope("pkg/role/agent.Relay/whole", "tokens", "cpu-ns/op")
+	queue := m.at("pkg/core/sched.Operations", "organisations", "ns/op", c.organisations())
+	streams := p.Tokens.Value * p.BetweenTokens.Value * stages / p.Servers.Value
+	return []Row{
+		row("requests with a stage here", UnitPerSecond, 0, requests, "three stages, even load"),
+		row("steps", UnitPerSecond, 0, steps, "three stages, even load"),
+		row("streams in progress", UnitCount, 0, streams, "36 ms between tokens"),
+		row("steps of chains, processor", UnitCores, 0, cost(step.Value/stages, steps)/percent, "stand-in engine and entry counted", step),
+		row("whole models instead, processor", UnitCores, 0, cost(whole.Value, steps/stages)/percent, "stand-in engine and entry counted", whole),
+		row("queue, processor", UnitCores, 0, cost(queue.Value, requests)/percent, "", queue),
+	}
+}
