--- a/pkg/capacity/agent.go
+++ b/pkg/capacity/agent.go
@@ -37,22 +37,14 @@
 	}
 }
 
-// carriedReport is the report that rides on a heartbeat.
-func (c Calculator) carriedReport() Term {
-	if c.Layout.LoadWatchers.Value > 0 {
-		return Term{Text: "no report on the heartbeat"}
-	}
-	return c.reportBytes()
-}
-
 func (c Calculator) agentRegistrations() []Row {
 	p, m, l := c.Plan, c.Measured, c.Layout
-	beat, reply, report := c.message("heartbeat"), c.message("heartbeat_reply"), c.carriedReport()
-	exchange := beat.Value + reply.Value + report.Value + 2*c.overhead()
+	beat, reply := c.message("heartbeat"), c.message("heartbeat_reply")
+	exchange := beat.Value + reply.Value + l.CarriedReport.Value + 2*c.overhead()
 	work := m.slope("pkg/role/control.Sessions/register", "sessions", "cpu-ns-each-s/session")
 	memory := m.slope("pkg/role/control.Sessions/register", "sessions", "B/session")
 	return []Row{
-		row("registrations, traffic", UnitBytesPerSecond, p.NodeBytes.Value, l.Registrations.Value*controlBeat*exchange, "layout", beat, reply, report),
+		row("registrations, traffic", UnitBytesPerSecond, p.NodeBytes.Value, l.Registrations.Value*controlBeat*exchange, "layout", beat, reply),
 		row("registrations, processor", UnitCorePercent, p.NodeProcessor.Value, cost(work.Value, l.Registrations.Value), "both ends counted", work),
 		row("registrations, memory", UnitBytes, p.NodeMemory.Value, memory.Value*l.Registrations.Value, "both ends counted", memory),
 	}
--- a/pkg/capacity/control.go
+++ b/pkg/capacity/control.go
@@ -24,6 +24,7 @@
 		row("watches", UnitCount, maxWatchers, l.Watchers.Value, "layout; limit: maxWatchers"),
 		row("watches, processor", UnitCores, p.ControlCores.Value, watch.Value*nanosecond*l.Watchers.Value, "both ends counted", watch),
 		row("registrations, processor", UnitCores, p.ControlCores.Value, register.Value*nanosecond*l.Registered.Value, "both ends counted", register),
+		c.fanOut(),
 		c.relayReports(),
 		row("sessions, memory", UnitBytes, p.ControlMemory.Value, memory.Value*sessions, "both ends counted", memory),
 		row("catalogue, memory", UnitBytes, p.ControlMemory.Value, organisation.Value*c.organisations(), "", organisation),
@@ -33,6 +34,20 @@
 	return append(rows, sum("all work, processor", p.ControlCores.Value, rows, UnitCores))
 }
 
+// sendChange is the processor time of one change for one watcher: the event and
+// the ping by which the watcher confirms it.
+func (c Calculator) sendChange() (seconds float64, send, exchange Term) {
+	send = c.Measured.slope("pkg/role/control.Watcher/change", "watchers", "ns/watcher")
+	exchange = c.Measured.slope("pkg/role/control.Sessions/watch", "sessions", "cpu-ns-each-s/session")
+	return (send.Value + exchange.Value/controlBeat) * nanosecond, send, exchange
+}
+
+func (c Calculator) fanOut() Row {
+	perWatcher, send, exchange := c.sendChange()
+	return row("changes, processor", UnitCores, c.Plan.ControlCores.Value, perWatcher*c.changesAtPeak()*c.Layout.Watchers.Value,
+		"peak of changes; both ends counted", send, exchange)
+}
+
 // relayReports is the processor time of a relay for reports, in and out.
 func (c Calculator) relayReports() Row {
 	p, l := c.Plan, c.Layout
@@ -54,7 +69,21 @@
 	change := c.Measured.at("pkg/wire.Message/watch_event", "organisations", "wire-B", 1)
 	beats := sessions * controlBeat * (ping.Value + current.Value + 2*c.overhead())
 	changes := c.Layout.Watchers.Value * c.changesAtPeak() * (change.Value + c.overhead())
-	return row("watches and registrations, traffic", UnitBytesPerSecond, c.Plan.ControlLink.Value, beats+changes, "peak of changes", ping, current, change)
+	return row("watches, registrations and reports, traffic", UnitBytesPerSecond, c.Plan.ControlLink.Value,
+		beats+changes+c.relayTraffic(), "peak of changes; rows from every relay", ping, current, change)
+}
+
+// relayTraffic returns the bytes of reports that a relay receives from agents
+// and relays and sends to entries.
+func (c Calculator) relayTraffic() float64 {
+	p, l := c.Plan, c.Layout
+	if l.LoadWatchers.Value > 0 {
+		return 0
+	}
+	in := l.Registered.Value * l.AgentRate.Value * l.CarriedReport.Value
+	exchange := p.Servers.Value * l.AgentRate.Value * l.RowBytes.Value
+	entries := p.Nodes.Value / l.ControlHosts.Value
+	return in + exchange + entries*l.ReportRate.Value*(l.RowsPerFrame.Value*l.RowBytes.Value+c.overhead())
 }
 
 // Claims returns the work of one group of voters for claims.
--- a/pkg/capacity/format.go
+++ b/pkg/capacity/format.go
@@ -34,6 +34,10 @@
 		return digits(v) + "% of a core"
 	case UnitPart:
 		return digits(100*v) + "%"
+	case UnitCores:
+		if v == 1 {
+			return "1 core"
+		}
 	case UnitCount:
 		return grouped(v)
 	case UnitPerSecond, UnitPerDay:
@@ -77,7 +81,7 @@
 	case size < 1:
 		return digits(v*1e3) + " ms"
 	}
-	return digits(v) + " s"
+	return grouped(v) + " s"
 }
 
 func scaled(v, step float64, prefixes []string, unit string) string {
--- a/pkg/capacity/series.go
+++ b/pkg/capacity/series.go
@@ -106,7 +106,7 @@
 // that size was not measured.
 func (m *Measured) at(name, param, unit string, size float64) Term {
 	s := m.find(name, param, unit)
-	v, how := s.Line.At(size), "line"
+	v, how := s.Line.At(size), ", from the line"
 	sum, n := 0.0, 0.0
 	for _, p := range s.Points {
 		if p.Size == size {
@@ -114,9 +114,9 @@
 		}
 	}
 	if n > 0 {
-		v, how = sum/n, "run"
+		v, how = sum/n, ""
 	}
-	return Term{Value: v, Text: fmt.Sprintf("%s at %s=%s, %s [%s]", formatUnit(v, unit), param, grouped(size), how, shortName(name))}
+	return Term{Value: v, Text: fmt.Sprintf("%s at %s=%s%s [%s]", formatUnit(v, unit), param, grouped(size), how, shortName(name))}
 }
 
 // fixed returns the mean of a series without a size.
--- a/pkg/capacity/storm.go
+++ b/pkg/capacity/storm.go
@@ -99,6 +99,8 @@
 	return []Row{
 		row("entries that restart", UnitPerDay, 0, r.entries, "in proportion"),
 		row("agents that restart", UnitPerDay, 0, r.agents, "in proportion"),
+		row("each entry, mean of the day", UnitBytesPerSecond, p.NodeBytes.Value,
+			r.entries*(t.organisations.Value+t.upstreams.Value)/p.Nodes.Value/secondsPerDay, "even spread", t.organisations, t.upstreams),
 		row("bytes from control, mean", UnitBytesPerSecond, p.ControlLink.Value, perDay/secondsPerDay, "even spread", t.organisations, t.upstreams),
 		row("processor of control, mean", UnitCorePercent, 0, work*nanosecond/secondsPerDay*percent, "client ends counted", t.start),
 	}
--- a/pkg/capacity/tables.go
+++ b/pkg/capacity/tables.go
@@ -49,7 +49,10 @@
 		}),
 		"storm-data-centre": r.compare("a data centre", func(c Calculator) []Row { return c.Storm(r.plan.dataCentre()) }),
 	}
+	tables["regions"] = r.compare("regions", Calculator.Regions)
 	tables["over"] = table([]string{"Role", "Line", "Limit", "Today", "Times the limit", "With mechanisms"}, r.over)
+	tables["steps"] = r.steps()
+	tables["messages"] = r.messages()
 	tables["slopes"] = r.slopes()
 	return tables, r.measured.Err()
 }
@@ -132,10 +135,10 @@
 		if s.Line.Residual > bend {
 			mark = " **bends**"
 		}
-		lines = append(lines, cells(shortName(s.Name), s.Param, sizes(s), formatUnit(s.Line.Intercept, unit),
+		lines = append(lines, cells(shortName(s.Name), s.Unit, s.Param, sizes(s), formatUnit(s.Line.Intercept, unit),
 			formatUnit(s.Line.Slope, unit), UnitPart.Format(s.Line.Residual)+mark))
 	}
-	return table([]string{"Benchmark", "Size", "Measured at", "Intercept", "Slope for each", "Largest residual"}, lines)
+	return table([]string{"Benchmark", "Unit", "Size", "Measured at", "Intercept", "Slope for each", "Largest residual"}, lines)
 }
 
 func sizes(s *Series) string {
--- a/pkg/capacity/times.go
+++ b/pkg/capacity/times.go
@@ -24,10 +24,7 @@
 // inEffect is the time from the proposal until the last watcher has answered.
 func (c Calculator) inEffect() Row {
 	p, l := c.Plan, c.Layout
-	send := c.Measured.slope("pkg/role/control.Watcher/change", "watchers", "ns/watcher")
-	exchange := c.Measured.slope("pkg/role/control.Sessions/watch", "sessions", "cpu-ns-each-s/session")
-	perWatcher := (send.Value + exchange.Value/controlBeat) * nanosecond
-	const pingInterval = 0.5
+	perWatcher, send, exchange := c.sendChange()
 	hops := 1.0
 	relays := 0.0
 	if l.ClaimGroups.Value > 1 {
--- a/pkg/wire/bench_test.go
+++ b/pkg/wire/bench_test.go
@@ -90,11 +90,35 @@
 		KeyCreatedUnixMs: benchTimeMS, Attempt: benchSession, RequestDigest: make([]byte, 32), Host: benchHost}
 }
 
-// BenchmarkMessage measures the bytes of each message kind on its stream, with
-// the frame header and without the headers below it, and the time to encode it.
-func BenchmarkMessage(b *testing.B) {
+// benchFixed returns the messages whose size does not vary much.
+func benchFixed() map[string]*wirepb.Frame {
 	claim := benchClaim()
-	fixed := map[string]*wirepb.Frame{
+	call := &wirepb.CallRequest{RequestId: benchSession, Organisation: "organisation-2345", Rank: 2, DeadlineMs: 2000, Service: "certificate-filing",
+		Method: "POST", Path: "/filings", Headers: []*wirepb.Header{{Name: "Content-Type", Value: "application/json"}}, Body: make([]byte, 500),
+		IdempotencyKey: benchSession, KeyCreatedUnixMs: benchTimeMS, Revision: 1_234_567, Weight: 10}
+	response := &wirepb.CallResponse{RequestId: benchSession, Status: 200, Headers: call.Headers, Body: make([]byte, 400)}
+	result := &wirepb.CommandResult{Index: 123_456_789, Claim: &wirepb.ClaimReply{Status: "won", Attempt: benchSession}}
+	command := &wirepb.Command{RequestId: benchSession, TimeUnixMs: benchTimeMS, Body: &wirepb.Command_Claim{Claim: claim}}
+	fault := &wirepb.Error{Kind: "unavailable", Message: "stage 2 of 3 ended its stream", Outcome: 2, RetryAfterMs: 100, FailedStage: 2, Position: 17}
+	return map[string]*wirepb.Frame{
+		"hello":         {Body: &wirepb.Frame_Hello{Hello: &wirepb.Hello{MinVersion: 1, MaxVersion: 1, Role: "entry", Host: benchHost, DataCentre: "dc-11", Incarnation: benchTimeMS * 1_000_000, Nonce: make([]byte, 32), KeyId: "2026-11"}}},
+		"hello_reply":   {Body: &wirepb.Frame_HelloReply{HelloReply: &wirepb.HelloReply{Version: 1, Role: "agent", Host: benchHost, DataCentre: "dc-11", Incarnation: benchTimeMS * 1_000_000, Nonce: make([]byte, 32), Mac: make([]byte, 32)}}},
+		"hello_confirm": {Body: &wirepb.Frame_HelloConfirm{HelloConfirm: &wirepb.HelloConfirm{Mac: make([]byte, 32)}}},
+		"error":         {Body: &wirepb.Frame_Error{Error: fault}},
+		"cancel":        {Body: &wirepb.Frame_Cancel{Cancel: &wirepb.Cancel{}}},
+		"stage_open": {Body: &wirepb.Frame_StageOpen{StageOpen: &wirepb.StageOpen{Session: benchSession, Epoch: 1, Organisation: "organisation-2345", Rank: 2, DeadlineMs: 380,
+			Model: "model-27-instruct", Version: "2026-11-03", Seed: benchTimeMS, Index: 1, Stages: benchStages(2), Weight: 10, CostTokens: 1100, Prefixes: benchReport(50, 0).Prefixes}}},
+		"stage_ready":     {Body: &wirepb.Frame_StageReady{StageReady: &wirepb.StageReady{CachedTokens: 400}}},
+		"call":            {Body: &wirepb.Frame_Call{Call: call}},
+		"call_response":   {Body: &wirepb.Frame_CallResponse{CallResponse: response}},
+		"load_watch":      {Body: &wirepb.Frame_LoadWatch{LoadWatch: &wirepb.LoadWatch{IntervalMs: 100}}},
+		"watch":           {Body: &wirepb.Frame_Watch{Watch: &wirepb.WatchRequest{Role: "entry", Host: benchHost, Revision: 1_234_567, Upstreams: true}}},
+		"leave":           {Body: &wirepb.Frame_Leave{Leave: &wirepb.Leave{Reason: "shutdown"}}},
+		"order_result":    {Body: &wirepb.Frame_OrderResult{OrderResult: &wirepb.OrderResult{Id: benchSession, Epoch: 1234}}},
+		"claim_release":   {Body: &wirepb.Frame_ClaimRelease{ClaimRelease: &wirepb.ClaimRelease{Claim: claim}}},
+		"claim_read":      {Body: &wirepb.Frame_ClaimRead{ClaimRead: &wirepb.ClaimRead{Claim: claim, WaitMs: 2000}}},
+		"forward":         {Body: &wirepb.Frame_Forward{Forward: &wirepb.Forward{Command: command}}},
+		"forward_reply":   {Body: &wirepb.Frame_ForwardReply{ForwardReply: &wirepb.ForwardReply{Result: result}}},
 		"token":           {Body: &wirepb.Frame_Token{Token: &wirepb.Token{Session: benchSession, Epoch: 1, Position: 300, Id: 3_123_456_789}}},
 		"generate_done":   {Body: &wirepb.Frame_GenerateDone{GenerateDone: &wirepb.GenerateDone{FinishReason: "length", PromptTokens: 800, CachedTokens: 400, CompletionTokens: 239, QueuedMs: 20}}},
 		"stage_result":    {Body: &wirepb.Frame_StageResult{StageResult: &wirepb.StageResult{Epoch: 1, Position: 1100, Token: 3_123_456_789}}},
@@ -106,6 +130,12 @@
 		"claim_reply":     {Body: &wirepb.Frame_ClaimReply{ClaimReply: &wirepb.ClaimReply{Status: "won", Attempt: benchSession}}},
 		"order":           {Body: &wirepb.Frame_Order{Order: &wirepb.Order{Epoch: 1234, Id: benchSession, Action: "load_model", Model: "model-27-instruct", Version: "2026-11-03", FirstLayer: 27, LastLayer: 53}}},
 	}
+}
+
+// BenchmarkMessage measures the bytes of each message kind on its stream, with
+// the frame header and without the headers below it, and the time to encode it.
+func BenchmarkMessage(b *testing.B) {
+	fixed := benchFixed()
 	for _, name := range slices.Sorted(maps.Keys(fixed)) {
 		measure(b, name, fixed[name])
 	}
@@ -131,6 +161,25 @@
 		measure(b, fmt.Sprintf("announcement/models=%d", n), &wirepb.Frame{Body: &wirepb.Frame_Register{Register: &wirepb.Register{Announcement: benchAnnouncement(n), Role: "agent"}}})
 		measure(b, fmt.Sprintf("watch_event/organisations=%d", n), &wirepb.Frame{Body: &wirepb.Frame_WatchEvent{WatchEvent: &wirepb.WatchEvent{Revision: 1_234_567, Entries: benchOrganisations(n), LiveEntries: 2100}}})
 	}
+	claim := benchClaim()
+	encoded, err := proto.Marshal(&wirepb.Command{RequestId: benchSession, TimeUnixMs: benchTimeMS, Body: &wirepb.Command_Claim{Claim: claim}})
+	assert.NilError(b, err)
+	for _, n := range []int{0, 8, 64} {
+		message := &wirepb.RaftMessage{Type: 3, From: 1, To: 2, Term: 12, LogIndex: 123_456_789, LogTerm: 12, Commit: 123_456_780, Member: benchTimeMS << 20, Cluster: benchTimeMS << 20}
+		for i := range n {
+			entry := &wirepb.LogEntry{Index: uint64(123_456_790 + i), Term: 12, Data: encoded}
+			message.Entries = append(message.Entries, entry)
+		}
+		measure(b, fmt.Sprintf("raft/entries=%d", n), &wirepb.Frame{Body: &wirepb.Frame_Raft{Raft: message}})
+	}
+	for _, n := range []int{7, 70, 700} {
+		status := &wirepb.PeerStatus{From: 1, Watchers: 4367, ConfirmedRevision: 1_234_567, Revision: 1_234_567, Entries: slices.Repeat([]string{benchHost}, n)}
+		measure(b, fmt.Sprintf("peer_status/hosts=%d", n), &wirepb.Frame{Body: &wirepb.Frame_PeerStatus{PeerStatus: status}})
+	}
+	for _, n := range []int{1 << 10, 16 << 10, 256 << 10} {
+		chunk := &wirepb.SnapshotChunk{Meta: &wirepb.SnapshotMeta{Index: 123_456_789, Term: 12, Size: 1 << 30}, From: 1, Term: 12, Offset: 1 << 28, Data: make([]byte, n)}
+		measure(b, fmt.Sprintf("snapshot_chunk/data=%d", n), &wirepb.Frame{Body: &wirepb.Frame_SnapshotChunk{SnapshotChunk: chunk}})
+	}
 	for _, n := range []int{0, 1000, 16_000} {
 		response := &wirepb.CallResponse{RequestId: benchSession, Status: 200, Body: make([]byte, n), Headers: []*wirepb.Header{{Name: "Content-Type", Value: "application/json"}}}
 		measure(b, fmt.Sprintf("claim_resolve/body=%d", n), &wirepb.Frame{Body: &wirepb.Frame_ClaimResolve{ClaimResolve: &wirepb.ClaimResolve{Claim: claim, Response: response}}})
