--- a/pkg/capacity/control.go
+++ b/pkg/capacity/control.go
@@ -14,13 +14,33 @@
 // Control returns the work of one control process: today a voter, with the
 // mechanisms a relay.
 func (c Calculator) Control() []Row {
+	rows := c.controlRows()
+	lost := c.oneOfThreeLost().controlRows()
+	limit := c.Plan.ControlCores.Value
+	total := sum("all work, processor", limit, rows, UnitCores)
+	after := sum("all work, processor, one of three processes lost", limit, lost, UnitCores)
+	return append(rows, total, after)
+}
+
+// oneOfThreeLost returns the calculator for one of the two processes that are
+// left. Agents are registered with every voter, but only with some relays.
+func (c Calculator) oneOfThreeLost() Calculator {
+	const left = 3.0 / 2
+	c.Layout.Watchers.Value *= left
+	if c.Layout.ClaimGroups.Value > 1 {
+		c.Layout.Registered.Value *= left
+	}
+	return c
+}
+
+func (c Calculator) controlRows() []Row {
 	p, m, l := c.Plan, c.Measured, c.Layout
 	watch := m.slope("pkg/role/control.Sessions/watch", "sessions", "cpu-ns-each-s/session")
 	register := m.slope("pkg/role/control.Sessions/register", "sessions", "cpu-ns-each-s/session")
 	memory := m.slope("pkg/role/control.Sessions/watch", "sessions", "B/session")
 	organisation := m.slope("pkg/core/state.ApplyChange", "organisations", "B/organisation")
 	sessions := l.Watchers.Value + l.Registered.Value
-	rows := []Row{
+	return []Row{
 		row("watches", UnitCount, maxWatchers, l.Watchers.Value, "layout; limit: maxWatchers"),
 		row("watches, processor", UnitCores, p.ControlCores.Value, watch.Value*nanosecond*l.Watchers.Value, "both ends counted", watch),
 		row("registrations, processor", UnitCores, p.ControlCores.Value, register.Value*nanosecond*l.Registered.Value, "both ends counted", register),
@@ -31,7 +51,6 @@
 		c.controlTraffic(sessions),
 		row("hosts", UnitCount, p.ControlHosts.Value, l.ControlHosts.Value, "layout"),
 	}
-	return append(rows, sum("all work, processor", p.ControlCores.Value, rows, UnitCores))
 }
 
 // sendChange is the processor time of one change for one watcher: the event and
