--- a/pkg/capacity/entry.go
+++ b/pkg/capacity/entry.go
@@ -82,6 +82,8 @@
 	ownRequest := m.at("pkg/role/entry.Request", "tokens", "ns/op", 0)
 	choice := m.at("pkg/core/route.Chain", "upstreams", "ns/op", c.Layout.Known.Value)
 	stream := m.slope("pkg/role/entry.OpenStreams", "streams", "B/stream")
+	generate := m.at("pkg/wire.Message/generate", "prompt", "wire-B", p.PromptTokens.Value)
+	token := c.message("token")
 	cores := func(request, token float64) float64 {
 		return cost(request, requests)/percent + cost(token, tokens)/percent
 	}
@@ -89,6 +91,8 @@
 		row("requests", UnitPerSecond, 0, requests, "even load"),
 		row("tokens", UnitPerSecond, 0, tokens, "even load"),
 		row("streams in progress", UnitCount, 0, streams, "36 ms between tokens"),
+		row("requests to agents, traffic", UnitBytesPerSecond, 0, requests*(generate.Value+c.overhead()), "prompt", generate),
+		row("tokens from agents, traffic", UnitBytesPerSecond, 0, tokens*(token.Value+c.overhead()), "one frame for each token", token),
 		row("own code, processor", UnitCores, 0, cores(ownRequest.Value, own.Value), "no system calls", ownRequest, own),
 		row("with connections, processor", UnitCores, 0, cores(perRequest.Value, perToken.Value), "agent's and caller's ends counted", perRequest, perToken),
 		row("choice of a chain, processor", UnitCores, 0, cost(choice.Value, requests)/percent, "", choice),
