--- a/pkg/control/register.go
+++ b/pkg/control/register.go
@@ -35,6 +35,8 @@
 	done   chan struct{}
 	wake   chan struct{}
 	log    logs.Logger
+	// registered is the incarnation that was last sent.
+	registered uint64
 }
 
 // Register announces the upstream to every voter until ctx ends, then leaves.
@@ -120,6 +122,7 @@
 		if ctx.Err() != nil {
 			return
 		}
+		l.reportFenced(err)
 		l.log.Debug("registration ended", logs.Str("replica", l.addr), logs.Err(err))
 		if time.Since(started) > maxBackoff {
 			backoff = minBackoff
@@ -129,6 +132,14 @@
 	}
 }
 
+// reportFenced tells the upstream that a replica refuses its incarnation.
+func (l *registerLoop) reportFenced(err error) {
+	if l.reg.client.opts.OnFenced == nil || !fault.Is(err, fault.StaleEpoch) {
+		return
+	}
+	l.reg.client.opts.OnFenced(max(l.registered, fault.As(err).Revision))
+}
+
 func (l *registerLoop) pause(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
@@ -149,6 +160,7 @@
 	if announced == nil {
 		return nil
 	}
+	l.registered = announced.Incarnation
 	first := &wirepb.Register{Announcement: announced, Role: l.reg.client.opts.Role}
 	if err := s.Write(&wirepb.Frame{Body: &wirepb.Frame_Register{Register: first}}); err != nil {
 		return err
@@ -183,6 +195,7 @@
 		if current != announced {
 			beat.Announcement = current
 			announced = current
+			l.registered = current.Incarnation
 		}
 		if err := s.Write(&wirepb.Frame{Body: &wirepb.Frame_Heartbeat{Heartbeat: beat}}); err != nil {
 			return err
@@ -200,6 +213,7 @@
 func (l *registerLoop) handle(s *wire.Stream, f *wirepb.Frame) error {
 	switch {
 	case f.GetHeartbeatReply() != nil:
+		l.reg.client.learnOrderEpoch(f.GetHeartbeatReply())
 		return nil
 	case f.GetOrder() != nil:
 		go l.carryOut(s, f.GetOrder())
@@ -235,3 +249,22 @@
 		}
 	}
 }
+
+// learnOrderEpoch takes over an order epoch that the replica read linearizably.
+func (c *Client) learnOrderEpoch(r *wirepb.HeartbeatReply) {
+	if !r.OrderEpochRead {
+		return
+	}
+	c.orderMu.Lock()
+	defer c.orderMu.Unlock()
+	c.orderEpoch = max(c.orderEpoch, r.OrderEpoch)
+	c.orderKnown = true
+}
+
+// OrderEpoch returns the highest order epoch of this host that control knew
+// after the registration. Known is false until a replica has told it.
+func (c *Client) OrderEpoch() (epoch uint64, known bool) {
+	c.orderMu.Lock()
+	defer c.orderMu.Unlock()
+	return c.orderEpoch, c.orderKnown
+}
--- a/pkg/core/raft/election.go
+++ b/pkg/core/raft/election.go
@@ -26,6 +26,9 @@
 // and then no other could win.
 func (n *Node) mayCampaign() bool {
 	v := findVoter(n.VotersAt(n.log.commit), n.cfg.ID)
+	if v != nil && v.Member != 0 && v.Member != n.cfg.Member {
+		return false // the others know this id with another disk
+	}
 	return n.isVoter(n.cfg.ID) || (v != nil && !v.Learner)
 }
 
@@ -199,6 +202,22 @@
 	return true
 }
 
+// BestFollower returns the voter that holds most of the log and answered
+// lately, or None.
+func (n *Node) BestFollower() uint64 {
+	best, match := None, uint64(0)
+	for _, v := range n.Voters() {
+		p := n.progress[v.Id]
+		if v.Learner || v.Id == n.cfg.ID || p == nil || p.state != replicating {
+			continue
+		}
+		if best == None || p.match > match {
+			best, match = v.Id, p.match
+		}
+	}
+	return best
+}
+
 // finishTransfer lets the chosen voter start its election once it holds the
 // whole log.
 func (n *Node) finishTransfer(id uint64, p *progress) {
--- a/pkg/core/state/store.go
+++ b/pkg/core/state/store.go
@@ -90,8 +90,13 @@
 	if cmd.GetRequestId() == "" {
 		return s.refuse(fault.New(fault.Invalid, "request id is missing").WithField("request_id"))
 	}
-	if len(cmd.GetRequestId()) > maxNameLength || len(cmd.GetOperator()) > maxNameLength {
-		return s.refuse(fault.New(fault.Invalid, "request id or operator is over %d bytes", maxNameLength).WithField("request_id"))
+	if len(cmd.GetRequestId()) > maxRequestLength || len(cmd.GetOperator()) > maxRequestLength {
+		return s.refuse(fault.New(fault.Invalid, "request id or operator is over %d bytes", maxRequestLength).WithField("request_id"))
+	}
+	if body := cmd.GetRefused(); body != nil {
+		// Repeating it adds an audit record and nothing else, and bad requests
+		// must not fill the table of request ids.
+		return s.refused(cmd, body)
 	}
 	first, err := s.dedup.find(cmd)
 	if err != nil {
@@ -115,8 +120,6 @@
 		return s.change(cmd, body.Change)
 	case *wirepb.Command_Order:
 		return s.order(cmd, body.Order)
-	case *wirepb.Command_Refused:
-		return s.refused(cmd, body.Refused)
 	case *wirepb.Command_Voter:
 		return s.voter(cmd, body.Voter)
 	}
--- a/pkg/replica/applier.go
+++ b/pkg/replica/applier.go
@@ -8,11 +8,13 @@
 	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
 )
 
-// task is one piece of work of the applier: an entry, or a snapshot to restore.
+// task is one piece of work of the applier: an entry, a snapshot to restore, or
+// the order to take a snapshot.
 type task struct {
 	entry    *wirepb.LogEntry
 	proposal *proposal // set on the replica that proposed the entry
 	restore  *snapshot
+	take     bool
 }
 
 // appliedState tells the owner how far the applier is.
@@ -26,7 +28,9 @@
 // Apply or Snapshot does not delay heartbeats.
 type applier struct {
 	machine  StateMachine
-	interval uint64
+	interval uint64 // entries between two snapshots
+	maxBytes int    // bytes of entries between two snapshots
+	bytes    int    // since the last snapshot
 	mu       sync.Mutex
 	queue    []task
 	state    appliedState
@@ -40,6 +44,7 @@
 	return &applier{
 		machine:  o.StateMachine,
 		interval: uint64(o.SnapshotEntries),
+		maxBytes: o.SnapshotBytes,
 		state:    appliedState{applied: applied},
 		lastSnap: applied,
 		wake:     make(chan struct{}, 1),
@@ -83,11 +88,16 @@
 			return fault.Wrap(err, fault.Corrupt, "restore snapshot %d", index)
 		}
 		a.lastSnap = index
+		a.bytes = 0
 		a.report(func(s *appliedState) { s.applied = index })
 		return nil
 	}
+	if t.take {
+		return a.takeSnapshot(a.state.applied)
+	}
 	a.apply(t)
-	if t.entry.Index-a.lastSnap < a.interval {
+	a.bytes += len(t.entry.Data)
+	if t.entry.Index-a.lastSnap < a.interval && a.bytes < a.maxBytes {
 		return nil
 	}
 	return a.takeSnapshot(t.entry.Index)
@@ -110,6 +120,7 @@
 		return fault.Wrap(err, fault.Internal, "take snapshot %d", index)
 	}
 	a.lastSnap = index
+	a.bytes = 0
 	meta := &wirepb.SnapshotMeta{Index: index, Size: uint64(len(data))}
 	a.report(func(s *appliedState) { s.taken = &snapshot{meta: meta, data: data} })
 	return nil
--- a/pkg/role/control/control_test.go
+++ b/pkg/role/control/control_test.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"runtime"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -11,7 +14,9 @@
 
 	"github.com/plantainstair/plantainstair/pkg/core/state"
 	"github.com/plantainstair/plantainstair/pkg/fault"
+	"github.com/plantainstair/plantainstair/pkg/link"
 	"github.com/plantainstair/plantainstair/pkg/operators"
+	"github.com/plantainstair/plantainstair/pkg/wire"
 	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
 )
 
@@ -271,11 +276,121 @@
 	mu.Lock()
 	assert.DeepEqual(t, epochs, []uint64{1, 2})
 	mu.Unlock()
+	// An agent that restarts without memory learns the epoch.
+	restarted := c.run(c.client(roleAgent, "h1"))
+	again, cancelAgain := context.WithCancel(context.Background())
+	doneAgain := make(chan struct{})
+	next := &wirepb.Announcement{Host: "h1", AgentAddress: "127.0.0.1:1", Incarnation: 2}
+	go func() {
+		defer close(doneAgain)
+		restarted.Register(again, func() *wirepb.Announcement { return next }, nil, nil)
+	}()
+	t.Cleanup(func() { cancelAgain(); <-doneAgain })
+	c.until("the order epoch", func() bool { epoch, known := restarted.OrderEpoch(); return known && epoch == 2 })
 
 	entry := c.run(c.client(roleEntry, "e1"))
 	c.until("the upstream in the view", func() bool { return entry.View() != nil && entry.View().Upstreams["h1"] != nil })
 	left := time.Now()
-	cancel()
+	cancelAgain()
 	c.until("the upstream gone", func() bool { return entry.View().Upstreams["h1"] == nil })
 	assert.Assert(t, time.Since(left) < 3*time.Second)
 }
+
+// Guards against a catalogue that no longer reaches watchers once it is larger
+// than a frame.
+func TestWatch_CatalogueOverFrameLimit(t *testing.T) {
+	c := startCluster(t, 1)
+	const parts, size = 4, 800
+	for part := range parts {
+		req := &operators.ChangeRequest{BaseRevision: uint64(part), RequestID: fmt.Sprint(part)}
+		for i := range size {
+			name := fmt.Sprintf("organisation-%d-%d", part, i)
+			keys := []string{fmt.Sprintf("%064x", part*size+i), fmt.Sprintf("%063xf", part*size+i+1<<40)}
+			req.Put = append(req.Put, operators.Entry{Value: &wirepb.Entry{
+				Kind: "organisation", Name: name, Owner: "o", Organisation: &wirepb.OrganisationSpec{KeySha256: keys},
+				Limits: &wirepb.Limits{TokensPerSecond: 1000}}})
+		}
+		_, err := c.members[0].Apply(background(t), "ann", req)
+		assert.NilError(t, err)
+	}
+	k := c.run(c.client(roleEntry, "e1"))
+	c.until("the whole catalogue", func() bool { return k.View() != nil && len(k.View().Organisations) == parts*size })
+	c.until("a confirmation", func() bool { return !k.Confirmed().IsZero() })
+	events, _ := c.members[0].feed.full(true)
+	assert.Assert(t, len(events) > 1)
+	for i, e := range events {
+		assert.Equal(t, e.More, i < len(events)-1)
+	}
+}
+
+// Guards against work for an upstream whose agent is frozen, against an agent
+// that cannot return, and against an earlier incarnation that does.
+func TestRegister_ExpiryAndReturn(t *testing.T) {
+	c := startCluster(t, 1)
+	entry := c.run(c.client(roleEntry, "e1"))
+	c.until("a view", func() bool { return entry.View() != nil })
+	session, err := link.Dial(background(t), c.members[0].Address(), link.Options{Identity: link.Identity{Role: roleAgent, Host: "h9"}})
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = session.Close() })
+	register := func(incarnation uint64) *wire.Stream {
+		s, err := session.Open()
+		assert.NilError(t, err)
+		first := &wirepb.Register{Announcement: announced("h9", incarnation), Role: roleAgent}
+		assert.NilError(t, s.Write(&wirepb.Frame{Body: &wirepb.Frame_Register{Register: first}}))
+		return s
+	}
+	listed := func(incarnation uint64) func() bool {
+		return func() bool { return entry.View().Upstreams["h9"].GetIncarnation() == incarnation }
+	}
+	frozen := register(5)
+	c.until("the upstream", listed(5))
+	since := time.Now()
+	f, err := frozen.Read()
+	assert.NilError(t, err)
+	assert.Equal(t, f.GetError().GetKind(), string(fault.StaleEpoch))
+	c.until("the upstream gone", listed(0))
+	assert.Assert(t, time.Since(since) < 3*time.Second)
+	f, err = register(4).Read()
+	assert.NilError(t, err)
+	assert.Equal(t, f.GetError().GetRevision(), uint64(5))
+	register(5)
+	c.until("the upstream again", listed(5))
+	restarted := register(6)
+	c.until("the next incarnation", listed(6))
+	assert.NilError(t, restarted.Write(&wirepb.Frame{Body: &wirepb.Frame_Leave{Leave: &wirepb.Leave{}}}))
+	_, err = restarted.Read()
+	assert.Equal(t, err, io.EOF)
+	c.until("the upstream gone after its leave", listed(0))
+}
+
+// Guards against more loads at once than the store of the weights allows, and
+// against a place that is lost when a waiting order gives up.
+func TestPacer_BoundsLoads(t *testing.T) {
+	p := &pacer{limit: func() int { return 2 }}
+	var running, most atomic.Int64
+	var wg sync.WaitGroup
+	for i := range 200 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			if i%3 == 0 {
+				cancel()
+			}
+			if p.acquire(ctx) != nil {
+				return
+			}
+			if n := running.Add(1); n > most.Load() {
+				most.Store(n)
+			}
+			runtime.Gosched()
+			running.Add(-1)
+			p.release()
+		}()
+	}
+	wg.Wait()
+	assert.Assert(t, most.Load() <= 2)
+	assert.Equal(t, p.running, 0)
+	assert.Equal(t, len(p.queue), 0)
+}
--- a/pkg/role/control/registry.go
+++ b/pkg/role/control/registry.go
@@ -72,12 +72,12 @@
 	// lifecycle is the transition table of all upstreams. One machine serves
 	// them all, because a machine for each takes several kilobytes.
 	lifecycle *fsm.FSM
-	onChange  func()
+	onChange  func(urgent bool)
 }
 
 // NewRegistry returns an empty registry. onChange is called after each change
-// and must not block.
-func NewRegistry(onChange func()) *Registry {
+// and must not block; a change is urgent when an upstream takes no more work.
+func NewRegistry(onChange func(urgent bool)) *Registry {
 	live := []string{stateAnnounced, stateServing, stateDraining}
 	return &Registry{
 		hosts:    make(map[string]*registration),
@@ -92,8 +92,10 @@
 	}
 }
 
-// Register adds an upstream. An incarnation that is lower than a known one, or
-// that has left or expired, is refused.
+// Register adds an upstream. An incarnation below a known one is refused, also
+// after that one has left or expired. The same incarnation may return: an agent
+// keeps its incarnation while its engine restarts and while it is cut off. A
+// late copy of its registration therefore lasts until the lease has passed.
 func (r *Registry) Register(now time.Time, a *wirepb.Announcement, stream orderStream) (*registration, error) {
 	if err := checkAnnouncement(a); err != nil {
 		return nil, err
@@ -107,12 +109,12 @@
 	if replaced != nil {
 		replaced.stream.end(fault.New(fault.StaleEpoch, "registration was replaced by a newer one"))
 	}
-	r.onChange()
+	r.onChange(a.GetState() == stateDraining)
 	return reg, nil
 }
 
 func (r *Registry) add(now time.Time, a *wirepb.Announcement, stream orderStream) (reg, replaced *registration, err error) {
-	if d, ok := r.departed[a.Host]; ok && a.Incarnation <= d.incarnation {
+	if d, ok := r.departed[a.Host]; ok && a.Incarnation < d.incarnation {
 		return nil, nil, staleIncarnation(a, d.incarnation, "has left or expired")
 	}
 	replaced = r.hosts[a.Host]
@@ -131,6 +133,7 @@
 		replaced.ended.Store(true)
 	}
 	r.hosts[a.Host] = reg
+	delete(r.departed, a.Host)
 	r.changed(a.Host)
 	return reg, replaced, nil
 }
@@ -188,7 +191,7 @@
 	if err := r.update(now, reg, a); err != nil {
 		return err
 	}
-	r.onChange()
+	r.onChange(a.GetState() == stateDraining)
 	return nil
 }
 
@@ -216,7 +219,7 @@
 	removed := r.remove(now, reg, "leave")
 	r.mu.Unlock()
 	if removed {
-		r.onChange()
+		r.onChange(true)
 	}
 }
 
@@ -240,21 +243,22 @@
 func (r *Registry) Sweep(now time.Time) []*registration {
 	r.mu.Lock()
 	if !r.lastSweep.IsZero() && now.Sub(r.lastSweep) > Lease/2 {
-		r.extend(now.Sub(r.lastSweep))
+		r.extend(now, now.Sub(r.lastSweep))
 	}
 	r.lastSweep = now
 	expired := r.expire(now)
 	r.prune(now)
 	r.mu.Unlock()
 	if len(expired) > 0 {
-		r.onChange()
+		r.onChange(true)
 	}
 	return expired
 }
 
-func (r *Registry) extend(pause time.Duration) {
+func (r *Registry) extend(now time.Time, pause time.Duration) {
 	for _, reg := range r.hosts {
-		reg.seen.Add(int64(pause))
+		seen := reg.seen.Load()
+		reg.seen.CompareAndSwap(seen, max(seen, min(seen+int64(pause), now.UnixNano())))
 	}
 }
 
--- a/pkg/role/entry/attempt.go
+++ b/pkg/role/entry/attempt.go
@@ -35,7 +35,7 @@
 		return nil
 	})
 	if err == nil {
-		err = g.checkDone(done)
+		err = g.checkDone()
 	}
 	if err != nil && !g.stream.Complete() {
 		return nil, err
@@ -47,11 +47,11 @@
 	return done, nil
 }
 
-// stallTimer bounds the time between tokens. It runs from the start of an
-// attempt that repairs a begun stream, and else from the first token.
+// stallTimer bounds the time between tokens, and the time to the first token of
+// an attempt that repairs a begun stream. Before that the deadline does.
 func (g *generation) stallTimer(cancel context.CancelCauseFunc) *time.Timer {
-	t := time.AfterFunc(g.entry.opts.Settings.Stall, func() {
-		cancel(fault.New(fault.Upstream, "chain produced no token for %s", g.entry.opts.Settings.Stall))
+	t := time.AfterFunc(g.entry.opts.Settings.ReplayTime, func() {
+		cancel(fault.New(fault.Upstream, "chain produces no tokens"))
 	})
 	if !g.begun() {
 		t.Stop()
@@ -85,7 +85,7 @@
 func (g *generation) firstTokenMs() uint32 {
 	left := g.req.Deadline.Sub(g.entry.opts.Now())
 	if g.begun() {
-		left = g.entry.opts.Settings.Stall
+		left = g.entry.opts.Settings.ReplayTime
 	}
 	return uint32(max(1, left.Milliseconds()))
 }
@@ -109,13 +109,13 @@
 	return nil
 }
 
-// checkDone refuses an end that does not match the tokens received, so that a
-// truncated answer is never taken as whole.
-func (g *generation) checkDone(done *wirepb.GenerateDone) error {
-	if g.whole() || int(done.CompletionTokens) == len(g.stream.Emitted()) {
+// checkDone refuses an end before the last token, so that a truncated answer is
+// never taken as whole. The count of the agent alone is no proof.
+func (g *generation) checkDone() error {
+	if g.whole() {
 		return nil
 	}
-	return fault.New(fault.Protocol, "head ended the stream after %d of %d tokens", len(g.stream.Emitted()), done.CompletionTokens).
+	return fault.New(fault.Protocol, "head ended the stream after %d tokens without a last one", len(g.stream.Emitted())).
 		WithStage(0)
 }
 
--- a/pkg/upstreams/stage.go
+++ b/pkg/upstreams/stage.go
@@ -32,19 +32,27 @@
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	in, out := io.Pipe()
-	s := &Stage{ctx: ctx, cancel: cancel, out: out, watchdog: newWatchdog(readyTimeout, cancel), maxLine: c.opts.MaxLine}
-	req, err := newRequest(ctx, http.MethodPost, address, PathStage, io.MultiReader(bytes.NewReader(first), in))
+	// The transport notices the end of ctx only between two reads of the body.
+	context.AfterFunc(ctx, func() { _ = in.CloseWithError(context.Cause(ctx)) })
+	s := &Stage{ctx: ctx, cancel: cancel, out: out, watchdog: newWatchdog(readyTimeout, readyTimeout, cancel), maxLine: c.opts.MaxLine}
+	body := stageBody{Reader: io.MultiReader(bytes.NewReader(first), in), pipe: in}
+	req, err := newRequest(ctx, http.MethodPost, address, PathStage, body)
 	if err != nil {
 		s.Close()
 		return nil, err
 	}
 	req.Header.Set("Content-Type", ndjsonType)
-	resp, err := c.do(c.engine, req)
+	resp, err := c.engine.Do(req)
 	if err != nil {
 		s.Close()
-		return nil, err
+		return nil, transportError(ctx, err, "open stage")
 	}
 	s.body = resp.Body
+	if resp.StatusCode >= http.StatusBadRequest {
+		// The request body must end before the answer can be closed.
+		defer s.Close()
+		return nil, statusError(resp)
+	}
 	s.lines = NewLineReader(resp.Body, c.opts.MaxLine)
 	if err := s.readReady(); err != nil {
 		s.Close()
@@ -53,6 +61,17 @@
 	return s, nil
 }
 
+// stageBody is the request body of a stage. The transport closes it when the
+// connection is lost; a close that left the pipe open would keep the transport
+// in a read of the pipe, and the loss would go unnoticed until the next step.
+type stageBody struct {
+	io.Reader
+	pipe *io.PipeReader
+}
+
+// Close implements io.Closer.
+func (b stageBody) Close() error { return b.pipe.Close() }
+
 func (s *Stage) readReady() error {
 	line, err := s.read()
 	if err != nil {
@@ -108,7 +127,7 @@
 	if err := s.lines.ReadJSON(line); err != nil {
 		return nil, streamError(s.ctx, err, "stage")
 	}
-	s.watchdog.pause()
+	s.watchdog.stop()
 	if line.Error != nil {
 		return nil, line.Error.Fault().WithOutcome(fault.MayHaveRun)
 	}
