raft, replica: tests of promotion, replaced disks that join, lost leadership

Mutation trials had shown that a promotion without catch-up or not bound to its disk, a missing member check in a running cluster, and proposals left open after a lost leadership went unnoticed. A replica closed during a proposal now answers fault.Unknown.

--- a/pkg/core/raft/model_test.go
+++ b/pkg/core/raft/model_test.go
@@ -114,6 +114,9 @@
 			m.fail("read at node %d returned %d although %d was committed before", p.id, r.Index, p.floors[r.Context])
 		}
 	}
+	if out.Voters != nil && p.node.role == Leader {
+		m.checkPromotion(p)
+	}
 	m.checkLeader(p)
 	for _, e := range out.Committed {
 		m.checkCommitted(p, e)
@@ -134,6 +137,26 @@
 	}
 }
 
+// checkPromotion checks that a learner that became a voter had caught up and is
+// bound to its disk.
+func (m *model) checkPromotion(p *peer) {
+	configs := p.node.configs
+	if len(configs) < 2 {
+		return
+	}
+	last, before := configs[len(configs)-1], configs[len(configs)-2]
+	for _, v := range last.voters {
+		old := findVoter(before.voters, v.Id)
+		if v.Learner || old == nil || !old.Learner {
+			continue
+		}
+		known := p.node.progress[v.Id]
+		if known.match+catchUpEntries+1 < last.index || v.Member == 0 || v.Member != known.member {
+			m.fail("learner %v at entry %d becomes a voter at entry %d", v, known.match, last.index)
+		}
+	}
+}
+
 // checkLeader checks election safety and leader completeness.
 func (m *model) checkLeader(p *peer) {
 	if p.node.role != Leader {
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -321,5 +321,9 @@
 }
 
 func (r *Replica) closedFault(o fault.Outcome) error {
-	return fault.New(fault.Draining, "replica is closed").WithOutcome(o)
+	kind := fault.Draining
+	if o != fault.NotRun {
+		kind = fault.Unknown
+	}
+	return fault.New(kind, "replica is closed").WithOutcome(o)
 }
--- a/pkg/replica/replica_test.go
+++ b/pkg/replica/replica_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/goleak"
 	"gotest.tools/v3/assert"
 
@@ -118,24 +119,34 @@
 	c.stop(lead)
 	assert.NilError(t, os.RemoveAll(c.path(wiped)))
 	c.net.isolate(behind, false)
-	for _, join := range []bool{false, true} {
-		r := c.start(wiped, func(o *Options) {
-			o.Join = join
-			if join {
-				o.Bootstrap = nil
-			}
-		})
-		term := c.replica(behind).Status().Term
-		c.waitAttempts(behind)
-		assert.Equal(t, c.replica(behind).Status().Term, term)
-		assert.Assert(t, join || r.Status().Failed != nil)
-		assert.Assert(t, c.replica(behind).Status().Role != raft.Leader)
-		c.stop(wiped)
-		assert.NilError(t, os.RemoveAll(c.path(wiped)))
-	}
+	r := c.start(wiped, nil)
+	c.assertNoLeader(behind)
+	assert.Assert(t, r.Status().Failed != nil)
+	c.stop(wiped)
+	assert.NilError(t, os.RemoveAll(c.path(wiped)))
+	// Nor when it joins under its old id and hears the leader before it is lost.
 	c.start(lead, nil)
 	c.mustPropose("more")
 	c.waitValue(behind, "more")
+	lead = c.leader().opts.ID
+	behind = 6 - lead - wiped
+	heard := c.net.sent(wiped, raft.MsgHeartbeatReply)
+	c.start(wiped, func(o *Options) { o.Join = true; o.Bootstrap = nil })
+	eventually(t, "not heard", func() bool { return c.net.sent(wiped, raft.MsgHeartbeatReply) > heard+2 })
+	c.net.isolate(lead, true)
+	c.assertNoLeader(behind)
+	c.net.isolate(lead, false)
+	c.mustPropose("last")
+}
+
+// assertNoLeader expects that a replica tries to win several elections and
+// fails.
+func (c *cluster) assertNoLeader(id uint64) {
+	c.t.Helper()
+	term := c.replica(id).Status().Term
+	c.waitAttempts(id)
+	assert.Equal(c.t, c.replica(id).Status().Term, term)
+	assert.Assert(c.t, c.replica(id).Status().Role != raft.Leader)
 }
 
 // waitAttempts waits until a replica asked for votes several times.
@@ -256,6 +267,7 @@
 	err := <-result
 	assert.Equal(t, fault.KindOf(err), fault.Unknown)
 	assert.Equal(t, fault.As(err).Outcome, fault.MayHaveRun)
+	assert.Assert(t, !errors.Is(err, context.DeadlineExceeded))
 	_, err = lead.Propose(testContext(t), []byte("refused"))
 	assert.Equal(t, fault.KindOf(err), fault.NotLeader)
 }
