entry: leave agents time to answer before the deadline; take probes for whole chains

Change: agents get the deadline less 50 ms, or a tenth if that is less. Probes are taken only when every host of the chain admits work.

Conclusion: TestAdmitAll_TakesNoProbeInVain covers the probes.

--- a/pkg/core/route/tracker.go
+++ b/pkg/core/route/tracker.go
@@ -187,18 +187,37 @@
 // its way or none is due, and the caller must then choose again without the
 // host.
 func (t *Tracker) Admit(host string, now time.Time) bool {
+	return t.AdmitAll([]string{host}, now) == ""
+}
+
+// AdmitAll is Admit for all hosts of a chain. It returns the first host that
+// admits no work, or an empty string. Probes are taken only if all admit: one
+// taken for a chain that is not used would block the host until it times out.
+func (t *Tracker) AdmitAll(hosts []string, now time.Time) (refused string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	h := t.hosts[host]
-	if h == nil || h.phase == phaseServing || h.phase == phaseReturning {
-		return true
+	for _, host := range hosts {
+		if h := t.hosts[host]; h != nil && !h.admits(now) {
+			return host
+		}
 	}
-	if now.Before(h.until) {
-		return false
+	for _, host := range hosts {
+		if h := t.hosts[host]; h != nil {
+			h.takeProbe(now, t.cfg.ProbeTimeout)
+		}
+	}
+	return ""
+}
+
+func (h *hostState) ejected() bool { return h.phase == phaseEjected || h.phase == phaseProbing }
+
+func (h *hostState) admits(now time.Time) bool { return !h.ejected() || !now.Before(h.until) }
+
+func (h *hostState) takeProbe(now time.Time, timeout time.Duration) {
+	if h.ejected() {
+		h.phase = phaseProbing
+		h.until = now.Add(timeout)
 	}
-	h.phase = phaseProbing
-	h.until = now.Add(t.cfg.ProbeTimeout)
-	return true
 }
 
 func (t *Tracker) finishProbe(h *hostState, ok bool, now time.Time) {
--- a/pkg/core/route/tracker_test.go
+++ b/pkg/core/route/tracker_test.go
@@ -164,3 +164,15 @@
 		assert.Assert(t, retries > 0)
 	})
 }
+
+// Guards against a probe that is taken for a chain which another host refuses:
+// the probed host would stay out until the probe times out.
+func TestAdmitAll_TakesNoProbeInVain(t *testing.T) {
+	tr := NewTracker(TrackerConfig{})
+	observe(tr, "due", false, 0, testStart, DefaultErrorsInRow)
+	now := testStart.Add(DefaultBaseEjection)
+	observe(tr, "ejected", false, 0, now, DefaultErrorsInRow)
+	assert.Equal(t, tr.AdmitAll([]string{"due", "ejected"}, now), "ejected")
+	assert.Equal(t, tr.AdmitAll([]string{"due", "healthy"}, now), "")
+	assert.Equal(t, tr.AdmitAll([]string{"due"}, now), "due")
+}
--- a/pkg/role/entry/attempt.go
+++ b/pkg/role/entry/attempt.go
@@ -81,12 +81,20 @@
 	}
 }
 
-// firstTokenMs returns the remaining time to the first token of the attempt.
+// answerMargin is kept back from the time that an agent is given. Its refusal
+// of a request that is still queued must arrive before the deadline passes
+// here, after which nobody knows whether the request ran. The agent checks its
+// queue each 20 ms.
+const answerMargin = 50 * time.Millisecond
+
+// firstTokenMs returns the time that the agent has for the first token of the
+// attempt.
 func (g *generation) firstTokenMs() uint32 {
 	left := g.req.Deadline.Sub(g.entry.opts.Now())
 	if g.begun() {
 		left = g.entry.opts.Settings.ReplayTime
 	}
+	left -= min(answerMargin, left/10)
 	return uint32(max(1, left.Milliseconds()))
 }
 
--- a/pkg/role/entry/choose.go
+++ b/pkg/role/entry/choose.go
@@ -41,13 +41,11 @@
 
 // admitAll returns the first host that does not admit work.
 func (e *Entry) admitAll(chain []route.Stage) string {
-	now := e.opts.Now()
-	for _, st := range chain {
-		if !e.tracker.Admit(st.Host, now) {
-			return st.Host
-		}
+	hosts := make([]string, len(chain))
+	for i, st := range chain {
+		hosts[i] = st.Host
 	}
-	return ""
+	return e.tracker.AdmitAll(hosts, e.opts.Now())
 }
 
 // chooseService chooses an upstream that admits work.
