--- a/pkg/agent/load.go
+++ b/pkg/agent/load.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
+	"github.com/plantainstair/plantainstair/pkg/delay"
 	"github.com/plantainstair/plantainstair/pkg/fault"
 	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
 )
@@ -67,7 +67,7 @@
 // watch fails, the session is dropped if the agent fell silent, which ends
 // every stream to it at once. onRoundTrip receives measured round trips.
 func (c *Client) Follow(ctx context.Context, addr string, onReport func(*wirepb.LoadReport), onRoundTrip func(time.Duration)) {
-	delay := followMinDelay
+	backoff := followMinDelay
 	p := &pinger{client: c, addr: addr, onRoundTrip: onRoundTrip}
 	for ctx.Err() == nil {
 		got := 0
@@ -85,10 +85,10 @@
 			c.Drop(addr)
 		}
 		if got > 0 {
-			delay = followMinDelay
+			backoff = followMinDelay
 		}
-		pause(ctx, delay/2+rand.N(delay))
-		delay = min(2*delay, followMaxDelay)
+		delay.Wait(ctx, delay.Jitter(backoff))
+		backoff = min(2*backoff, followMaxDelay)
 	}
 }
 
@@ -115,12 +115,3 @@
 		}
 	}()
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/pkg/control/claims.go
+++ b/pkg/control/claims.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/plantainstair/plantainstair/pkg/core/state"
+	"github.com/plantainstair/plantainstair/pkg/delay"
 	"github.com/plantainstair/plantainstair/pkg/fault"
 	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
 )
@@ -17,12 +19,12 @@
 
 // Statuses of a claim.
 const (
-	ClaimWon      = "won"
-	ClaimPending  = "pending"
-	ClaimAnswered = "answered"
-	ClaimAbsent   = "absent"
-	ClaimExpired  = "expired"
-	ClaimMismatch = "mismatch"
+	ClaimWon      = state.ClaimWon
+	ClaimPending  = state.ClaimPending
+	ClaimAnswered = state.ClaimAnswered
+	ClaimAbsent   = state.ClaimAbsent
+	ClaimExpired  = state.ClaimExpired
+	ClaimMismatch = state.ClaimMismatch
 )
 
 // Claim makes a claim durable at a quorum. Repeating it with the same attempt
@@ -68,7 +70,7 @@
 		}
 		last = err
 		c.preferred.CompareAndSwap(index, index+1)
-		sleep(ctx, jitter(attemptInterval))
+		delay.Wait(ctx, delay.Jitter(attemptInterval))
 	}
 	if last == nil {
 		last = ctx.Err()
@@ -85,28 +87,12 @@
 }
 
 func (c *Client) exchange(ctx context.Context, addr string, req *wirepb.Frame, wait time.Duration) (*wirepb.ClaimReply, error) {
-	limit := time.Now().Add(attemptTimeout + wait)
-	if d, ok := ctx.Deadline(); ok && d.Before(limit) {
-		limit = d
-	}
-	s, err := c.pool.Open(ctx, addr)
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout+wait)
+	defer cancel()
+	f, err := c.pool.Exchange(ctx, addr, req)
 	if err != nil {
 		return nil, err
 	}
-	defer s.Close()
-	_ = s.SetDeadline(limit)
-	stop := context.AfterFunc(ctx, func() { _ = s.SetDeadline(time.Unix(1, 0)) })
-	defer stop()
-	if err := s.Write(req); err != nil {
-		return nil, err
-	}
-	f, err := s.Read()
-	if err != nil {
-		return nil, fault.Wrap(err, fault.Unavailable, "answer from %s", addr)
-	}
-	if e := f.GetError(); e != nil {
-		return nil, fault.FromWire(e)
-	}
 	if reply := f.GetClaimReply(); reply != nil {
 		return reply, nil
 	}
--- a/pkg/control/client.go
+++ b/pkg/control/client.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/plantainstair/plantainstair/pkg/delay"
 	"github.com/plantainstair/plantainstair/pkg/fault"
 	"github.com/plantainstair/plantainstair/pkg/link"
 	"github.com/plantainstair/plantainstair/pkg/logs"
@@ -112,7 +113,7 @@
 		if c.opts.Now().Sub(started) > maxBackoff {
 			backoff = minBackoff
 		}
-		sleep(ctx, jitter(backoff))
+		delay.Wait(ctx, delay.Jitter(backoff))
 		backoff = min(2*backoff, maxBackoff)
 	}
 	return ctx.Err()
@@ -143,19 +144,6 @@
 	return addresses
 }
 
-func jitter(d time.Duration) time.Duration {
-	return d/2 + rand.N(d)
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // readFrames passes frames of a stream to a channel until the stream fails.
 // Each frame must arrive within timeout of the one before.
 func readFrames(s *wire.Stream, timeout time.Duration, stop <-chan struct{}) (<-chan *wirepb.Frame, <-chan error) {
--- a/pkg/control/register.go
+++ b/pkg/control/register.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/plantainstair/plantainstair/pkg/delay"
 	"github.com/plantainstair/plantainstair/pkg/fault"
 	"github.com/plantainstair/plantainstair/pkg/logs"
 	"github.com/plantainstair/plantainstair/pkg/wire"
@@ -127,7 +128,7 @@
 		if time.Since(started) > maxBackoff {
 			backoff = minBackoff
 		}
-		sleep(ctx, jitter(backoff))
+		delay.Wait(ctx, delay.Jitter(backoff))
 		backoff = min(2*backoff, maxBackoff)
 	}
 }
--- a/pkg/control/view.go
+++ b/pkg/control/view.go
@@ -3,16 +3,17 @@
 import (
 	"maps"
 
+	"github.com/plantainstair/plantainstair/pkg/core/state"
 	"github.com/plantainstair/plantainstair/pkg/fault"
 	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
 )
 
 // Kinds of catalogue entries.
 const (
-	KindOrganisation = "organisation"
-	KindModel        = "model"
-	KindService      = "service"
-	KindPolicy       = "policy"
+	KindOrganisation = state.KindOrganisation
+	KindModel        = state.KindModel
+	KindService      = state.KindService
+	KindPolicy       = state.KindPolicy
 )
 
 // View is an immutable copy of the configuration at one revision and of the
--- a/pkg/link/bench_test.go
+++ b/pkg/link/bench_test.go
@@ -4,11 +4,11 @@
 	"context"
 	"fmt"
 	"sync"
-	"syscall"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/plantainstair/plantainstair/pkg/rusage"
 	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
 )
 
@@ -21,7 +21,7 @@
 			p := NewPool(Options{})
 			defer p.Close()
 			frame := &wirepb.Frame{Body: &wirepb.Frame_Token{Token: &wirepb.Token{Session: "0123456789abcdef", Position: 1, Id: 1}}}
-			before := cpuTime(b)
+			before := rusage.ProcessorTime()
 			b.ResetTimer()
 			var wg sync.WaitGroup
 			for range streams {
@@ -40,14 +40,7 @@
 				})
 			}
 			wg.Wait()
-			b.ReportMetric(float64(cpuTime(b)-before)/float64(b.N), "cpu-ns/op")
+			b.ReportMetric(float64(rusage.ProcessorTime()-before)/float64(b.N), "cpu-ns/op")
 		})
 	}
 }
-
-func cpuTime(b *testing.B) int64 {
-	b.Helper()
-	var u syscall.Rusage
-	assert.NilError(b, syscall.Getrusage(syscall.RUSAGE_SELF, &u))
-	return u.Utime.Nano() + u.Stime.Nano()
-}
--- a/pkg/link/capacity_bench_test.go
+++ b/pkg/link/capacity_bench_test.go
@@ -4,30 +4,15 @@
 	"context"
 	"fmt"
 	"net"
-	"runtime"
-	"syscall"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/plantainstair/plantainstair/pkg/rusage"
 	"github.com/plantainstair/plantainstair/pkg/wire"
 )
 
-func benchProcessorTime() time.Duration {
-	var u syscall.Rusage
-	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
-	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
-}
-
-func benchMemory() int64 {
-	runtime.GC()
-	runtime.GC()
-	var m runtime.MemStats
-	runtime.ReadMemStats(&m)
-	return int64(m.HeapAlloc + m.StackInuse)
-}
-
 // BenchmarkHandshake measures the processor time and the memory of an
 // authenticated session. It includes both ends.
 func BenchmarkHandshake(b *testing.B) {
@@ -41,14 +26,14 @@
 			var spent time.Duration
 			var memory int64
 			for range b.N {
-				before, started := benchMemory(), benchProcessorTime()
+				before, started := rusage.Memory(), rusage.ProcessorTime()
 				sessions := make([]*Session, n)
 				for i := range sessions {
 					sessions[i], err = Dial(context.Background(), s.Address(), Options{Identity: Identity{Role: "entry", Host: "h2"}, Keys: keys})
 					assert.NilError(b, err)
 				}
-				spent += benchProcessorTime() - started
-				memory += benchMemory() - before
+				spent += rusage.ProcessorTime() - started
+				memory += rusage.Memory() - before
 				for _, open := range sessions {
 					_ = open.Close()
 				}
--- a/pkg/link/pool.go
+++ b/pkg/link/pool.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"sync"
+	"time"
 
+	"github.com/plantainstair/plantainstair/pkg/fault"
 	"github.com/plantainstair/plantainstair/pkg/wire"
+	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
 )
 
 // Pool keeps one session for each address and dials again after a session
@@ -56,6 +59,33 @@
 	return s.Open()
 }
 
+// Exchange sends one frame on a stream of its own and returns the answer. It
+// ends with ctx. An error frame becomes an error, and an error before the frame
+// was sent has the outcome not run.
+func (p *Pool) Exchange(ctx context.Context, addr string, req *wirepb.Frame) (*wirepb.Frame, error) {
+	s, err := p.Open(ctx, addr)
+	if err != nil {
+		return nil, fault.As(err).WithOutcome(fault.NotRun)
+	}
+	defer s.Close()
+	if d, ok := ctx.Deadline(); ok {
+		_ = s.SetDeadline(d)
+	}
+	stop := context.AfterFunc(ctx, func() { _ = s.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+	if err := s.Write(req); err != nil {
+		return nil, err
+	}
+	f, err := s.Read()
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Unavailable, "answer from %s", addr)
+	}
+	if e := f.GetError(); e != nil {
+		return nil, fault.FromWire(e)
+	}
+	return f, nil
+}
+
 // Drop closes the session to addr, for a peer known to be gone.
 func (p *Pool) Drop(addr string) {
 	p.mu.Lock()
--- a/pkg/operators/client.go
+++ b/pkg/operators/client.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 
+	"github.com/plantainstair/plantainstair/pkg/delay"
 	"github.com/plantainstair/plantainstair/pkg/fault"
 )
 
@@ -155,7 +156,7 @@
 	var last error
 	sent := false
 	for round := range clientRounds {
-		if round > 0 && !pause(ctx, roundDelay) {
+		if round > 0 && !delay.Wait(ctx, roundDelay) {
 			break
 		}
 		for _, addr := range c.Addresses {
@@ -273,14 +274,3 @@
 	}
 	return b, nil
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/pkg/role/agent/bench_test.go
+++ b/pkg/role/agent/bench_test.go
@@ -8,15 +8,14 @@
 	"io"
 	"os"
 	"os/exec"
-	"runtime"
 	"strconv"
 	"sync"
-	"syscall"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/plantainstair/plantainstair/pkg/rusage"
 	"github.com/plantainstair/plantainstair/pkg/standin"
 	"github.com/plantainstair/plantainstair/pkg/upstreams"
 	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
@@ -199,21 +198,6 @@
 	return n
 }
 
-func cpuTime(b *testing.B) time.Duration {
-	b.Helper()
-	var u syscall.Rusage
-	assert.NilError(b, syscall.Getrusage(syscall.RUSAGE_SELF, &u))
-	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
-}
-
-func memoryInUse() float64 {
-	runtime.GC()
-	runtime.GC()
-	var m runtime.MemStats
-	runtime.ReadMemStats(&m)
-	return float64(m.HeapAlloc + m.StackInuse)
-}
-
 // slope returns the slope and intercept of the least-squares line.
 func slope(x, y []float64) (a, b float64) {
 	n := float64(len(x))
@@ -233,10 +217,10 @@
 	b.Helper()
 	var x, y []float64
 	for _, tokens := range []uint32{50, 50, 200, 800, 1600} {
-		before := cpuTime(b)
+		before := rusage.ProcessorTime()
 		h := startHelper(b, helperTask{Load: &helperLoad{Stages: stages, Streams: streams, Tokens: tokens}})
 		h.word(b, "done")
-		used := cpuTime(b) - before
+		used := rusage.ProcessorTime() - before
 		h.end()
 		b.Logf("%d streams of %d tokens: %v", streams, tokens, used)
 		x = append(x, float64(tokens))
@@ -287,10 +271,10 @@
 	b.Helper()
 	var x, y []float64
 	for _, requests := range []int{200, 200, 800, 1600, 3200} {
-		before := cpuTime(b)
+		before := rusage.ProcessorTime()
 		h := startHelper(b, helperTask{Load: load(requests)})
 		h.word(b, "done")
-		used := cpuTime(b) - before
+		used := rusage.ProcessorTime() - before
 		h.end()
 		b.Logf("%d requests: %v", requests, used)
 		x = append(x, float64(requests))
@@ -323,11 +307,11 @@
 	const reports = 30
 	var x, y []float64
 	for _, watchers := range []int{10, 10, 40, 160} {
-		before := cpuTime(b)
+		before := rusage.ProcessorTime()
 		load := &helperLoad{Stages: []*wirepb.StageRef{n.ref()}, Watchers: watchers, Reports: reports}
 		h := startHelper(b, helperTask{Load: load})
 		h.word(b, "done")
-		used := cpuTime(b) - before
+		used := rusage.ProcessorTime() - before
 		h.end()
 		b.Logf("%d watchers, %d reports each: %v", watchers, reports, used)
 		x = append(x, float64(watchers*reports))
@@ -344,13 +328,13 @@
 	var x, y []float64
 	for _, streams := range []int{50, 200, 400, 800} {
 		n := benchNode(b, helperEngine{Last: testLayers - 1, Slots: slots, Step: 20 * time.Second})
-		before := memoryInUse()
+		before := rusage.Memory()
 		h := startHelper(b, helperTask{Load: &helperLoad{Stages: []*wirepb.StageRef{n.ref()}, Streams: streams, Tokens: 100}})
 		waitFor(b, "requests", func() bool { return counted(n) >= streams-1 })
-		used := memoryInUse() - before
-		b.Logf("%d requests: %.0f KB", streams, used/1024)
+		used := rusage.Memory() - before
+		b.Logf("%d requests: %.0f KB", streams, float64(used)/1024)
 		x = append(x, float64(streams))
-		y = append(y, used)
+		y = append(y, float64(used))
 		h.lines = nil
 		n.agent.Close()
 		h.end()
--- a/pkg/role/agent/capacity_bench_test.go
+++ b/pkg/role/agent/capacity_bench_test.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"runtime"
-	"syscall"
 	"testing"
 	"time"
 
@@ -12,32 +10,19 @@
 
 	client "github.com/plantainstair/plantainstair/pkg/agent"
 	"github.com/plantainstair/plantainstair/pkg/link"
+	"github.com/plantainstair/plantainstair/pkg/rusage"
 	"github.com/plantainstair/plantainstair/pkg/standin"
 	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
 )
 
-func benchProcessorTime() time.Duration {
-	var u syscall.Rusage
-	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
-	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
-}
-
-func benchMemory() int64 {
-	runtime.GC()
-	runtime.GC()
-	var m runtime.MemStats
-	runtime.ReadMemStats(&m)
-	return int64(m.HeapAlloc + m.StackInuse)
-}
-
 // observation is the span over which idle agents and watches are measured.
 const observation = 2 * time.Second
 
 // idleCost returns the processor time that the process spends in a second.
 func idleCost(b *testing.B) float64 {
-	started, spent := time.Now(), benchProcessorTime()
+	started, spent := time.Now(), rusage.ProcessorTime()
 	waitFor(b, "end of the observation", func() bool { return time.Since(started) >= observation })
-	return float64((benchProcessorTime() - spent).Nanoseconds()) / time.Since(started).Seconds()
+	return float64((rusage.ProcessorTime() - spent).Nanoseconds()) / time.Since(started).Seconds()
 }
 
 // BenchmarkRelay measures the processor time of one request on an engine with
@@ -56,12 +41,12 @@
 
 func benchmarkRelay(b *testing.B, tokens int, nodes ...*node) {
 	c := newClient(b)
-	spent := benchProcessorTime()
+	spent := rusage.ProcessorTime()
 	for i := range b.N {
 		_, _, err := collect(context.Background(), c, request(fmt.Sprint("s", i), 1, prompt(20), uint32(tokens), nodes...), nil)
 		assert.NilError(b, err)
 	}
-	b.ReportMetric(float64((benchProcessorTime()-spent).Nanoseconds())/float64(b.N), "cpu-ns/op")
+	b.ReportMetric(float64((rusage.ProcessorTime()-spent).Nanoseconds())/float64(b.N), "cpu-ns/op")
 }
 
 // BenchmarkBuildReport measures a load report without its stream.
@@ -78,13 +63,13 @@
 	alone := idleCost(b)
 	for _, n := range []int{4, 16, 64} {
 		b.Run(fmt.Sprintf("agents=%d", n), func(b *testing.B) {
-			before := benchMemory()
+			before := rusage.Memory()
 			for i := range n {
 				startEngineNode(b, fmt.Sprint("h", i), 0, testLayers-1, nil, func(o *standin.EngineOptions) {
 					o.Report.Heartbeat, o.Report.LoadInterval = time.Second, time.Second
 				})
 			}
-			used := benchMemory() - before
+			used := rusage.Memory() - before
 			idle := idleCost(b) - alone
 			for b.Loop() { // nothing is timed
 			}
@@ -101,7 +86,7 @@
 		b.Run(fmt.Sprintf("watchers=%d", n), func(b *testing.B) {
 			agent := startAgent(b, "a", newFakeControl(), nil)
 			alone := idleCost(b)
-			before := benchMemory()
+			before := rusage.Memory()
 			ctx, cancel := context.WithCancel(context.Background())
 			b.Cleanup(cancel)
 			watched := make(chan struct{}, n)
@@ -119,7 +104,7 @@
 			for range n {
 				<-watched
 			}
-			used := benchMemory() - before
+			used := rusage.Memory() - before
 			idle := idleCost(b) - alone
 			for b.Loop() { // nothing is timed
 			}
--- a/pkg/role/agent/fakes_test.go
+++ b/pkg/role/agent/fakes_test.go
@@ -13,6 +13,7 @@
 	client "github.com/plantainstair/plantainstair/pkg/agent"
 	"github.com/plantainstair/plantainstair/pkg/config"
 	"github.com/plantainstair/plantainstair/pkg/control"
+	"github.com/plantainstair/plantainstair/pkg/delay"
 	"github.com/plantainstair/plantainstair/pkg/fault"
 	"github.com/plantainstair/plantainstair/pkg/link"
 	"github.com/plantainstair/plantainstair/pkg/logs"
@@ -159,7 +160,7 @@
 		if err != nil || reply.Status != control.ClaimPending || !time.Now().Before(limit) || ctx.Err() != nil {
 			return reply, err
 		}
-		pause(ctx, 5*time.Millisecond)
+		delay.Wait(ctx, 5*time.Millisecond)
 	}
 }
 
--- a/pkg/role/agent/record.go
+++ b/pkg/role/agent/record.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/plantainstair/plantainstair/pkg/control"
+	"github.com/plantainstair/plantainstair/pkg/delay"
 	"github.com/plantainstair/plantainstair/pkg/fault"
 	"github.com/plantainstair/plantainstair/pkg/logs"
 	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
@@ -45,7 +46,7 @@
 // untilAnswered repeats a request to control until it is answered or refused
 // for good. It returns nil without an answer.
 func (c *onceCall) untilAnswered(send func(context.Context) (*wirepb.ClaimReply, error)) *wirepb.ClaimReply {
-	delay := recordMinDelay
+	backoff := recordMinDelay
 	for {
 		ctx, cancel := context.WithTimeout(c.agent.life, c.agent.set.ClaimTimeout)
 		reply, err := send(ctx)
@@ -57,8 +58,8 @@
 			c.agent.log.Error("control refused the outcome of a claim", logs.Str("attempt", c.claim.Attempt), logs.Err(err))
 			return nil
 		}
-		pause(c.agent.life, delay)
-		delay = min(2*delay, recordMaxDelay)
+		delay.Wait(c.agent.life, backoff)
+		backoff = min(2*backoff, recordMaxDelay)
 	}
 }
 
@@ -69,12 +70,3 @@
 	}
 	return false
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/pkg/role/control/barrier.go
+++ b/pkg/role/control/barrier.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/plantainstair/plantainstair/pkg/delay"
 	"github.com/plantainstair/plantainstair/pkg/fault"
 )
 
@@ -115,7 +116,7 @@
 			b.last.Store(started.UnixNano())
 			return nil
 		}
-		if !pause(ctx, barrierRetry) {
+		if !delay.Wait(ctx, barrierRetry) {
 			return fault.Wrap(err, fault.Unavailable, "replica is not current").
 				WithOutcome(fault.NotRun).WithRetryAfter(time.Second)
 		}
--- a/pkg/role/control/bench_test.go
+++ b/pkg/role/control/bench_test.go
@@ -10,6 +10,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/plantainstair/plantainstair/pkg/rusage"
 	"github.com/plantainstair/plantainstair/pkg/wire"
 	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
 )
@@ -170,7 +171,7 @@
 	for _, callers := range []int{1, 16, 128} {
 		b.Run(fmt.Sprintf("claim/callers=%d", callers), func(b *testing.B) {
 			run := time.Now().UnixNano()
-			spent := benchProcessorTime()
+			spent := rusage.ProcessorTime()
 			work := make(chan int, callers)
 			done := make(chan error, callers)
 			for range callers {
@@ -191,7 +192,7 @@
 			for range callers {
 				assert.NilError(b, <-done)
 			}
-			b.ReportMetric(float64((benchProcessorTime()-spent).Nanoseconds())/float64(b.N), "cpu-ns/op")
+			b.ReportMetric(float64((rusage.ProcessorTime()-spent).Nanoseconds())/float64(b.N), "cpu-ns/op")
 			b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "claims/s")
 		})
 	}
--- a/pkg/role/control/confirm.go
+++ b/pkg/role/control/confirm.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/plantainstair/plantainstair/pkg/delay"
 	"github.com/plantainstair/plantainstair/pkg/operators"
 	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
 )
@@ -52,7 +53,7 @@
 		case <-ticker.C:
 		}
 		c.sendReport()
-		if !pause(c.ctx, peerStatusMinGap) {
+		if !delay.Wait(c.ctx, peerStatusMinGap) {
 			return
 		}
 	}
--- a/pkg/role/control/proposer.go
+++ b/pkg/role/control/proposer.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/plantainstair/plantainstair/pkg/delay"
 	"github.com/plantainstair/plantainstair/pkg/fault"
 	"github.com/plantainstair/plantainstair/pkg/link"
 	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
@@ -33,7 +33,7 @@
 // answer until ctx ends, the outcome is unknown.
 func (p *proposer) propose(ctx context.Context, cmd *wirepb.Command) (*wirepb.CommandResult, error) {
 	p.metrics.proposals.Inc()
-	delay := minRetryDelay
+	backoff := minRetryDelay
 	uncertain := false
 	target := ""
 	for tries := 0; ; tries++ {
@@ -46,10 +46,10 @@
 		if !mayRepeat(err) && !uncertain {
 			return nil, err
 		}
-		if !mayRepeat(err) || !pause(ctx, delay/2+rand.N(delay)) {
+		if !mayRepeat(err) || !delay.Wait(ctx, delay.Jitter(backoff)) {
 			return nil, noAnswer(err, uncertain)
 		}
-		delay = min(2*delay, maxRetryDelay)
+		backoff = min(2*backoff, maxRetryDelay)
 		target = p.nextTarget(err, tries)
 	}
 }
@@ -148,39 +148,12 @@
 
 // exchange sends one request on its own stream and reads the reply.
 func exchange(ctx context.Context, pool *link.Pool, addr string, frame *wirepb.Frame) (*wirepb.ForwardReply, error) {
-	s, err := pool.Open(ctx, addr)
+	f, err := pool.Exchange(ctx, addr, frame)
 	if err != nil {
-		return nil, fault.As(err).WithOutcome(fault.NotRun)
-	}
-	defer s.Close()
-	if d, ok := ctx.Deadline(); ok {
-		_ = s.SetDeadline(d)
-	}
-	stop := context.AfterFunc(ctx, func() { _ = s.SetDeadline(time.Unix(1, 0)) })
-	defer stop()
-	if err := s.Write(frame); err != nil {
 		return nil, err
 	}
-	f, err := s.Read()
-	if err != nil {
-		return nil, fault.Wrap(err, fault.Unavailable, "answer from %s", addr)
-	}
-	if e := f.GetError(); e != nil {
-		return nil, fault.FromWire(e)
-	}
 	if reply := f.GetForwardReply(); reply != nil {
 		return reply, nil
 	}
 	return nil, fault.New(fault.Protocol, "%s answered with another message", addr)
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/pkg/role/control/session_bench_test.go
+++ b/pkg/role/control/session_bench_test.go
@@ -3,40 +3,25 @@
 import (
 	"context"
 	"fmt"
-	"runtime"
 	"sync"
-	"syscall"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/plantainstair/plantainstair/pkg/rusage"
 	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
 )
 
-func benchProcessorTime() time.Duration {
-	var u syscall.Rusage
-	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
-	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
-}
-
-func benchMemory() int64 {
-	runtime.GC()
-	runtime.GC()
-	var m runtime.MemStats
-	runtime.ReadMemStats(&m)
-	return int64(m.HeapAlloc + m.StackInuse)
-}
-
 // observation is the span over which idle sessions are measured. Watchers and
 // agents send twice in each half of it.
 const observation = 2 * time.Second
 
 // idleCost returns the processor time that the process spends in a second.
 func idleCost(b *testing.B) float64 {
-	started, spent := time.Now(), benchProcessorTime()
+	started, spent := time.Now(), rusage.ProcessorTime()
 	until(b, "end of the observation", func() bool { return time.Since(started) >= observation })
-	return float64((benchProcessorTime() - spent).Nanoseconds()) / time.Since(started).Seconds()
+	return float64((rusage.ProcessorTime() - spent).Nanoseconds()) / time.Since(started).Seconds()
 }
 
 // Measures watches and registrations over real sessions to one replica: the
@@ -68,13 +53,13 @@
 func benchmarkSessions(b *testing.B, n int, start func(*cluster, int), ready func(*cluster) bool) {
 	c := startCluster(b, 1)
 	alone := idleCost(b)
-	before, spent := benchMemory(), benchProcessorTime()
+	before, spent := rusage.Memory(), rusage.ProcessorTime()
 	for i := range n {
 		start(c, i)
 	}
 	until(b, "sessions", func() bool { return ready(c) })
-	starting := benchProcessorTime() - spent
-	used := benchMemory() - before
+	starting := rusage.ProcessorTime() - spent
+	used := rusage.Memory() - before
 	idle := idleCost(b) - alone
 	for b.Loop() { // nothing is timed
 	}
--- a/pkg/role/control/transport.go
+++ b/pkg/role/control/transport.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/plantainstair/plantainstair/pkg/delay"
 	"github.com/plantainstair/plantainstair/pkg/fault"
 	"github.com/plantainstair/plantainstair/pkg/link"
 	"github.com/plantainstair/plantainstair/pkg/logs"
@@ -158,7 +159,7 @@
 
 // run keeps one stream to the replica and writes the queue to it.
 func (t *Transport) run(ctx context.Context, p *peerSender) {
-	delay := peerRetry
+	backoff := peerRetry
 	for ctx.Err() == nil {
 		started := time.Now()
 		err := t.stream(ctx, p)
@@ -168,11 +169,11 @@
 		t.log.Debug("stream to replica ended", logs.Str("address", p.addr), logs.Err(err))
 		t.pool.Drop(p.addr)
 		if time.Since(started) > peerRetryMax {
-			delay = peerRetry
+			backoff = peerRetry
 		}
-		pause(ctx, delay)
+		delay.Wait(ctx, backoff)
 		drain(p.queue)
-		delay = min(2*delay, peerRetryMax)
+		backoff = min(2*backoff, peerRetryMax)
 	}
 }
 
--- a/pkg/role/entry/bench_test.go
+++ b/pkg/role/entry/bench_test.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"net/http/httptest"
 	"runtime"
-	"syscall"
 	"testing"
 	"time"
 
@@ -17,6 +16,7 @@
 
 	"github.com/plantainstair/plantainstair/pkg/control"
 	"github.com/plantainstair/plantainstair/pkg/logs"
+	"github.com/plantainstair/plantainstair/pkg/rusage"
 	"github.com/plantainstair/plantainstair/pkg/upstreams"
 	"github.com/plantainstair/plantainstair/pkg/wire"
 	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
@@ -108,31 +108,25 @@
 		b.Run(fmt.Sprintf("tokens=%d", tokens), func(b *testing.B) {
 			s := newSystem(b, startAgents(b, 3, always(honest)), nil, "")
 			body := fmt.Sprintf(`{"model":"m","stream":true,"seed":1,"max_tokens":%d,"messages":[{"role":"user","content":"where is my order"}]}`, tokens)
-			before := processorTime()
+			before := rusage.ProcessorTime()
 			for b.Loop() {
 				a := s.do("POST", "/v1/chat/completions", body)
 				assert.Equal(b, a.status, http.StatusOK)
 			}
-			b.ReportMetric(float64(processorTime()-before)/float64(b.N), "cpu-ns/op")
+			b.ReportMetric(float64(rusage.ProcessorTime()-before)/float64(b.N), "cpu-ns/op")
 		})
 	}
 }
 
-func processorTime() time.Duration {
-	var u syscall.Rusage
-	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
-	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
-}
-
 // BenchmarkOpenStreams measures the memory of open streams. It includes the
 // agent's side of each stream and the socket of the caller.
 func BenchmarkOpenStreams(b *testing.B) {
 	for _, n := range []int{100, 400, 1600} {
 		b.Run(fmt.Sprintf("streams=%d", n), func(b *testing.B) {
 			s := newSystem(b, startAgents(b, 3, always(holding(1))), nil, "[streams]\nstall_timeout=5m")
-			before := memoryInUse()
+			before := rusage.Memory()
 			conns := openStreams(b, s, n)
-			used := memoryInUse() - before
+			used := rusage.Memory() - before
 			for b.Loop() { // nothing is timed
 			}
 			b.ReportMetric(float64(used)/float64(n), "B/stream")
@@ -160,14 +154,6 @@
 	return conns
 }
 
-func memoryInUse() int64 {
-	runtime.GC()
-	runtime.GC()
-	var m runtime.MemStats
-	runtime.ReadMemStats(&m)
-	return int64(m.HeapAlloc + m.StackInuse)
-}
-
 // BenchmarkReport measures the table update for one load report.
 func BenchmarkReport(b *testing.B) {
 	for _, n := range []int{43, 1000, 11000} {
@@ -223,14 +209,14 @@
 				}
 				return sum
 			}
-			before := memoryInUse()
+			before := rusage.Memory()
 			newSystem(b, agents, nil, "")
-			used := memoryInUse() - before
-			started, spent := reports(), processorTime()
+			used := rusage.Memory() - before
+			started, spent := reports(), rusage.ProcessorTime()
 			b.ResetTimer()
 			until(b, "reports", func() bool { return reports()-started >= int64(b.N) })
 			b.ReportMetric(float64(used)/float64(n), "B/upstream")
-			b.ReportMetric(float64(processorTime()-spent)/float64(reports()-started), "cpu-ns/report")
+			b.ReportMetric(float64(rusage.ProcessorTime()-spent)/float64(reports()-started), "cpu-ns/report")
 		})
 	}
 }
@@ -240,9 +226,9 @@
 func BenchmarkUpstreamMemory(b *testing.B) {
 	for _, n := range []int{1000, 5000, 11000} {
 		b.Run(fmt.Sprintf("upstreams=%d", n), func(b *testing.B) {
-			before := memoryInUse()
+			before := rusage.Memory()
 			e, o, events := newMemoryEntry(b, n)
-			used := memoryInUse() - before
+			used := rusage.Memory() - before
 			for b.Loop() { // nothing is timed
 			}
 			b.ReportMetric(float64(used)/float64(n), "B/upstream")
--- a/pkg/role/entry/process.go
+++ b/pkg/role/entry/process.go
@@ -7,6 +7,7 @@
 	"github.com/plantainstair/plantainstair/pkg/agent"
 	"github.com/plantainstair/plantainstair/pkg/callers"
 	"github.com/plantainstair/plantainstair/pkg/control"
+	"github.com/plantainstair/plantainstair/pkg/delay"
 	"github.com/plantainstair/plantainstair/pkg/fault"
 	"github.com/plantainstair/plantainstair/pkg/link"
 	"github.com/plantainstair/plantainstair/pkg/logs"
@@ -88,7 +89,7 @@
 	s := e.opts.Settings
 	e.leaving.Store(true)
 	e.opts.Log.Info("entry drains", logs.Int("in_progress", e.lifecycle.InFlight()))
-	wait(ctx, s.DrainDelay)
+	delay.Wait(ctx, s.DrainDelay)
 	e.lifecycle.Drain()
 	ctx, cancel := context.WithTimeout(ctx, s.DrainTimeout)
 	defer cancel()
--- a/pkg/role/entry/repair.go
+++ b/pkg/role/entry/repair.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/plantainstair/plantainstair/pkg/core/session"
+	"github.com/plantainstair/plantainstair/pkg/delay"
 	"github.com/plantainstair/plantainstair/pkg/fault"
 	"github.com/plantainstair/plantainstair/pkg/logs"
 )
@@ -80,24 +80,12 @@
 		if !g.begun() || !g.entry.opts.Now().Before(until) {
 			return cause
 		}
-		if !wait(ctx, repairPoll) {
+		if !delay.Wait(ctx, repairPoll) {
 			return ended(ctx)
 		}
 	}
 }
 
-// wait reports false if ctx ended first.
-func wait(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 func ended(ctx context.Context) *fault.Error {
 	if e := fault.As(context.Cause(ctx)); e.Kind != fault.Internal {
 		return e
--- /dev/null
+++ b/pkg/rusage/rusage.go
@@ -0,0 +1,26 @@
+// Package rusage tells what this process uses, for benchmarks.
+package rusage
+
+import (
+	"runtime"
+	"syscall"
+	"time"
+)
+
+// ProcessorTime returns the processor time that the process has used.
+func ProcessorTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// Memory returns the bytes of live heap and stacks after a collection.
+func Memory() int64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc + m.StackInuse)
+}
