control: stamp proposals with the median clock

Cause: the time of the log is the highest proposal time.

Change: replicas add their clock to the reports that they exchange each 500 ms. A proposal carries the median of the clocks if the own one is off by more than 5 s.

Conclusion: a wrong clock of one replica of three has no effect, except in the first half second of a replica that leads without a report from another.

--- a/pkg/role/control/confirm.go
+++ b/pkg/role/control/confirm.go
@@ -62,6 +62,7 @@
 func (c *Control) sendReport() {
 	status := c.watchers.progress(c.machine.Revision())
 	status.From = c.opts.ID
+	status.TimeUnixMs = c.opts.Now().UnixMilli()
 	status.Entries = c.watchers.entries()
 	c.peers.sawEntries(c.opts.Now(), status.Entries)
 	c.transport.broadcast(&wirepb.Frame{Body: &wirepb.Frame_PeerStatus{PeerStatus: status}})
--- a/pkg/role/control/control.go
+++ b/pkg/role/control/control.go
@@ -106,7 +106,7 @@
 		c.feed.setVoters(voters)
 	}
 	c.barrier = newBarrier(node, c.opts.Now)
-	c.proposer = &proposer{node: node, pool: c.pool, now: c.opts.Now, metrics: c.metrics}
+	c.proposer = &proposer{node: node, pool: c.pool, now: c.proposalTime, metrics: c.metrics}
 	c.registerGauges()
 	return nil
 }
--- a/pkg/role/control/peers.go
+++ b/pkg/role/control/peers.go
@@ -20,6 +20,9 @@
 	peerStatusInterval = 500 * time.Millisecond
 	peerStatusMinGap   = 50 * time.Millisecond
 	maxLaggingListed   = 64
+	// maxClockError is far above the delay of a report and far below the
+	// horizon of idempotency keys.
+	maxClockError = 5 * time.Second
 )
 
 // peers holds the reports of the other replicas and the entries seen anywhere.
@@ -33,6 +36,7 @@
 type peerReport struct {
 	status *wirepb.PeerStatus
 	at     time.Time
+	ahead  time.Duration // of the sender's clock against this one
 }
 
 func newPeers(changed func()) *peers {
@@ -42,7 +46,8 @@
 // report stores what another replica says about its watchers.
 func (p *peers) report(now time.Time, s *wirepb.PeerStatus) {
 	p.mu.Lock()
-	p.reports[s.GetFrom()] = peerReport{status: s, at: now}
+	ahead := time.UnixMilli(s.GetTimeUnixMs()).Sub(now)
+	p.reports[s.GetFrom()] = peerReport{status: s, at: now, ahead: ahead}
 	for _, host := range s.GetEntries() {
 		p.entries[host] = now
 	}
@@ -86,6 +91,27 @@
 	return out
 }
 
+// correctedTime returns now, moved to the median clock of the reporting
+// replicas if it is off by more than maxClockError. The time of the log only
+// rises: a single proposal of a leader whose clock is far ahead would let every
+// idempotency key look older than the horizon until real time has caught up.
+func (p *peers) correctedTime(now time.Time) time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	ahead := []time.Duration{0} // this clock itself
+	for _, r := range p.reports {
+		if now.Sub(r.at) <= peerStatusLease {
+			ahead = append(ahead, r.ahead)
+		}
+	}
+	slices.Sort(ahead)
+	median := ahead[(len(ahead)-1)/2] // the lower one of two, as late is safer than early
+	if median.Abs() <= maxClockError {
+		return now
+	}
+	return now.Add(median)
+}
+
 // keepOnly drops reports of replicas that are no longer voters.
 func (p *peers) keepOnly(voters []*wirepb.Voter) {
 	p.mu.Lock()
--- a/pkg/role/control/proposer.go
+++ b/pkg/role/control/proposer.go
@@ -103,6 +103,9 @@
 	return p.forward(ctx, leader.GetPeerAddress(), cmd)
 }
 
+// proposalTime returns the time that a proposal of this replica carries.
+func (c *Control) proposalTime() time.Time { return c.peers.correctedTime(c.opts.Now()) }
+
 // local proposes at this replica, with this replica's time.
 func (p *proposer) local(ctx context.Context, cmd *wirepb.Command) (*wirepb.CommandResult, error) {
 	stamped := &wirepb.Command{
