role/agent: report the time of the own engine

Cause: load reports gave the time between tokens of the whole chain at its head, and nothing at later stages, although the route choice adds up the engines' own times. Heads of slow chains looked slow, and a slow later stage could not be told from its neighbours; the entry charged its latency to all of them.

Change: agents measure each step of their own engine; the entry observes an upstream's own time where it is reported.

--- a/pkg/role/agent/chain.go
+++ b/pkg/role/agent/chain.go
@@ -23,6 +23,8 @@
 	cached uint32 // tokens cached here and at all later stages
 	guard  session.Guard
 	begun  bool
+	// prefill is the time of the engine for the prompt so far.
+	prefill time.Duration
 }
 
 // openHop opens the engine and the later stages at the same time. The first
@@ -112,13 +114,29 @@
 	if err := h.guard.Step(s.Epoch, s.Position, count); err != nil {
 		return nil, blame(fault.As(err).WithOutcome(fault.MayHaveRun), h.index())
 	}
+	started := h.agent.now()
 	line, err := h.engine.Step(s, h.agent.prefillTimeout(int(count)))
 	if err != nil {
 		return nil, blame(err, h.index())
 	}
+	h.measure(count, h.agent.now().Sub(started))
 	return line, nil
 }
 
+// measure records the time of the engine for the load reports. Steps of several
+// positions belong to the prompt.
+func (h *hop) measure(count uint32, took time.Duration) {
+	if count > 1 {
+		h.prefill += took
+		return
+	}
+	if h.prefill > 0 {
+		h.agent.metrics.enginePrefill.add(h.prefill)
+		h.prefill = 0
+	}
+	h.agent.metrics.engineStep.add(took)
+}
+
 // begin counts the cached positions as run.
 func (h *hop) begin(s *upstreams.StageStep) error {
 	if h.begun {
--- a/pkg/role/agent/generate.go
+++ b/pkg/role/agent/generate.go
@@ -195,6 +195,7 @@
 			return fault.New(fault.Upstream, "engine sent a token after the last one").WithOutcome(fault.MayHaveRun)
 		}
 		finished = l.Last || g.isLast()
+		g.measureEngine()
 		return g.token(l.Token, finished)
 	})
 	if err != nil {
@@ -206,6 +207,16 @@
 	return &wirepb.GenerateDone{FinishReason: finishReason(line.FinishReason), CachedTokens: line.CachedTokens}, nil
 }
 
+// measureEngine records the time to a token of an engine that holds all layers.
+func (g *generation) measureEngine() {
+	took := g.agent.now().Sub(g.last)
+	if g.sent == uint32(len(g.req.Emitted)) {
+		g.agent.metrics.enginePrefill.add(took)
+		return
+	}
+	g.agent.metrics.engineStep.add(took)
+}
+
 func finishReason(reason string) string {
 	if reason == finishStop {
 		return finishStop
--- a/pkg/role/agent/metrics.go
+++ b/pkg/role/agent/metrics.go
@@ -23,8 +23,11 @@
 type agentMetrics struct {
 	set *metrics.Set
 
-	firstTokens recent
-	interTokens recent
+	// Times of the own engine alone, for load reports: the route choice adds up
+	// the stages of a chain, so the time of a whole chain would make its head
+	// look slow and hide a slow later stage.
+	enginePrefill recent
+	engineStep    recent
 
 	firstToken [sched.Ranks]*metrics.Histogram
 	interToken [sched.Ranks]*metrics.Histogram
@@ -69,11 +72,9 @@
 	m.tokens[i].Inc()
 	if first {
 		m.firstToken[i].Update(since.Seconds())
-		m.firstTokens.add(since)
 		return
 	}
 	m.interToken[i].Update(since.Seconds())
-	m.interTokens.add(since)
 }
 
 func (m *agentMetrics) queueWait(rank wirepb.Rank, d time.Duration) {
--- a/pkg/role/entry/attempt.go
+++ b/pkg/role/entry/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/plantainstair/plantainstair/pkg/core/route"
 	"github.com/plantainstair/plantainstair/pkg/fault"
 	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
 )
@@ -127,14 +128,25 @@
 		WithStage(0)
 }
 
-// observeSuccess reports the time between tokens, which all hosts of the chain
-// share. An attempt with a single token has none and is not counted.
+// observeSuccess reports the time between tokens for each host. An attempt with
+// a single token has none and is not counted.
 func (g *generation) observeSuccess(first time.Time, tokens int) {
 	if tokens < 2 {
 		return
 	}
 	between := g.lastToken.Sub(first) / time.Duration(tokens-1)
+	table := g.entry.snapshot.Load().table
 	for _, st := range g.chain {
-		g.entry.tracker.Observe(st.Host, true, between, g.entry.opts.Now())
+		g.entry.tracker.Observe(st.Host, true, ownLatency(table.Get(st.Host), between), g.entry.opts.Now())
 	}
 }
+
+// ownLatency returns the engine's own time between tokens. The time of the
+// chain, which stands in until the engine has reported one, would count a slow
+// stage against all others of its chain.
+func ownLatency(u *route.Upstream, chain time.Duration) time.Duration {
+	if u == nil || u.InterToken <= 0 {
+		return chain
+	}
+	return u.InterToken
+}
