experiment: measure a deployment against a baseline

Adds plantain-experiment, which runs a deployment of today's size under a scenario, and the same with the router's choices replaced by round robin and no queue at the agent. The replacements are settings under [baseline], off by default. The load tool passes results on to an observer and may connect to the next entry, as a load balancer does.

--- /dev/null
+++ b/cmd/plantain-experiment/main.go
@@ -0,0 +1,52 @@
+// Command plantain-experiment runs a deployment on loopback under load, and
+// the same with the baseline in place of the router's choices, and prints one
+// table. It serves measurements only.
+package main
+
+import (
+	"fmt"
+	"os"
+	"runtime"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/plantainstair/plantainstair/pkg/experiment"
+	"github.com/plantainstair/plantainstair/pkg/fault"
+	"github.com/plantainstair/plantainstair/pkg/platform"
+)
+
+// threads bounds the threads that run the load.
+const threads = 4
+
+func main() {
+	o := experiment.Options{Name: "steady", Seed: 1, Out: os.Stdout}
+	bin, dir := "bin", ""
+	flaggy.SetName("plantain-experiment")
+	flaggy.SetDescription("Measures the router against a baseline on loopback.")
+	flaggy.String(&o.Name, "n", "name", "Experiment: "+fmt.Sprint(experiment.Names))
+	flaggy.String(&o.Fault, "f", "fault", "Only this fault of the recovery experiment.")
+	flaggy.UInt64(&o.Seed, "s", "seed", "Seed of the load.")
+	flaggy.String(&bin, "b", "bin", "Folder of the binaries.")
+	flaggy.String(&dir, "d", "dir", "Folder that keeps settings, data and logs; empty means a temporary one.")
+	flaggy.Parse()
+	runtime.GOMAXPROCS(threads)
+	if err := run(o, bin, dir); err != nil {
+		fmt.Fprintln(os.Stderr, "plantain-experiment:", err)
+		os.Exit(1)
+	}
+}
+
+func run(o experiment.Options, bin, dir string) error {
+	if dir == "" {
+		temporary, err := os.MkdirTemp("", "plantain-experiment-")
+		if err != nil {
+			return fault.Wrap(err, fault.Internal, "create a temporary folder")
+		}
+		defer os.RemoveAll(temporary)
+		dir = temporary
+	}
+	ctx, stop := platform.SignalContext()
+	defer stop()
+	o.Runner = &experiment.Runner{Bin: bin, Dir: dir}
+	return experiment.Run(ctx, o)
+}
--- /dev/null
+++ b/pkg/experiment/experiments.go
@@ -0,0 +1,150 @@
+package experiment
+
+import (
+	"context"
+	"embed"
+	"fmt"
+	"io"
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/plantainstair/plantainstair/pkg/fault"
+	"github.com/plantainstair/plantainstair/pkg/load"
+)
+
+//go:embed scenarios/*.ini
+var scenarios embed.FS
+
+// Names of the experiments that are not a scenario of the same name.
+const (
+	nameOverhead = "overhead"
+	nameSmall    = "small"
+	nameRecovery = "recovery"
+)
+
+// Names lists the experiments.
+var Names = []string{nameOverhead, "steady", "saturated", "flood-batch", "flood-urgent", nameSmall, nameRecovery}
+
+// Options choose an experiment.
+type Options struct {
+	Name   string
+	Fault  string // of the recovery experiment; empty for all
+	Seed   uint64
+	Runner *Runner
+	Out    io.Writer
+}
+
+// Run runs an experiment and prints its table.
+func Run(ctx context.Context, o Options) error {
+	if !slices.Contains(Names, o.Name) {
+		return fault.New(fault.Invalid, "experiment %q does not exist; there are %s", o.Name, strings.Join(Names, ", "))
+	}
+	switch o.Name {
+	case nameOverhead:
+		return o.overhead(ctx)
+	case nameSmall:
+		return o.small(ctx)
+	case nameRecovery:
+		return o.recovery(ctx)
+	}
+	router, baseline, err := o.both(ctx, o.Name, nil)
+	if err != nil {
+		return err
+	}
+	WriteRows(o.Out, Rows(router, baseline))
+	return nil
+}
+
+// both runs a scenario against the router and the baseline.
+func (o *Options) both(ctx context.Context, scenario string, injection *Injection) (router, baseline *Outcome, err error) {
+	data, err := scenarios.ReadFile("scenarios/" + scenario + ".ini")
+	if err != nil {
+		return nil, nil, fault.Wrap(err, fault.Internal, "read scenario")
+	}
+	if router, err = o.Runner.Run(ctx, TodayPlan(), string(data), o.Seed, injection); err != nil {
+		return nil, nil, err
+	}
+	baseline, err = o.Runner.Run(ctx, Baseline(TodayPlan()), string(data), o.Seed, injection)
+	return router, baseline, err
+}
+
+// small compares a small organisation alone and beside a large one.
+func (o *Options) small(ctx context.Context) error {
+	var rows []Row
+	for _, scenario := range []string{"small-alone", "small-beside-large"} {
+		router, baseline, err := o.both(ctx, scenario, nil)
+		if err != nil {
+			return err
+		}
+		own := func(r *load.Result) bool { return r.Arrival.Mix.Name == "small" }
+		a, b := router.selectChat(own).figures(scenario), baseline.selectChat(own).figures(scenario)
+		for i := range a {
+			rows = append(rows, Row{a[i].name, a[i].value, b[i].value})
+		}
+		rows = append(rows, Row{scenario + " all received (tokens/s)", received(router), received(baseline)})
+		rows = append(rows, Row{scenario + " cores of all", router.Cores(), baseline.Cores()})
+	}
+	WriteRows(o.Out, rows)
+	return nil
+}
+
+func received(o *Outcome) float64 {
+	return o.selectChat(func(*load.Result) bool { return true }).tokens
+}
+
+// faultAt is the time of the fault in the recovery scenario.
+const faultAt = 8 * time.Second
+
+// recovery compares runs with a fault with runs without one.
+func (o *Options) recovery(ctx context.Context) error {
+	router, baseline, err := o.both(ctx, nameRecovery, nil)
+	if err != nil {
+		return err
+	}
+	for _, name := range FaultNames {
+		if o.Fault != "" && o.Fault != name {
+			continue
+		}
+		a, b, err := o.both(ctx, nameRecovery, &Injection{At: faultAt, Inject: Faults[name]})
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(o.Out, "\n%s\n", name)
+		WriteRows(o.Out, recoveryRows(a, b, router, baseline))
+	}
+	return nil
+}
+
+func recoveryRows(router, baseline, routerReference, baselineReference *Outcome) []Row {
+	a, b := router.recoveryFigures(routerReference), baseline.recoveryFigures(baselineReference)
+	var rows []Row
+	for i := range a {
+		rows = append(rows, Row{a[i].name, a[i].value, b[i].value})
+	}
+	return rows
+}
+
+func (o *Outcome) recoveryFigures(reference *Outcome) []figure {
+	detected, recovered := math.NaN(), math.NaN()
+	if o.Detected > 0 {
+		detected = milliseconds(o.Detected - o.Injected)
+	}
+	if d, ok := o.RecoveredAfter(reference); ok {
+		recovered = milliseconds(d)
+	}
+	out := []figure{
+		{"detected after (ms)", detected},
+		{"throughput back at 90% after (ms)", recovered},
+		{"lowest share in 500 ms (%)", 100 * o.LowestShare(reference)},
+		{"longest gap of an answer (ms)", milliseconds(o.LongestGap())},
+		{"longest gap without fault (ms)", milliseconds(reference.LongestGap())},
+		{"requests", float64(len(o.Results))},
+	}
+	for outcome := load.Answered; outcome <= load.NotSent; outcome++ {
+		out = append(out, figure{"outcome " + outcome.String(), float64(o.Count(outcome))})
+	}
+	out = append(out, figure{"keys run twice", float64(o.Twice)})
+	return append(out, figure{"cores of all", o.Cores()})
+}
--- /dev/null
+++ b/pkg/experiment/faults.go
@@ -0,0 +1,192 @@
+package experiment
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/plantainstair/plantainstair/pkg/fault"
+	"github.com/plantainstair/plantainstair/pkg/local"
+	"github.com/plantainstair/plantainstair/pkg/standin"
+)
+
+// Faults lists the faults of the recovery experiment by name.
+var Faults = map[string]func(*local.Deployment) ([]string, error){
+	"engine-killed": func(d *local.Deployment) ([]string, error) {
+		u := victim(d)
+		return []string{u.Host}, u.Standin.Signal(syscall.SIGKILL)
+	},
+	"engine-frozen": func(d *local.Deployment) ([]string, error) {
+		u := victim(d)
+		return []string{u.Host}, setFault(u, standin.Faults{Freeze: true})
+	},
+	"agent-killed": func(d *local.Deployment) ([]string, error) {
+		u := victim(d)
+		return []string{u.Host}, u.Agent.Signal(syscall.SIGKILL)
+	},
+	"agent-frozen": func(d *local.Deployment) ([]string, error) {
+		u := victim(d)
+		return []string{u.Host}, u.Agent.Signal(syscall.SIGSTOP)
+	},
+	"entry-killed": func(d *local.Deployment) ([]string, error) {
+		return nil, d.Entries[1].Signal(syscall.SIGKILL)
+	},
+	"data-centre-killed": killDataCentre,
+}
+
+// FaultNames lists the faults in the order of the table.
+var FaultNames = []string{"engine-killed", "engine-frozen", "agent-killed", "agent-frozen", "entry-killed", "data-centre-killed"}
+
+// victim is a fast engine of the second stage.
+func victim(d *local.Deployment) *local.Upstream {
+	const stage = 2
+	for _, u := range d.Upstreams {
+		if u.Stage == stage {
+			return u
+		}
+	}
+	return d.Upstreams[0]
+}
+
+func killDataCentre(d *local.Deployment) ([]string, error) {
+	var hosts []string
+	for _, u := range d.Upstreams {
+		if u.DataCentre != d.Upstreams[1].DataCentre {
+			continue
+		}
+		hosts = append(hosts, u.Host)
+		if err := u.Agent.Signal(syscall.SIGKILL); err != nil {
+			return hosts, err
+		}
+		if err := u.Standin.Signal(syscall.SIGKILL); err != nil {
+			return hosts, err
+		}
+	}
+	return hosts, nil
+}
+
+func setFault(u *local.Upstream, f standin.Faults) error {
+	body, err := json.Marshal(f)
+	if err != nil {
+		return fault.Wrap(err, fault.Internal, "encode fault")
+	}
+	resp, err := http.Post("http://"+u.Address+"/fault", "application/json", bytes.NewReader(body))
+	if err != nil {
+		return fault.Wrap(err, fault.Unavailable, "set fault of %s", u.Host)
+	}
+	return resp.Body.Close()
+}
+
+const (
+	logInterval   = 5 * time.Millisecond
+	detectTimeout = 8 * time.Second
+)
+
+// inject injects the fault and waits until a log reports it. The logs have a
+// resolution of one second, so they are read as they are written.
+func (o *Outcome) inject(d *local.Deployment, i *Injection, start time.Time) error {
+	time.Sleep(time.Until(start.Add(i.At)))
+	w := newLogWatch(d)
+	hosts, err := i.Inject(d)
+	o.Injected = time.Since(start)
+	if err != nil || len(hosts) == 0 {
+		return err
+	}
+	deadline := time.Now().Add(detectTimeout)
+	for time.Now().Before(deadline) {
+		if w.reports(hosts) {
+			o.Detected = time.Since(start)
+			return nil
+		}
+		time.Sleep(logInterval)
+	}
+	return nil
+}
+
+// logWatch reads what entries and agents log from a point in time on.
+type logWatch struct {
+	offsets map[string]int64
+}
+
+func newLogWatch(d *local.Deployment) *logWatch {
+	w := &logWatch{offsets: make(map[string]int64)}
+	for _, pattern := range []string{"entry*.log", "*-agent.log"} {
+		paths, _ := filepath.Glob(filepath.Join(d.Dir, pattern))
+		for _, path := range paths {
+			if info, err := os.Stat(path); err == nil {
+				w.offsets[path] = info.Size()
+			}
+		}
+	}
+	return w
+}
+
+// reports tells whether a new line reports the loss of one of the hosts.
+func (w *logWatch) reports(hosts []string) bool {
+	for path, offset := range w.offsets {
+		info, err := os.Stat(path)
+		if err != nil || info.Size() == offset {
+			continue
+		}
+		data, err := os.ReadFile(path)
+		if err != nil {
+			continue
+		}
+		w.offsets[path] = int64(len(data))
+		if reportsLoss(string(data[offset:]), filepath.Base(path), hosts) {
+			return true
+		}
+	}
+	return false
+}
+
+// reportsLoss checks lines of an entry for a repair or the ejection of a host,
+// and lines of a host's own agent for any warning.
+func reportsLoss(lines, file string, hosts []string) bool {
+	if strings.Contains(lines, "stream is repaired") {
+		return true
+	}
+	for _, host := range hosts {
+		if strings.Contains(lines, `"upstream":"`+host+`"`) {
+			return true
+		}
+		if file == host+"-agent.log" && strings.Contains(lines, `"level":"warn"`) {
+			return true
+		}
+	}
+	return false
+}
+
+// countTwice returns the keys that the services ran more than once. It skips
+// services that have ended.
+func countTwice(d *local.Deployment) int {
+	twice := 0
+	seen := make(map[string]int)
+	for _, u := range d.Upstreams {
+		if u.Stage >= 0 {
+			continue
+		}
+		resp, err := http.Get("http://" + u.Address + "/records")
+		if err != nil {
+			continue
+		}
+		var records standin.Records
+		if json.NewDecoder(resp.Body).Decode(&records) == nil {
+			for _, e := range records.Executions {
+				seen[e.Key] += e.Count
+			}
+		}
+		_ = resp.Body.Close()
+	}
+	for key, n := range seen {
+		if key != "" && n > 1 {
+			twice++
+		}
+	}
+	return twice
+}
--- /dev/null
+++ b/pkg/experiment/plan.go
@@ -0,0 +1,87 @@
+// Package experiment measures a deployment of real processes on loopback, and
+// the same deployment with the router's choices replaced by a baseline. It
+// serves measurements only.
+package experiment
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/plantainstair/plantainstair/pkg/local"
+)
+
+// Timings of the stand-ins. They keep the load of the machine under 4 cores,
+// and the gap between tokens of a full chain under the goal of 36 ms.
+const (
+	fastStep   = 8 * time.Millisecond
+	slowStep   = 12 * time.Millisecond
+	perSession = 500 * time.Microsecond
+	prefill    = 50 * time.Microsecond
+	callTime   = 20 * time.Millisecond
+
+	engineSlots = 8
+	layers      = 4
+)
+
+// TodayPlan is the deployment of today's size: 40 engine servers in chains of
+// two stages, half of them slower, 3 service servers and 10 organisations.
+func TodayPlan() local.Plan {
+	p := local.DefaultPlan()
+	p.Entries = 3
+	p.Slots = engineSlots
+	p.Layers = layers
+	p.Stages = []local.Stage{
+		stage(0, 1, "fast", fastStep), stage(0, 1, "slow", slowStep),
+		stage(2, 3, "fast", fastStep), stage(2, 3, "slow", slowStep),
+	}
+	p.EngineArgs = []string{"--step-per-session", perSession.String(), "--prefill-per-token", prefill.String()}
+	p.ServiceCopies = 3
+	p.ServiceArgs = []string{"--slots", "16", "--latency", callTime.String()}
+	p.Organisations = organisations()
+	return p
+}
+
+func stage(first, last uint32, accelerator string, step time.Duration) local.Stage {
+	const engines = 10
+	return local.Stage{First: first, Last: last, Engines: engines, Accelerator: accelerator, Args: []string{"--step", step.String()}}
+}
+
+// organisations returns 3 urgent, 3 standard and 4 batch organisations. Of the
+// standard and of the batch ones the scenarios make the first large.
+func organisations() []local.Organisation {
+	var out []local.Organisation
+	for i := range 10 {
+		class := []string{"urgent", "standard", "batch"}[(i+2)%3]
+		name := fmt.Sprintf("%s-%d", class, i/3)
+		out = append(out, local.Organisation{Name: name, Key: name + "-key", Class: class})
+	}
+	return out
+}
+
+// Baseline returns the plan with the choices of the router replaced: upstreams
+// in turn, order of arrival, and no queue but that of the engines. An engine
+// may let a request wait for a slot, so opening a stage may take long.
+func Baseline(p local.Plan) local.Plan {
+	p.EntrySettings = append(p.EntrySettings, "[baseline]", "round_robin = true")
+	p.AgentSettings = append(p.AgentSettings, "[baseline]", "no_queue = true", "[engine]", "open_timeout = 1m")
+	return p
+}
+
+// OverheadPlan is one engine for the whole model, or one for each half of it.
+func OverheadPlan(chain bool) local.Plan {
+	p := local.DefaultPlan()
+	p.Entries = 1
+	p.DataCentres = 1
+	p.Layers = layers
+	p.Slots = 32
+	p.Services, p.ServiceCopies = nil, 0
+	p.Stages = []local.Stage{{First: 0, Last: layers - 1, Engines: 1, Accelerator: "a"}}
+	if chain {
+		p.Stages = []local.Stage{
+			{First: 0, Last: 1, Engines: 1, Accelerator: "a"},
+			{First: 2, Last: layers - 1, Engines: 1, Accelerator: "a"},
+		}
+	}
+	p.EngineArgs = []string{"--step", "2ms", "--step-per-session", "0s", "--prefill-per-token", "0s", "--kv-tokens", "0"}
+	return p
+}
--- /dev/null
+++ b/pkg/experiment/recovery.go
@@ -0,0 +1,92 @@
+package experiment
+
+import (
+	"time"
+
+	"github.com/plantainstair/plantainstair/pkg/load"
+)
+
+const (
+	recoveryShare  = 0.9
+	recoveryWindow = 500 * time.Millisecond
+	recoveryStep   = 10 * time.Millisecond
+	// recoveryHold is how long the throughput must stay back.
+	recoveryHold = time.Second
+)
+
+// tokenTimes counts the tokens received by step of the run.
+func (o *Outcome) tokenTimes() []int {
+	counts := make([]int, o.Scenario.Run.Duration/recoveryStep+1)
+	for _, r := range o.Results {
+		for _, at := range r.Tokens {
+			if i := int(at / recoveryStep); i < len(counts) {
+				counts[i]++
+			}
+		}
+	}
+	return counts
+}
+
+// RecoveredAfter is the time from the fault until the tokens received are back
+// at the share of what a run without the fault received at the same time, and
+// stay there. Both runs have the same arrivals, and what remains can serve all
+// of them. It reports false when that did not happen.
+func (o *Outcome) RecoveredAfter(reference *Outcome) (time.Duration, bool) {
+	have, want := o.tokenTimes(), reference.tokenTimes()
+	window := int(recoveryWindow / recoveryStep)
+	hold := int(recoveryHold / recoveryStep)
+	start := int(o.Injected / recoveryStep)
+	since := start
+	for i := start; i+window <= len(have); i++ {
+		if float64(sum(have[i:i+window])) < recoveryShare*float64(sum(want[i:i+window])) {
+			since = i + 1
+		}
+		if i-since >= hold {
+			return time.Duration(since-start) * recoveryStep, true
+		}
+	}
+	return 0, false
+}
+
+// LowestShare is the lowest share of the reference in a window after the fault.
+func (o *Outcome) LowestShare(reference *Outcome) float64 {
+	have, want := o.tokenTimes(), reference.tokenTimes()
+	window := int(recoveryWindow / recoveryStep)
+	lowest := 1.0
+	for i := int(o.Injected / recoveryStep); i+window <= len(have); i++ {
+		if w := sum(want[i : i+window]); w > 0 {
+			lowest = min(lowest, float64(sum(have[i:i+window]))/float64(w))
+		}
+	}
+	return lowest
+}
+
+func sum(counts []int) int {
+	total := 0
+	for _, n := range counts {
+		total += n
+	}
+	return total
+}
+
+// LongestGap is the longest time between two tokens of one answer.
+func (o *Outcome) LongestGap() time.Duration {
+	longest := time.Duration(0)
+	for _, r := range o.Results {
+		for i := 1; i < len(r.Tokens); i++ {
+			longest = max(longest, r.Tokens[i]-r.Tokens[i-1])
+		}
+	}
+	return longest
+}
+
+// Count returns the requests that ended with an outcome.
+func (o *Outcome) Count(outcome load.Outcome) int {
+	n := 0
+	for _, r := range o.Results {
+		if r.Outcome == outcome {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/pkg/experiment/run.go
@@ -0,0 +1,126 @@
+package experiment
+
+import (
+	"context"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/plantainstair/plantainstair/pkg/fault"
+	"github.com/plantainstair/plantainstair/pkg/load"
+	"github.com/plantainstair/plantainstair/pkg/local"
+)
+
+const startTimeout = 60 * time.Second
+
+// settleTime lets the load reports and round trips of a new deployment arrive.
+const settleTime = 2 * time.Second
+
+// Injection is a fault that is injected at a time of the run.
+type Injection struct {
+	At     time.Duration
+	Inject func(*local.Deployment) (hosts []string, err error)
+}
+
+// Outcome is what one run gave.
+type Outcome struct {
+	Report   *load.Report
+	Scenario *load.Scenario
+	Results  []*load.Result
+	Used     map[string]Usage // between the warm-up and the end of the arrivals
+	Injected time.Duration    // when the fault was injected, from the start of the run
+	Detected time.Duration    // when a process first reported it; zero if none did
+	Twice    int              // keyed calls that the services ran more than once
+}
+
+// Runner runs scenarios against deployments.
+type Runner struct {
+	Bin string
+	Dir string // settings, data and logs of the deployments
+}
+
+// launch starts a deployment in a folder of its own.
+func (r *Runner) launch(ctx context.Context, plan local.Plan) (*local.Deployment, error) {
+	dir, err := os.MkdirTemp(r.Dir, "deployment-")
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Internal, "create folder")
+	}
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	d, err := local.Launch(ctx, plan, dir, r.Bin)
+	if err != nil {
+		return nil, err
+	}
+	time.Sleep(settleTime)
+	return d, nil
+}
+
+// Run runs a scenario against a new deployment of the plan.
+func (r *Runner) Run(ctx context.Context, plan local.Plan, scenario string, seed uint64, injection *Injection) (*Outcome, error) {
+	d, err := r.launch(ctx, plan)
+	if err != nil {
+		return nil, err
+	}
+	defer d.Kill()
+	s, err := parseFor(d, scenario, seed)
+	if err != nil {
+		return nil, err
+	}
+	o := &Outcome{Scenario: s}
+	var mu sync.Mutex
+	s.Observe = func(result *load.Result) {
+		mu.Lock()
+		defer mu.Unlock()
+		o.Results = append(o.Results, result)
+	}
+	var background sync.WaitGroup
+	start := time.Now()
+	background.Go(func() { o.measureUsage(d, start) })
+	if injection != nil {
+		background.Go(func() { err = o.inject(d, injection, start) })
+	}
+	o.Report = load.Execute(ctx, s)
+	background.Wait()
+	o.Twice = countTwice(d)
+	return o, err
+}
+
+// parseFor fills in the addresses of a deployment and the seed.
+func parseFor(d *local.Deployment, scenario string, seed uint64) (*load.Scenario, error) {
+	fill := strings.NewReplacer("{entries}", entries(d), "{seed}", strconv.FormatUint(seed, 10))
+	return load.ParseScenario("scenario", []byte(fill.Replace(scenario)))
+}
+
+func entries(d *local.Deployment) string {
+	var list []string
+	for _, e := range d.Entries {
+		list = append(list, e.Address)
+	}
+	return strings.Join(list, ", ")
+}
+
+func (o *Outcome) measureUsage(d *local.Deployment, start time.Time) {
+	time.Sleep(time.Until(start.Add(o.Scenario.Run.WarmUp)))
+	before := usage(d)
+	time.Sleep(time.Until(start.Add(o.Scenario.Run.Duration)))
+	o.Used = usage(d)
+	for name, u := range o.Used {
+		o.Used[name] = u.since(before[name])
+	}
+}
+
+// Seconds is the measured time.
+func (o *Outcome) Seconds() float64 {
+	return (o.Scenario.Run.Duration - o.Scenario.Run.WarmUp).Seconds()
+}
+
+// Cores is the mean number of cores that all processes used together.
+func (o *Outcome) Cores() float64 {
+	total := time.Duration(0)
+	for _, u := range o.Used {
+		total += u.CPU
+	}
+	return total.Seconds() / o.Seconds()
+}
--- /dev/null
+++ b/pkg/experiment/table.go
@@ -0,0 +1,157 @@
+package experiment
+
+import (
+	"fmt"
+	"io"
+	"math"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"github.com/plantainstair/plantainstair/pkg/load"
+)
+
+// Row is one figure of the router and of the baseline.
+type Row struct {
+	Name             string
+	Router, Baseline float64
+}
+
+// WriteRows prints the figures with their ratio.
+func WriteRows(w io.Writer, rows []Row) {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "figure\trouter\tbaseline\trouter/baseline\t")
+	for _, r := range rows {
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t\n", r.Name, text(r.Router), text(r.Baseline), text(r.Router/r.Baseline))
+	}
+	_ = t.Flush()
+}
+
+// text formats a figure; a figure that was not taken is a dash.
+func text(v float64) string {
+	if math.IsNaN(v) || math.IsInf(v, 0) {
+		return "-"
+	}
+	return fmt.Sprintf("%.2f", v)
+}
+
+// Rows compares two runs of a scenario.
+func Rows(router, baseline *Outcome) []Row {
+	a, b := router.figures(), baseline.figures()
+	var rows []Row
+	for i := range a {
+		rows = append(rows, Row{Name: a[i].name, Router: a[i].value, Baseline: b[i].value})
+	}
+	return rows
+}
+
+type figure struct {
+	name  string
+	value float64
+}
+
+func (o *Outcome) figures() []figure {
+	b := chat(o.Report)
+	limit := SlotLimit(b.PromptTokensPerRequest, b.TokensPerRequest)
+	offered := b.Offered * b.TokensPerRequest
+	received := o.selectChat(func(*load.Result) bool { return true }).tokens
+	out := []figure{
+		{"chat offered (requests/s)", b.Offered},
+		{"chat served (requests/s)", b.Served},
+		{"tokens offered (/s)", offered},
+		{"tokens received (/s)", received},
+		{"bound with the slots (tokens/s)", limit},
+		{"bound with full batches (tokens/s)", b.Limit * b.TokensPerRequest},
+		{"received / lower of offered and slot bound (%)", 100 * received / min(offered, limit)},
+	}
+	for _, rank := range []string{"urgent", "standard", "batch"} {
+		out = append(out, o.rankFigures(rank)...)
+	}
+	for outcome := load.NotRun; outcome <= load.NotSent; outcome++ {
+		out = append(out, figure{"outcome " + outcome.String(), float64(o.Count(outcome))})
+	}
+	out = append(out, figure{"keys run twice", float64(o.Twice)})
+	for _, group := range []string{"entry", "agent", "control", "engine", "service", "self"} {
+		u := o.Used[group]
+		out = append(out, figure{fmt.Sprintf("cores of %s", group), u.CPU.Seconds() / o.Seconds()})
+	}
+	out = append(out, figure{"cores of all", o.Cores()})
+	out = append(out, figure{"latest send (ms)", milliseconds(o.Report.MaxLate)})
+	return out
+}
+
+func (o *Outcome) rankFigures(rank string) []figure {
+	s := o.selectChat(func(r *load.Result) bool { return r.Arrival.Mix.Rank == rank })
+	return s.figures(rank)
+}
+
+func (s *sample) figures(name string) []figure {
+	return []figure{
+		{name + " offered (tokens/s)", s.offered},
+		{name + " received (tokens/s)", s.tokens},
+		{name + " answered (%)", 100 * s.answered},
+		{name + " first token p50 (ms)", quantile(s.first, 0.50)},
+		{name + " first token p95 (ms)", quantile(s.first, 0.95)},
+		{name + " gap p50 (ms)", quantile(s.gaps, 0.50)},
+		{name + " gap p95 (ms)", quantile(s.gaps, 0.95)},
+	}
+}
+
+// sample holds the figures of a part of the chat requests.
+type sample struct {
+	offered, tokens float64 // generated tokens per second
+	answered        float64 // share of the requests
+	first, gaps     []time.Duration
+}
+
+// selectChat takes the chat requests that arrived after the warm-up, and all
+// tokens received between the warm-up and the end of the arrivals.
+func (o *Outcome) selectChat(keep func(*load.Result) bool) *sample {
+	s := &sample{}
+	run := &o.Scenario.Run
+	requests, answered := 0, 0
+	for _, r := range o.Results {
+		if r.Arrival.Mix.Kind != load.KindChat || !keep(r) {
+			continue
+		}
+		for _, at := range r.Tokens {
+			if at >= run.WarmUp && at < run.Duration {
+				s.tokens++
+			}
+		}
+		if r.Arrival.At < run.WarmUp {
+			continue
+		}
+		requests++
+		s.offered += float64(r.Arrival.MaxTokens)
+		if r.Outcome == load.Answered {
+			answered++
+		}
+		s.addTimes(r)
+	}
+	s.offered /= o.Seconds()
+	s.tokens /= o.Seconds()
+	s.answered = float64(answered) / float64(requests)
+	return s
+}
+
+func (s *sample) addTimes(r *load.Result) {
+	if len(r.Tokens) == 0 {
+		return
+	}
+	s.first = append(s.first, r.Tokens[0]-r.Arrival.At)
+	for i := 1; i < len(r.Tokens); i++ {
+		s.gaps = append(s.gaps, r.Tokens[i]-r.Tokens[i-1])
+	}
+}
+
+// quantile returns a quantile in milliseconds.
+func quantile(d []time.Duration, q float64) float64 {
+	if len(d) == 0 {
+		return math.NaN()
+	}
+	sorted := slices.Sorted(slices.Values(d))
+	return milliseconds(sorted[int(q*float64(len(sorted)-1)+0.5)])
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/pkg/load/client.go
+++ b/pkg/load/client.go
@@ -24,6 +24,9 @@
 		DisableCompression:  true,
 		Proxy:               nil, // a proxy of the environment must not be measured
 	}
+	if run.NextEntry {
+		transport.DialContext = dialNextEntry(run.Entries)
+	}
 	return &client{run: run, http: &http.Client{Transport: transport}, start: start}
 }
 
--- /dev/null
+++ b/pkg/load/probe.go
@@ -0,0 +1,40 @@
+package load
+
+import (
+	"context"
+	"time"
+
+	"github.com/plantainstair/plantainstair/pkg/fault"
+)
+
+// Probe sends single chat requests to one entry, one after the other.
+type Probe struct {
+	client *client
+	entry  string
+	key    string
+}
+
+// NewProbe returns a probe of the entry at an address.
+func NewProbe(entry, key string) *Probe {
+	return &Probe{client: newClient(&Run{Entries: []string{entry}}, time.Now()), entry: entry, key: key}
+}
+
+// Chat sends a request and returns the time of each token from its start.
+func (p *Probe) Chat(ctx context.Context, model string, prompt, tokens int, seed uint64) ([]time.Duration, error) {
+	a := &Arrival{
+		Mix: &Mix{Kind: KindChat, Model: model}, Key: p.key, Seed: seed, MaxTokens: tokens,
+		At: p.client.elapsed(),
+	}
+	for i := range prompt {
+		a.Prompt = append(a.Prompt, seed<<16+uint64(i))
+	}
+	r := &Result{Arrival: a}
+	p.client.chat(ctx, a, p.entry, r)
+	if r.Outcome != Answered {
+		return nil, fault.New(fault.Unavailable, "request was not answered: %s %s", r.Outcome, r.Code)
+	}
+	for i := range r.Tokens {
+		r.Tokens[i] -= a.At
+	}
+	return r.Tokens, nil
+}
--- a/pkg/load/runner.go
+++ b/pkg/load/runner.go
@@ -29,7 +29,11 @@
 		turn := number
 		wg.Go(func() {
 			defer func() { <-free }()
-			report.add(c.perform(ctx, a, turn))
+			result := c.perform(ctx, a, turn)
+			report.add(result)
+			if s.Observe != nil {
+				s.Observe(result)
+			}
 		})
 	}
 	wg.Wait()
--- a/pkg/load/scenario.go
+++ b/pkg/load/scenario.go
@@ -22,6 +22,7 @@
 	MaxInFlight int           `ini:"run.max_in_flight" default:"5000" min:"1" max:"100000" help:"Requests in progress at once; arrivals beyond it are counted as not sent."`
 	Timeout     time.Duration `ini:"run.timeout" default:"60s" min:"10ms" max:"1h" help:"Time after which a request is given up with an unknown outcome."`
 	Threads     int           `ini:"run.threads" default:"4" min:"1" max:"64" help:"Threads that run the load."`
+	NextEntry   bool          `ini:"run.next_entry" default:"false" help:"Connect to the next entry when one refuses the connection, as a load balancer does."`
 	CheckEvery  int           `ini:"run.check_every" default:"1" min:"0" max:"1000000" help:"Check every n-th answer against the reference; 0 checks none."`
 }
 
@@ -93,6 +94,8 @@
 	Mixes      []*Mix
 	Floods     []*Flood
 	Capacities []*Capacity
+	// Observe is called with every result, by several goroutines; may be nil.
+	Observe func(*Result)
 }
 
 // LoadScenario reads a scenario file. Its sections are [run], [mix.NAME],
--- a/pkg/local/deployment.go
+++ b/pkg/local/deployment.go
@@ -40,12 +40,13 @@
 
 // Upstream is an agent with its stand-in.
 type Upstream struct {
-	Agent    *Process
-	Standin  *Process
-	Host     string
-	Address  string // of the stand-in
-	Platform string // of the agent
-	Stage    int    // index into Plan.Stages, or -1 for a service
+	Agent      *Process
+	Standin    *Process
+	Host       string
+	DataCentre string
+	Address    string // of the stand-in
+	Platform   string // of the agent
+	Stage      int    // index into Plan.Stages, or -1 for a service
 }
 
 // Deployment is a running set of processes.
--- a/pkg/local/plan.go
+++ b/pkg/local/plan.go
@@ -43,6 +43,8 @@
 	Organisations []Organisation
 	DrainDelay    string
 	LogLevel      string
+	EntrySettings []string // further lines of every entry's settings file
+	AgentSettings []string // further lines of every agent's settings file
 }
 
 // DefaultPlan is the deployment of the demonstration: three control replicas,
--- a/pkg/local/roles.go
+++ b/pkg/local/roles.go
@@ -70,12 +70,13 @@
 		}
 		e := &Entry{Address: addresses[0], Platform: addresses[1]}
 		name := fmt.Sprintf("entry%d", i+1)
-		path, err := d.writeSettings(name, d.common(name, d.Plan.dataCentre(i)),
-			"[callers]", "listen = "+e.Address,
-			"[platform]", "listen = "+e.Platform,
-			"[control]", "addresses = "+d.controlAddresses(),
-			"[drain]", "delay = "+d.Plan.DrainDelay,
-		)
+		lines := append([]string{d.common(name, d.Plan.dataCentre(i)),
+			"[callers]", "listen = " + e.Address,
+			"[platform]", "listen = " + e.Platform,
+			"[control]", "addresses = " + d.controlAddresses(),
+			"[drain]", "delay = " + d.Plan.DrainDelay,
+		}, d.Plan.EntrySettings...)
+		path, err := d.writeSettings(name, lines...)
 		if err != nil {
 			return err
 		}
@@ -130,14 +131,16 @@
 	}
 	host := fmt.Sprintf("host%d", n+1)
 	u := &Upstream{Host: host, Address: addresses[0], Platform: addresses[1], Stage: stage}
-	path, err := d.writeSettings(host, d.common(host, d.Plan.dataCentre(n)),
+	u.DataCentre = d.Plan.dataCentre(n)
+	lines := append([]string{d.common(host, u.DataCentre),
 		"[agent]",
-		"listen = "+addresses[2],
-		"upstream_listen = "+addresses[3],
-		"[platform]", "listen = "+u.Platform,
+		"listen = " + addresses[2],
+		"upstream_listen = " + addresses[3],
+		"[platform]", "listen = " + u.Platform,
 		"[control]",
-		"addresses = "+d.controlAddresses(),
-	)
+		"addresses = " + d.controlAddresses(),
+	}, d.Plan.AgentSettings...)
+	path, err := d.writeSettings(host, lines...)
 	if err != nil {
 		return err
 	}
--- a/pkg/role/agent/agent.go
+++ b/pkg/role/agent/agent.go
@@ -123,7 +123,7 @@
 		_ = ln.Close()
 		return fault.Wrap(err, fault.Unavailable, "listen for the upstream").WithField("agent.upstream_listen")
 	}
-	a.upstream = newUpstreamState(a.identity(ln), a.set.UpstreamSilence, a.now, a.log, a.queue.setSlots)
+	a.upstream = newUpstreamState(a.identity(ln), a.set.UpstreamSilence, a.now, a.log, a.setSlots)
 	handler := entry.NewServer(a, entry.Options{Log: a.log})
 	a.server = link.NewServer(ln, a.linkOpts, handler.Serve, func(err error) { a.log.Warn("connection refused", logs.Err(err)) })
 	a.receiver = &http.Server{Handler: upstreams.NewReceiver(a.upstream), ReadHeaderTimeout: headerTimeout, ReadTimeout: receiverTimeout}
--- a/pkg/role/agent/chain.go
+++ b/pkg/role/agent/chain.go
@@ -55,7 +55,7 @@
 	ref := h.open.Stages[0]
 	line := &upstreams.StageOpen{
 		Session: h.open.Session, Epoch: h.open.Epoch, Model: h.open.Model, Version: h.open.Version,
-		Adapter: h.open.Adapter, Rank: schedRank(h.open.Rank).String(), FirstLayer: ref.FirstLayer,
+		Adapter: h.open.Adapter, Rank: h.agent.engineRank(h.open.Rank), FirstLayer: ref.FirstLayer,
 		LastLayer: ref.LastLayer, Seed: h.open.Seed, Last: len(h.open.Stages) == 1, Prefixes: h.open.Prefixes,
 	}
 	engine, err := h.agent.client.OpenStage(h.ctx, h.up.announced.Address, line, h.agent.set.OpenTimeout)
--- a/pkg/role/agent/generate.go
+++ b/pkg/role/agent/generate.go
@@ -175,7 +175,7 @@
 func (g *generation) runWhole() (*wirepb.GenerateDone, error) {
 	r := &upstreams.GenerateRequest{
 		Session: g.req.Session, Epoch: g.req.Epoch, Position: g.sent,
-		Model: g.req.Model, Version: g.req.Version, Adapter: g.req.Adapter, Rank: schedRank(g.req.Rank).String(),
+		Model: g.req.Model, Version: g.req.Version, Adapter: g.req.Adapter, Rank: g.agent.engineRank(g.req.Rank),
 		Prompt: g.req.Prompt, Emitted: g.req.Emitted, MaxTokens: g.req.MaxTokens, Seed: g.req.Seed,
 	}
 	finished := false
--- a/pkg/role/entry/choose.go
+++ b/pkg/role/entry/choose.go
@@ -16,6 +16,9 @@
 
 // chooseChain chooses a chain whose hosts all admit work.
 func (e *Entry) chooseChain(s *snapshot, need route.Need) ([]route.Stage, error) {
+	if e.opts.Settings.RoundRobin {
+		return e.baseline.chain(s, need)
+	}
 	need.Weight = e.weight()
 	need.Exclude = copyOf(need.Exclude)
 	rng := newRand()
@@ -51,6 +54,9 @@
 
 // chooseService chooses an upstream that admits work.
 func (e *Entry) chooseService(s *snapshot, service string, need route.Need) (*route.Upstream, error) {
+	if e.opts.Settings.RoundRobin {
+		return e.baseline.service(s, service, need)
+	}
 	need.Weight = e.weight()
 	need.Exclude = copyOf(need.Exclude)
 	rng := newRand()
--- a/pkg/role/entry/entry.go
+++ b/pkg/role/entry/entry.go
@@ -33,6 +33,7 @@
 	snapshot   atomic.Pointer[snapshot]
 	tracker    *route.Tracker
 	budget     *route.Budget
+	baseline   roundRobin // used only when the settings ask for it
 	limits     *limiter
 	gate       *gate
 	metrics    *meters
--- a/pkg/role/entry/settings.go
+++ b/pkg/role/entry/settings.go
@@ -32,6 +32,9 @@
 	ConfigGrace  time.Duration `ini:"control.config_grace" default:"4s" min:"1s" max:"1m" help:"How long the entry takes work without confirming that its configuration is current."`
 	DrainDelay   time.Duration `ini:"drain.delay" default:"2s" min:"0s" max:"5m" help:"Time between turning readiness off and refusing requests, for the balancer to notice."`
 	DrainTimeout time.Duration `ini:"drain.timeout" default:"2h" min:"1s" max:"24h" help:"Longest wait for requests in progress at a shutdown."`
+
+	// RoundRobin is for measurements only.
+	RoundRobin bool `ini:"baseline.round_robin" default:"false" help:"For measurements only: choose upstreams in turn, regardless of load and health."`
 }
 
 // LoadSettings reads settings from an INI file.
