--- a/pkg/experiment/run.go
+++ b/pkg/experiment/run.go
@@ -30,6 +30,7 @@
 	Scenario *load.Scenario
 	Results  []*load.Result
 	Used     map[string]Usage // between the warm-up and the end of the arrivals
+	Busy     time.Duration    // CPU time of the whole machine in the same time
 	Injected time.Duration    // when the fault was injected, from the start of the run
 	Detected time.Duration    // when a process first reported it; zero if none did
 	Twice    int              // keyed calls that the services ran more than once
@@ -103,9 +104,9 @@
 
 func (o *Outcome) measureUsage(d *local.Deployment, start time.Time) {
 	time.Sleep(time.Until(start.Add(o.Scenario.Run.WarmUp)))
-	before := usage(d)
+	before, busy := usage(d), machineBusy()
 	time.Sleep(time.Until(start.Add(o.Scenario.Run.Duration)))
-	o.Used = usage(d)
+	o.Used, o.Busy = usage(d), machineBusy()-busy
 	for name, u := range o.Used {
 		o.Used[name] = u.since(before[name])
 	}
--- a/pkg/experiment/table.go
+++ b/pkg/experiment/table.go
@@ -76,6 +76,7 @@
 		out = append(out, figure{fmt.Sprintf("cores of %s", group), u.CPU.Seconds() / o.Seconds()})
 	}
 	out = append(out, figure{"cores of all", o.Cores()})
+	out = append(out, figure{"cores of other work on the machine", o.Busy.Seconds()/o.Seconds() - o.Cores()})
 	out = append(out, figure{"latest send (ms)", milliseconds(o.Report.MaxLate)})
 	return out
 }
--- a/pkg/experiment/usage.go
+++ b/pkg/experiment/usage.go
@@ -78,3 +78,21 @@
 		Resident:  number(statPages) * int64(os.Getpagesize()),
 	}
 }
+
+// machineBusy is the CPU time that all processes of the machine have used.
+func machineBusy() time.Duration {
+	data, err := os.ReadFile("/proc/stat")
+	if err != nil {
+		return 0
+	}
+	line, _, _ := strings.Cut(string(data), "\n")
+	busy := int64(0)
+	for i, field := range strings.Fields(line) {
+		// user, nice, system, then idle and waiting for I/O, then interrupts
+		if i >= 1 && i <= 3 || i == 6 || i == 7 {
+			n, _ := strconv.ParseInt(field, 10, 64)
+			busy += n
+		}
+	}
+	return time.Duration(busy) * clockTick
+}
