--- a/pkg/role/agent/call_test.go
+++ b/pkg/role/agent/call_test.go
@@ -224,6 +224,35 @@
 	assert.Equal(t, n.service.Records().Calls, 0)
 }
 
+// Guards against resends of a key without an outcome that keep other keys from
+// running.
+func TestCall_PendingKeyDoesNotBlockOthers(t *testing.T) {
+	fake := newFakeControl()
+	n := startServiceNode(t, "a", fake, func(s *Settings) { s.MaxPendingClaims = 2 }, newService())
+	c := newClient(t)
+	stuck := call("stuck", "stuck")
+	_, _ = fake.Claim(context.Background(), n.agent.claimOf(stuck))
+	stuck.DeadlineMs = 60_000
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	for i := range 4 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			_, err := c.Call(ctx, n.agent.Address(), stuck)
+			assert.Check(t, err != nil, "resend %d", i)
+		}()
+		waitFor(t, "a waiting resend", func() bool {
+			return n.agent.lifecycle.InFlight() == i+1 && len(n.agent.pending) == 0 && n.agent.queue.load().Running == 0
+		})
+	}
+	_, err := c.Call(context.Background(), n.agent.Address(), call("r", "k"))
+	assert.NilError(t, err)
+	cancel()
+	wg.Wait()
+	waitFor(t, "the end of the resends", func() bool { return n.agent.lifecycle.InFlight() == 0 })
+}
+
 // Guards against an outcome of unknown for a call that provably never reached
 // the service.
 func TestCall_RefusedConnectionIsNotRun(t *testing.T) {
@@ -276,8 +305,17 @@
 	return fault.FromWire(w)
 }
 
-// Guards against load reports with gaps in their numbers, and against cache
-// events that are applied twice or bring back an evicted prefix.
+func prefixRange(first uint64, n int) []uint64 {
+	out := make([]uint64, n)
+	for i := range out {
+		out[i] = first + uint64(i)
+	}
+	return out
+}
+
+// Guards against load reports with gaps in their numbers, against cache events
+// that are applied twice or bring back an evicted prefix, and against the
+// prefixes of a used prompt that disappear behind newer ones.
 func TestReport_SequencePerWatcher(t *testing.T) {
 	n := startEngineNode(t, "a", 0, testLayers-1, nil, nil)
 	c := newClient(t)
@@ -285,6 +323,19 @@
 		{Action: upstreams.CacheStored, Prefix: 1}, {Action: upstreams.CacheStored, Prefix: 2}, {Action: upstreams.CacheEvicted, Prefix: 1},
 	}})
 	n.agent.upstream.Cached(&upstreams.CacheEvents{Sequence: 1 << 40, Events: []upstreams.CacheEvent{{Action: upstreams.CacheStored, Prefix: 1}}})
+	shared := prefixRange(1000, 100)
+	set := newPrefixSet(maxKnownPrefixes)
+	store := func(sequence uint64, hashes []uint64) {
+		for i, h := range hashes {
+			set.apply(&upstreams.CacheEvents{Sequence: sequence + uint64(i), Events: []upstreams.CacheEvent{{Action: upstreams.CacheStored, Prefix: h}}})
+		}
+	}
+	store(0, shared)
+	set.use(shared)
+	store(100, prefixRange(2000, 100)) // another prompt, stored later
+	report := set.report(reportedPrefixes)
+	assert.Equal(t, len(report), reportedPrefixes)
+	assert.DeepEqual(t, report[:8], []uint64{1063, 1031, 1015, 1007, 1003, 1001, 1000, 1099})
 	for range 2 {
 		ctx, cancel := context.WithCancel(context.Background())
 		next := uint64(1)
--- a/pkg/role/entry/choose.go
+++ b/pkg/role/entry/choose.go
@@ -20,6 +20,7 @@
 		return e.baseline.chain(s, need)
 	}
 	need.Weight = e.weight()
+	need.Entries = s.view.LiveEntries
 	need.Exclude = copyOf(need.Exclude)
 	rng := newRand()
 	var last error
@@ -58,6 +59,7 @@
 		return e.baseline.service(s, service, need)
 	}
 	need.Weight = e.weight()
+	need.Entries = s.view.LiveEntries
 	need.Exclude = copyOf(need.Exclude)
 	rng := newRand()
 	for range maxChoices {
