--- /dev/null
+++ b/pkg/experiment/calibrate.go
@@ -0,0 +1,90 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/plantainstair/plantainstair/pkg/local"
+	"github.com/plantainstair/plantainstair/pkg/upstreams"
+)
+
+const (
+	boundTime   = 8 * time.Second
+	boundPrompt = 30
+	boundOutput = 50 // mean
+)
+
+// bound drives one chain of each speed of TodayPlan without the router, with as
+// many sessions as it has slots, and prints what it serves.
+func (o *Options) bound(ctx context.Context) error {
+	d, err := o.Runner.launch(ctx, TodayPlan(o.Reserve))
+	if err != nil {
+		return err
+	}
+	defer d.Kill()
+	total := 0.0
+	for kind, name := range []string{"fast", "slow"} {
+		const stagesOfKind, tail = 10, 2
+		hosts := []*local.Upstream{d.Upstreams[kind*stagesOfKind], d.Upstreams[(kind+tail)*stagesOfKind]}
+		s, err := o.drive(ctx, d, hosts)
+		if err != nil {
+			return err
+		}
+		total += stagesOfKind * s.tokens
+		fmt.Fprintf(o.Out, "%s chain: %.1f tokens/s, first token p50 %.2f ms, p95 %.2f ms, gap p50 %.2f ms, p95 %.2f ms\n", name,
+			s.tokens, quantile(s.first, 0.50), quantile(s.first, 0.95), quantile(s.gaps, 0.50), quantile(s.gaps, 0.95))
+	}
+	fmt.Fprintf(o.Out, "all chains: %.1f tokens/s, computed %.1f tokens/s\n", total, SlotLimit(boundPrompt+1, boundOutput))
+	return nil
+}
+
+// drive keeps every slot of a chain busy.
+func (o *Options) drive(ctx context.Context, d *local.Deployment, hosts []*local.Upstream) (*sample, error) {
+	client := upstreams.NewClient(upstreams.Options{})
+	defer client.Close()
+	s := &sample{}
+	var mu sync.Mutex
+	var failed error
+	var workers sync.WaitGroup
+	end := time.Now().Add(boundTime)
+	for worker := range engineSlots {
+		workers.Go(func() {
+			rng := rand.New(rand.NewPCG(o.Seed, uint64(worker)))
+			for time.Now().Before(end) {
+				count := max(1, int(rng.ExpFloat64()*boundOutput+0.5))
+				prompt := make([]uint32, boundPrompt+1)
+				for i := range prompt {
+					prompt[i] = rng.Uint32()
+				}
+				times, err := directChain(ctx, client, d, hosts, fmt.Sprintf("bound-%d-%d", worker, rng.Uint64()), 1, prompt, count)
+				mu.Lock()
+				s.addTokens(times)
+				if err != nil {
+					failed = err
+				}
+				mu.Unlock()
+				if err != nil {
+					return
+				}
+			}
+		})
+	}
+	start := time.Now()
+	workers.Wait()
+	s.tokens /= time.Since(start).Seconds()
+	return s, failed
+}
+
+func (s *sample) addTokens(times []time.Duration) {
+	s.tokens += float64(len(times))
+	if len(times) == 0 {
+		return
+	}
+	s.first = append(s.first, times[0])
+	for i := 1; i < len(times); i++ {
+		s.gaps = append(s.gaps, times[i]-times[i-1])
+	}
+}
--- a/pkg/experiment/experiments.go
+++ b/pkg/experiment/experiments.go
@@ -22,10 +22,11 @@
 	nameOverhead = "overhead"
 	nameSmall    = "small"
 	nameRecovery = "recovery"
+	nameBound    = "bound"
 )
 
 // Names lists the experiments.
-var Names = []string{nameOverhead, "rest", "steady", "saturated", "flood-batch", "flood-urgent", nameSmall, nameRecovery}
+var Names = []string{nameOverhead, "rest", nameBound, "steady", "saturated", "flood-batch", "flood-urgent", nameSmall, nameRecovery}
 
 // Options choose an experiment.
 type Options struct {
@@ -46,6 +47,8 @@
 	switch o.Name {
 	case nameOverhead:
 		return o.overhead(ctx)
+	case nameBound:
+		return o.bound(ctx)
 	case nameSmall:
 		return o.small(ctx)
 	case nameRecovery:
@@ -109,11 +112,11 @@
 		if o.Fault != "" && o.Fault != name {
 			continue
 		}
+		fmt.Fprintf(o.Out, "\n%s\n", name)
 		a, b, err := o.both(ctx, nameRecovery, &Injection{At: faultAt, Inject: Faults[name]})
 		if err != nil {
 			return err
 		}
-		fmt.Fprintf(o.Out, "\n%s\n", name)
 		WriteRows(o.Out, recoveryRows(a, b, router, baseline))
 	}
 	return nil
--- a/pkg/experiment/overhead.go
+++ b/pkg/experiment/overhead.go
@@ -144,7 +144,7 @@
 		prompt[i] = uint32(seed)*1000 + uint32(i)
 	}
 	if len(d.Upstreams) > 1 {
-		return directChain(ctx, c, d, session, seed, prompt)
+		return directChain(ctx, c, d, d.Upstreams, session, seed, prompt, overheadTokens)
 	}
 	var times []time.Duration
 	start := time.Now()
@@ -158,14 +158,14 @@
 	return times, err
 }
 
-func directChain(ctx context.Context, c *upstreams.Client, d *local.Deployment, session string, seed uint64, prompt []uint32) ([]time.Duration, error) {
+func directChain(ctx context.Context, c *upstreams.Client, d *local.Deployment, hosts []*local.Upstream, session string, seed uint64, prompt []uint32, count int) ([]time.Duration, error) {
 	start := time.Now()
 	var stages []*upstreams.Stage
-	for i, u := range d.Upstreams {
+	for i, u := range hosts {
 		st := d.Plan.Stages[u.Stage]
 		s, err := c.OpenStage(ctx, u.Address, &upstreams.StageOpen{
 			Session: session, Epoch: 1, Model: d.Plan.Model, Version: d.Plan.Version,
-			FirstLayer: st.First, LastLayer: st.Last, Seed: seed, Last: i == len(d.Upstreams)-1,
+			FirstLayer: st.First, LastLayer: st.Last, Seed: seed, Last: i == len(hosts)-1,
 		}, time.Second)
 		if err != nil {
 			return nil, err
@@ -175,7 +175,7 @@
 	}
 	var times []time.Duration
 	position, tokens := uint32(0), prompt
-	for range overheadTokens {
+	for range count {
 		token, err := stepChain(stages, position, tokens)
 		if err != nil {
 			return nil, err
--- a/pkg/experiment/plan.go
+++ b/pkg/experiment/plan.go
@@ -13,13 +13,13 @@
 // Timings of the stand-ins. They keep the load of the machine under 4 cores,
 // and the gap between tokens of a full chain under the goal of 36 ms.
 const (
-	fastStep   = 12 * time.Millisecond
-	slowStep   = 15 * time.Millisecond
+	fastStep   = 9 * time.Millisecond
+	slowStep   = 11 * time.Millisecond
 	perSession = 500 * time.Microsecond
 	prefill    = 50 * time.Microsecond
 	callTime   = 20 * time.Millisecond
 
-	engineSlots = 4
+	engineSlots = 3
 	layers      = 4
 )
 
