--- a/pkg/experiment/run.go
+++ b/pkg/experiment/run.go
@@ -33,6 +33,7 @@
 	Busy     time.Duration    // CPU time of the whole machine in the same time
 	Injected time.Duration    // when the fault was injected, from the start of the run
 	Detected time.Duration    // when a process first reported it; zero if none did
+	Waiting  [2]float64       // mean requests in the queues of the agents of both stages, of those that got a slot
 	Twice    int              // keyed calls that the services ran more than once
 }
 
@@ -104,9 +105,12 @@
 
 func (o *Outcome) measureUsage(d *local.Deployment, start time.Time) {
 	time.Sleep(time.Until(start.Add(o.Scenario.Run.WarmUp)))
+	firstBefore, secondBefore := queueWait(d)
 	before, busy := usage(d), machineBusy()
 	time.Sleep(time.Until(start.Add(o.Scenario.Run.Duration)))
 	o.Used, o.Busy = usage(d), machineBusy()-busy
+	first, second := queueWait(d)
+	o.Waiting = [2]float64{(first - firstBefore).Seconds() / o.Seconds(), (second - secondBefore).Seconds() / o.Seconds()}
 	for name, u := range o.Used {
 		o.Used[name] = u.since(before[name])
 	}
--- a/pkg/experiment/table.go
+++ b/pkg/experiment/table.go
@@ -71,6 +71,8 @@
 		out = append(out, figure{"outcome " + outcome.String(), float64(o.Count(outcome))})
 	}
 	out = append(out, figure{"keys run twice", float64(o.Twice)})
+	out = append(out, figure{"mean queued at the first stage", o.Waiting[0]},
+		figure{"mean queued at the second, holding the first", o.Waiting[1]})
 	for _, group := range []string{"entry", "agent", "control", "engine", "service", "self"} {
 		u := o.Used[group]
 		out = append(out, figure{fmt.Sprintf("cores of %s", group), u.CPU.Seconds() / o.Seconds()})
