--- a/cmd/plantain-experiment/main.go
+++ b/cmd/plantain-experiment/main.go
@@ -27,6 +27,7 @@
 	flaggy.String(&o.Fault, "f", "fault", "Only this fault of the recovery experiment.")
 	flaggy.UInt64(&o.Seed, "s", "seed", "Seed of the load.")
 	flaggy.Int(&o.Reserve, "", "urgent-reserve", "Slots that each agent keeps for urgent work; 0 derives the number.")
+	flaggy.Bool(&o.RouterOnly, "", "router-only", "Leave the runs of the baseline out.")
 	flaggy.String(&bin, "b", "bin", "Folder of the binaries.")
 	flaggy.String(&dir, "d", "dir", "Folder that keeps settings, data and logs; empty means a temporary one.")
 	flaggy.Parse()
--- /dev/null
+++ b/pkg/experiment/experiment_test.go
@@ -0,0 +1,92 @@
+package experiment
+
+import (
+	"math"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/plantainstair/plantainstair/pkg/load"
+)
+
+// steadyTokens returns a run that receives one token per millisecond, except
+// between from and until, where it receives none.
+func steadyTokens(from, until time.Duration) *Outcome {
+	o := &Outcome{Scenario: &load.Scenario{Run: load.Run{Duration: 10 * time.Second}}, Injected: from}
+	r := &load.Result{}
+	for at := time.Duration(0); at < o.Scenario.Run.Duration; at += time.Millisecond {
+		if at < from || at >= until {
+			r.Tokens = append(r.Tokens, at)
+		}
+	}
+	o.Results = []*load.Result{r}
+	return o
+}
+
+// Guards against a recovery time that counts the window, or that takes a lull
+// before the loss for the recovery.
+func TestRecoveredAfter(t *testing.T) {
+	reference := steadyTokens(0, 0)
+	rapid.Check(t, func(t *rapid.T) {
+		from := time.Duration(rapid.IntRange(2000, 4000).Draw(t, "from")) * time.Millisecond
+		outage := time.Duration(rapid.IntRange(100, 3000).Draw(t, "outage")) * time.Millisecond
+		got, ok := steadyTokens(from, from+outage).RecoveredAfter(reference)
+		assert.Assert(t, ok)
+		allowed := time.Duration((1 - recoveryShare) * float64(recoveryWindow))
+		difference := got - max(0, outage-allowed)
+		assert.Assert(t, difference.Abs() <= 2*recoveryStep, "%s after an outage of %s", got, outage)
+	})
+	_, ok := steadyTokens(4*time.Second, 10*time.Second).RecoveredAfter(reference)
+	assert.Assert(t, !ok)
+}
+
+// Guards against scenarios that do not parse or whose capacities differ from
+// the stand-ins that the plan starts.
+func TestScenariosMatchThePlan(t *testing.T) {
+	files, err := scenarios.ReadDir("scenarios")
+	assert.NilError(t, err)
+	assert.Assert(t, len(files) > 0)
+	classes := make(map[string]string)
+	for _, o := range TodayPlan(0).Organisations {
+		classes[o.Key] = o.Class
+	}
+	for _, f := range files {
+		data, err := scenarios.ReadFile("scenarios/" + f.Name())
+		assert.NilError(t, err)
+		fill := strings.NewReplacer("{entries}", "127.0.0.1:1", "{seed}", "1")
+		s, err := load.ParseScenario(f.Name(), []byte(fill.Replace(string(data))))
+		assert.NilError(t, err)
+		for _, m := range s.Mixes {
+			key := strings.ReplaceAll(m.Key, "{n}", "0")
+			assert.Equal(t, classes[key], m.Rank, "%s: %s", f.Name(), m.Name)
+		}
+		for _, c := range s.Capacities {
+			if c.Service != "" {
+				continue
+			}
+			assert.Equal(t, c.Slots, engineSlots)
+			assert.Assert(t, c.Step == fastStep || c.Step == slowStep)
+			assert.Equal(t, c.StepPerSession, perSession)
+			assert.Equal(t, c.PrefillPerToken, prefill)
+		}
+	}
+}
+
+func TestQuantile(t *testing.T) {
+	assert.Assert(t, math.IsNaN(quantile(nil, 0.5)))
+	d := []time.Duration{3 * time.Millisecond, time.Millisecond, 2 * time.Millisecond}
+	assert.Equal(t, quantile(d, 0.5), 2.0)
+	assert.Equal(t, quantile(d, 1), 3.0)
+}
+
+// Guards against a detection that is credited to the log of another host.
+func TestReportsLoss(t *testing.T) {
+	hosts := []string{"host2"}
+	assert.Assert(t, reportsLoss(`{"level":"warn","upstream":"host2"}`, "entry1.log", hosts))
+	assert.Assert(t, !reportsLoss(`{"level":"warn","upstream":"host21"}`, "entry1.log", hosts))
+	assert.Assert(t, reportsLoss(`{"level":"warn"}`, "host2-agent.log", hosts))
+	assert.Assert(t, !reportsLoss(`{"level":"warn"}`, "host21-agent.log", hosts))
+}
--- a/pkg/experiment/experiments.go
+++ b/pkg/experiment/experiments.go
@@ -35,6 +35,8 @@
 	Seed  uint64
 	// Reserve is the agents' setting of slots kept for urgent work.
 	Reserve int
+	// RouterOnly leaves the runs of the baseline out.
+	RouterOnly bool
 	Runner  *Runner
 	Out     io.Writer
 }
@@ -58,7 +60,7 @@
 	if err != nil {
 		return err
 	}
-	WriteRows(o.Out, Rows(router, baseline))
+	o.writeRows(Rows(router, baseline))
 	return nil
 }
 
@@ -71,6 +73,9 @@
 	if router, err = o.Runner.Run(ctx, TodayPlan(o.Reserve), string(data), o.Seed, injection); err != nil {
 		return nil, nil, err
 	}
+	if o.RouterOnly {
+		return router, router, nil
+	}
 	baseline, err = o.Runner.Run(ctx, Baseline(TodayPlan(o.Reserve)), string(data), o.Seed, injection)
 	return router, baseline, err
 }
@@ -91,7 +96,7 @@
 		rows = append(rows, Row{scenario + " all received (tokens/s)", received(router), received(baseline)})
 		rows = append(rows, Row{scenario + " cores of all", router.Cores(), baseline.Cores()})
 	}
-	WriteRows(o.Out, rows)
+	o.writeRows(rows)
 	return nil
 }
 
@@ -117,7 +122,7 @@
 		if err != nil {
 			return err
 		}
-		WriteRows(o.Out, recoveryRows(a, b, router, baseline))
+		o.writeRows(recoveryRows(a, b, router, baseline))
 	}
 	return nil
 }
--- a/pkg/experiment/table.go
+++ b/pkg/experiment/table.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 	"math"
 	"slices"
 	"text/tabwriter"
@@ -17,12 +16,20 @@
 	Router, Baseline float64
 }
 
-// WriteRows prints the figures with their ratio.
-func WriteRows(w io.Writer, rows []Row) {
-	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(t, "figure\trouter\tbaseline\trouter/baseline\t")
+// writeRows prints the figures, with their ratio if the baseline ran.
+func (o *Options) writeRows(rows []Row) {
+	t := tabwriter.NewWriter(o.Out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	header := "figure\trouter\t"
+	if !o.RouterOnly {
+		header += "baseline\trouter/baseline\t"
+	}
+	fmt.Fprintln(t, header)
 	for _, r := range rows {
-		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t\n", r.Name, text(r.Router), text(r.Baseline), text(r.Router/r.Baseline))
+		fmt.Fprintf(t, "%s\t%s\t", r.Name, text(r.Router))
+		if !o.RouterOnly {
+			fmt.Fprintf(t, "%s\t%s\t", text(r.Baseline), text(r.Router/r.Baseline))
+		}
+		fmt.Fprintln(t)
 	}
 	_ = t.Flush()
 }
