--- a/pkg/experiment/experiments.go
+++ b/pkg/experiment/experiments.go
@@ -37,8 +37,8 @@
 	Reserve int
 	// RouterOnly leaves the runs of the baseline out.
 	RouterOnly bool
-	Runner  *Runner
-	Out     io.Writer
+	Runner     *Runner
+	Out        io.Writer
 }
 
 // Run runs an experiment and prints its table.
