experiment: inject faults at the engine that runs the most sessions

A fixed engine ran no session when it was killed: the longest gap of an answer was 49 ms with and without the fault, so the run showed no repair.

--- a/pkg/experiment/faults.go
+++ b/pkg/experiment/faults.go
@@ -42,15 +42,33 @@
 // FaultNames lists the faults in the order of the table.
 var FaultNames = []string{"engine-killed", "engine-frozen", "agent-killed", "agent-frozen", "entry-killed", "data-centre-killed"}
 
-// victim is a fast engine of the second stage.
+// victim is the engine of the second stage that runs the most sessions.
 func victim(d *local.Deployment) *local.Upstream {
-	const stage = 2
+	var best *local.Upstream
+	most := -1
 	for _, u := range d.Upstreams {
-		if u.Stage == stage {
-			return u
+		if u.Stage < 0 || d.Plan.Stages[u.Stage].First == 0 {
+			continue
+		}
+		if records, err := recordsOf(u); err == nil && records.Sessions > most {
+			best, most = u, records.Sessions
 		}
 	}
-	return d.Upstreams[0]
+	return best
+}
+
+// recordsOf asks a stand-in what it has executed.
+func recordsOf(u *local.Upstream) (*standin.Records, error) {
+	resp, err := http.Get("http://" + u.Address + "/records")
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Unavailable, "read records of %s", u.Host)
+	}
+	defer resp.Body.Close()
+	records := &standin.Records{}
+	if err := json.NewDecoder(resp.Body).Decode(records); err != nil {
+		return nil, fault.Wrap(err, fault.Protocol, "decode records of %s", u.Host)
+	}
+	return records, nil
 }
 
 func killDataCentre(d *local.Deployment) ([]string, error) {
@@ -171,17 +189,13 @@
 		if u.Stage >= 0 {
 			continue
 		}
-		resp, err := http.Get("http://" + u.Address + "/records")
+		records, err := recordsOf(u)
 		if err != nil {
 			continue
 		}
-		var records standin.Records
-		if json.NewDecoder(resp.Body).Decode(&records) == nil {
-			for _, e := range records.Executions {
-				seen[e.Key] += e.Count
-			}
+		for _, e := range records.Executions {
+			seen[e.Key] += e.Count
 		}
-		_ = resp.Body.Close()
 	}
 	for key, n := range seen {
 		if key != "" && n > 1 {
