experiment: count a loss that begins after a late detection

The throughput had to stay back for 1 s only, which a fault that is detected after 1 s could satisfy before its loss showed. It now has to for 2.5 s.

--- a/pkg/experiment/experiment_test.go
+++ b/pkg/experiment/experiment_test.go
@@ -43,6 +43,15 @@
 	assert.Assert(t, !ok)
 }
 
+// Guards against a loss that begins after the detection and is not counted.
+func TestRecoveredAfterALateLoss(t *testing.T) {
+	late := steadyTokens(5800*time.Millisecond, 6800*time.Millisecond)
+	late.Injected = 4 * time.Second
+	got, ok := late.RecoveredAfter(steadyTokens(0, 0))
+	assert.Assert(t, ok)
+	assert.Assert(t, got >= 2700*time.Millisecond && got <= 2800*time.Millisecond, "%s", got)
+}
+
 // Guards against scenarios that do not parse or whose capacities differ from
 // the stand-ins that the plan starts.
 func TestScenariosMatchThePlan(t *testing.T) {
--- a/pkg/experiment/recovery.go
+++ b/pkg/experiment/recovery.go
@@ -10,8 +10,9 @@
 	recoveryShare  = 0.9
 	recoveryWindow = 500 * time.Millisecond
 	recoveryStep   = 10 * time.Millisecond
-	// recoveryHold is how long the throughput must stay back.
-	recoveryHold = time.Second
+	// recoveryHold is how long the throughput must stay back. Silence is
+	// detected after 1 s, so a loss may show later than that.
+	recoveryHold = 2500 * time.Millisecond
 )
 
 // tokenTimes counts the tokens received by step of the run.
