Choose a busy later stage anew when the head has its slot

Cause: the entry fixed all stages when a request arrived. A head took its slot, then queued for one at the next stage, while other engines of that range had free slots: with all slots busy 12.1 of 60 head slots were held idle on average, which is the missing fifth of the throughput.

Change: a later stage that has no free slot refuses at once, before it opens the session's epoch. An idle fleet pays nothing, as the first choice is tried first.

The urgent rank still waits for running sessions on engines with 3 slots, which keep none free.

--- a/pkg/agent/client_test.go
+++ b/pkg/agent/client_test.go
@@ -105,7 +105,7 @@
 	result := make(chan error, 1)
 	c := newClient(t)
 	go func() {
-		_, err := c.Generate(ctx, addr, &wirepb.GenerateRequest{}, func(*wirepb.Token) error { return nil })
+		_, err := c.Generate(ctx, addr, &wirepb.GenerateRequest{}, Events{Token: func(*wirepb.Token) error { return nil }})
 		result <- err
 	}()
 	<-received
@@ -146,7 +146,7 @@
 	reports, pings := make(chan time.Time, 10), make(chan time.Duration, 10)
 	go c.Follow(ctx, addr, func(*wirepb.LoadReport) { reports <- time.Now() }, func(d time.Duration) { pings <- d })
 	first := <-reports
-	_, err := c.Generate(ctx, addr, &wirepb.GenerateRequest{}, nil)
+	_, err := c.Generate(ctx, addr, &wirepb.GenerateRequest{}, Events{})
 	assert.Assert(t, fault.Is(err, fault.Unavailable), "%v", err)
 	took := time.Since(first)
 	assert.Assert(t, took > SuspectAfter && took < EjectAfter+SuspectAfter, "%s", took)
--- a/pkg/agent/generate.go
+++ b/pkg/agent/generate.go
@@ -6,11 +6,19 @@
 	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
 )
 
-// Generate asks the head agent of a chain for tokens and passes each one to
-// onToken, whose error ends the generation. Cancelling ctx closes the stream,
-// which cancels the work at the agent. The returned error is a *fault.Error
-// that names the failed stage where one is known.
-func (c *Client) Generate(ctx context.Context, addr string, req *wirepb.GenerateRequest, onToken func(*wirepb.Token) error) (*wirepb.GenerateDone, error) {
+// Events are the calls of a generation in progress. All come from the goroutine
+// that called Generate, and an error ends the generation.
+type Events struct {
+	Token func(*wirepb.Token) error
+	// Stages chooses later stages when those of the request have no free slot.
+	// It is called only for a request with LateStages.
+	Stages func(*wirepb.StageQuery) (*wirepb.StageChoice, error)
+}
+
+// Generate asks the head agent of a chain for tokens. Cancelling ctx closes the
+// stream, which cancels the work at the agent. The returned error is a
+// *fault.Error that names the failed stage where one is known.
+func (c *Client) Generate(ctx context.Context, addr string, req *wirepb.GenerateRequest, on Events) (*wirepb.GenerateDone, error) {
 	k, err := c.start(ctx, addr, &wirepb.Frame{Body: &wirepb.Frame_Generate{Generate: req}})
 	if err != nil {
 		return nil, err
@@ -23,9 +31,20 @@
 		}
 		switch body := f.Body.(type) {
 		case *wirepb.Frame_Token:
-			if err := onToken(body.Token); err != nil {
+			if err := on.Token(body.Token); err != nil {
+				return nil, err
+			}
+		case *wirepb.Frame_StageQuery:
+			if on.Stages == nil {
+				return nil, k.unexpected(f)
+			}
+			choice, err := on.Stages(body.StageQuery)
+			if err != nil {
 				return nil, err
 			}
+			if err := k.stream.Write(&wirepb.Frame{Body: &wirepb.Frame_StageChoice{StageChoice: choice}}); err != nil {
+				return nil, k.lost(err)
+			}
 		case *wirepb.Frame_GenerateDone:
 			return body.GenerateDone, nil
 		default:
--- a/pkg/core/route/bench_test.go
+++ b/pkg/core/route/bench_test.go
@@ -126,7 +126,7 @@
 	for range choices {
 		p := tab.index.Load().models["m"][0].chain(&need, rng)
 		mean += float64(p.cost) / choices
-		chain := p.stages()
+		chain := p.stages(false)
 		sent[chain[0].Host]++
 		most = max(most, sent[chain[0].Host])
 		for _, s := range chain {
--- a/pkg/core/route/chain.go
+++ b/pkg/core/route/chain.go
@@ -39,7 +39,7 @@
 	if best.nodes == nil {
 		return nil, noRoute(fault.Unavailable, "no chain covers the %d layers of model %q", need.Layers, need.Model)
 	}
-	return best.stages(), nil
+	return best.stages(need.Head != ""), nil
 }
 
 // Service chooses an upstream of a service: the best of a few samples.
@@ -95,10 +95,13 @@
 	reached     bool
 }
 
-func (p path) stages() []Stage {
+// stages counts the request at each host, except at a head that has it already.
+func (p path) stages(headHasIt bool) []Stage {
 	out := make([]Stage, 0, len(p.nodes))
-	for _, n := range p.nodes {
-		n.cell.sent.Add(1)
+	for i, n := range p.nodes {
+		if i > 0 || !headHasIt {
+			n.cell.sent.Add(1)
+		}
 		out = append(out, Stage{Upstream: n.up, FirstLayer: n.first, LastLayer: n.last})
 	}
 	return out
--- a/pkg/core/route/chain_test.go
+++ b/pkg/core/route/chain_test.go
@@ -210,7 +210,7 @@
 		if !exists {
 			return
 		}
-		checkChain(t, p.stages(), &n)
+		checkChain(t, p.stages(false), &n)
 		assert.Assert(t, p.cost >= want)
 		if distinct(hosts) {
 			assert.Equal(t, p.cost, want)
--- a/pkg/core/route/sample.go
+++ b/pkg/core/route/sample.go
@@ -35,6 +35,9 @@
 // sample appends candidates of g to out. It finds at least one when g has one.
 func (s *sampler) sample(g *group, remote string, out []candidate) []candidate {
 	start := len(out)
+	if s.need.Head != "" {
+		return s.afterHead(g, out, start)
+	}
 	out = s.draw(g.dataCentres[s.need.DataCentre], out, start)
 	if remote != s.need.DataCentre {
 		out = s.draw(g.dataCentres[remote], out, start)
@@ -47,6 +50,26 @@
 	return out
 }
 
+// maxAfterHead bounds the candidates for a stage after a fixed head.
+const maxAfterHead = 64
+
+// afterHead appends the fixed head, or many candidates for a later stage.
+func (s *sampler) afterHead(g *group, out []candidate, start int) []candidate {
+	if s.first == 0 {
+		for _, c := range g.all {
+			if c.host == s.need.Head {
+				return append(out, candidate{cell: c, up: c.up.Load()})
+			}
+		}
+		return out
+	}
+	offset := s.rng.IntN(len(g.all))
+	for i := range min(len(g.all), maxAfterHead) {
+		out = s.consider(g.all[(offset+i)%len(g.all)], out, start, true)
+	}
+	return out
+}
+
 // draw appends up to samplesPerSet random eligible hosts of the set.
 func (s *sampler) draw(set []*cell, out []candidate, start int) []candidate {
 	if len(set) == 0 {
--- a/pkg/core/route/upstream.go
+++ b/pkg/core/route/upstream.go
@@ -48,6 +48,10 @@
 	DataCentre              string   // of the caller
 	Exclude                 map[string]bool
 	AvoidDataCentre         string // used only when nothing else is left
+	// Head fixes the first stage of a chain, which holds a slot already. Later
+	// stages are then chosen from many candidates instead of a few samples, as
+	// few of them have a free slot when the fleet is full.
+	Head string
 	// Entries is the number of processes that choose from the same upstreams.
 	// Each is taken to have sent as much since the last report as this one.
 	Entries int
--- a/pkg/core/session/stream.go
+++ b/pkg/core/session/stream.go
@@ -92,9 +92,13 @@
 }
 
 // Resume sets the chain of the next attempt.
-func (s *Stream) Resume(p Plan, chain []string) error {
-	if p.Epoch != s.guard.Epoch() {
-		return stale(p.Epoch, s.guard.Epoch())
+func (s *Stream) Resume(p Plan, chain []string) error { return s.Replace(p.Epoch, chain) }
+
+// Replace sets the chain of the attempt in progress, before its first token,
+// when later stages were chosen anew.
+func (s *Stream) Replace(epoch uint64, chain []string) error {
+	if epoch != s.guard.Epoch() {
+		return stale(epoch, s.guard.Epoch())
 	}
 	return s.setChain(chain)
 }
--- /dev/null
+++ b/pkg/entry/generation.go
@@ -0,0 +1,80 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/plantainstair/plantainstair/pkg/fault"
+	"github.com/plantainstair/plantainstair/pkg/wire"
+	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
+)
+
+// Generation is the stream of one generation towards the entry. One goroutine
+// uses it.
+type Generation struct {
+	ctx     context.Context
+	writer  *boundedWriter
+	choices chan *wirepb.StageChoice
+	frame   wirepb.Frame
+	token   wirepb.Frame_Token
+}
+
+// Emit sends a token.
+func (g *Generation) Emit(t *wirepb.Token) error {
+	g.token.Token = t
+	g.frame.Body = &g.token
+	return g.writer.write(&g.frame)
+}
+
+// ChooseStages asks the entry for other later stages. Refused are the hosts of
+// the last choice up to the one without a free slot.
+func (g *Generation) ChooseStages(refused []string) (*wirepb.StageChoice, error) {
+	query := &wirepb.StageQuery{Refused: refused}
+	if err := g.writer.write(&wirepb.Frame{Body: &wirepb.Frame_StageQuery{StageQuery: query}}); err != nil {
+		return nil, err
+	}
+	select {
+	case c := <-g.choices:
+		return c, nil
+	case <-g.ctx.Done():
+		return nil, fault.As(context.Cause(g.ctx))
+	}
+}
+
+func (s *Server) generate(stream *wire.Stream, req *wirepb.GenerateRequest) error {
+	ctx, cancel := context.WithCancelCause(context.Background())
+	w := newBoundedWriter(stream, s.opts.WriteTimeout)
+	defer w.stop()
+	g := &Generation{ctx: ctx, writer: w, choices: make(chan *wirepb.StageChoice, 1)}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		cancel(g.receive(stream))
+	}()
+	defer func() {
+		cancel(nil)
+		_ = stream.SetReadDeadline(time.Unix(1, 0))
+		<-done
+	}()
+	result, err := s.handler.Generate(ctx, req, g)
+	if err != nil {
+		return err
+	}
+	return w.write(&wirepb.Frame{Body: &wirepb.Frame_GenerateDone{GenerateDone: result}})
+}
+
+// receive passes choices on until the stream ends. Any other frame is a cancel.
+func (g *Generation) receive(stream *wire.Stream) error {
+	for {
+		f, err := stream.Read()
+		choice := f.GetStageChoice()
+		if err != nil || choice == nil {
+			return fault.New(fault.Cancelled, "cancelled by the peer").WithOutcome(fault.MayHaveRun)
+		}
+		select {
+		case g.choices <- choice:
+		case <-g.ctx.Done():
+			return nil
+		}
+	}
+}
--- a/pkg/entry/server.go
+++ b/pkg/entry/server.go
@@ -27,7 +27,7 @@
 type Handler interface {
 	// Generate emits tokens until the generation ends. Its context ends when
 	// the entry cancels or closes the stream.
-	Generate(ctx context.Context, req *wirepb.GenerateRequest, emit func(*wirepb.Token) error) (*wirepb.GenerateDone, error)
+	Generate(ctx context.Context, req *wirepb.GenerateRequest, out *Generation) (*wirepb.GenerateDone, error)
 	// Call runs a service call.
 	Call(ctx context.Context, req *wirepb.CallRequest) (*wirepb.CallResponse, error)
 	// Stage runs one stage of a chain until the stream ends.
@@ -110,25 +110,6 @@
 	return ctx, stop
 }
 
-func (s *Server) generate(stream *wire.Stream, req *wirepb.GenerateRequest) error {
-	ctx, stop := watchCancel(stream)
-	defer stop()
-	w := newBoundedWriter(stream, s.opts.WriteTimeout)
-	defer w.stop()
-	frame := &wirepb.Frame{}
-	token := &wirepb.Frame_Token{}
-	emit := func(t *wirepb.Token) error {
-		token.Token = t
-		frame.Body = token
-		return w.write(frame)
-	}
-	done, err := s.handler.Generate(ctx, req, emit)
-	if err != nil {
-		return err
-	}
-	return w.write(&wirepb.Frame{Body: &wirepb.Frame_GenerateDone{GenerateDone: done}})
-}
-
 func (s *Server) call(stream *wire.Stream, req *wirepb.CallRequest) error {
 	ctx, stop := watchCancel(stream)
 	defer stop()
--- a/pkg/role/agent/admit.go
+++ b/pkg/role/agent/admit.go
@@ -76,11 +76,20 @@
 
 // wait queues the work until a slot is free, at most for the longest wait.
 func (a *Agent) wait(ctx context.Context, w work) (*slot, error) {
+	s, err := a.queue.acquire(ctx, a.queueRequest(w))
+	if err != nil {
+		return nil, err
+	}
+	a.metrics.queueWait(w.rank, s.Queued)
+	return s, nil
+}
+
+func (a *Agent) queueRequest(w work) sched.Request {
 	limit := a.set.MaxQueueWait
 	if w.deadlineMS > 0 {
 		limit = min(limit, time.Duration(w.deadlineMS)*time.Millisecond)
 	}
-	s, err := a.queue.acquire(ctx, sched.Request{
+	return sched.Request{
 		Rank:                  schedRank(w.rank),
 		Organisation:          w.organisation,
 		Weight:                float64(w.weight),
@@ -88,12 +97,7 @@
 		Bytes:                 int64(w.bytes),
 		Deadline:              a.now().Add(limit),
 		MaxOrganisationQueued: a.organisationQueue(w.organisation),
-	})
-	if err != nil {
-		return nil, err
 	}
-	a.metrics.queueWait(w.rank, s.Queued)
-	return s, nil
 }
 
 func (a *Agent) organisationQueue(name string) int {
--- a/pkg/role/agent/chain.go
+++ b/pkg/role/agent/chain.go
@@ -28,17 +28,15 @@
 }
 
 // openHop opens the engine and the later stages at the same time. The first
-// failure ends both.
+// failure ends both. Stages that must not wait are opened before the engine, so
+// that a refusal leaves no session there.
 func (a *Agent) openHop(ctx context.Context, up *upstreamView, open *wirepb.StageOpen) (*hop, error) {
 	h := &hop{agent: a, up: up, open: open}
 	if err := h.guard.Open(open.Epoch, 0); err != nil {
 		return nil, err
 	}
 	h.ctx, h.cancel = context.WithCancelCause(ctx)
-	later := make(chan uint32, 1)
-	go func() { later <- h.openNext() }()
-	h.openEngine()
-	cachedLater := <-later
+	cachedLater := h.openStages()
 	if h.ctx.Err() != nil {
 		err := cancelled(h.ctx)
 		h.close()
@@ -51,6 +49,21 @@
 	return h, nil
 }
 
+// openStages returns the tokens cached at the later stages.
+func (h *hop) openStages() uint32 {
+	if h.open.NoWait {
+		cached := h.openNext()
+		if h.ctx.Err() == nil {
+			h.openEngine()
+		}
+		return cached
+	}
+	later := make(chan uint32, 1)
+	go func() { later <- h.openNext() }()
+	h.openEngine()
+	return <-later
+}
+
 func (h *hop) index() int { return int(h.open.Index) }
 
 func (h *hop) openEngine() {
@@ -77,7 +90,7 @@
 	next := &wirepb.StageOpen{
 		Session: o.Session, Epoch: o.Epoch, Organisation: o.Organisation, Rank: o.Rank, DeadlineMs: o.DeadlineMs,
 		Model: o.Model, Version: o.Version, Adapter: o.Adapter, Seed: o.Seed, Index: o.Index + 1,
-		Stages: o.Stages[1:], Weight: o.Weight, CostTokens: o.CostTokens, Prefixes: o.Prefixes,
+		Stages: o.Stages[1:], Weight: o.Weight, CostTokens: o.CostTokens, Prefixes: o.Prefixes, NoWait: o.NoWait,
 	}
 	later := len(next.Stages)
 	wait := time.Duration(later) * (h.agent.set.MaxQueueWait + h.agent.set.OpenTimeout)
@@ -162,7 +175,7 @@
 
 // runChain drives the token loop from the first stage.
 func (g *generation) runChain() (*wirepb.GenerateDone, error) {
-	h, err := g.agent.openHop(g.ctx, g.up, g.stageOpen())
+	h, err := g.openChain()
 	if err != nil {
 		return nil, err
 	}
@@ -191,6 +204,48 @@
 	}
 }
 
+// openChain opens the chain of the request. While a later stage has no free
+// slot, the entry chooses others: queueing there would hold the slot of the head
+// idle, and the choice of the request is as old as its wait in this queue.
+func (g *generation) openChain() (*hop, error) {
+	wait := !g.req.LateStages
+	for {
+		open := g.stageOpen()
+		open.NoWait = !wait
+		h, err := g.agent.openHop(g.ctx, g.up, open)
+		if err == nil || wait || !isBusy(err) {
+			return h, err
+		}
+		if wait, err = g.chooseStages(fault.As(err).FailedStage); err != nil {
+			return nil, err
+		}
+	}
+}
+
+// isBusy reports whether a later stage refused for lack of a slot.
+func isBusy(err error) bool {
+	f := fault.As(err)
+	return f.Kind == fault.Overloaded && f.Outcome == fault.NotRun && f.FailedStage > headIndex
+}
+
+// chooseStages asks for other stages after the head.
+func (g *generation) chooseStages(busy int) (wait bool, err error) {
+	var refused []string
+	for _, s := range g.req.Stages[1:min(busy+1, len(g.req.Stages))] {
+		refused = append(refused, s.Host)
+	}
+	choice, err := g.out.ChooseStages(refused)
+	if err != nil {
+		return false, fault.As(err)
+	}
+	stages := append([]*wirepb.StageRef{g.req.Stages[headIndex]}, choice.Stages...)
+	if err := checkChain(stages); err != nil {
+		return false, err
+	}
+	g.req.Stages = stages
+	return choice.Wait, nil
+}
+
 func chainFinish(r *wirepb.StageResult) string {
 	if r.Last {
 		return finishStop
--- a/pkg/role/agent/fakes_test.go
+++ b/pkg/role/agent/fakes_test.go
@@ -308,7 +308,7 @@
 // collect runs a generation and returns its tokens.
 func collect(ctx context.Context, c *client.Client, r *wirepb.GenerateRequest, onToken func(*wirepb.Token)) ([]uint32, *wirepb.GenerateDone, error) {
 	var tokens []uint32
-	done, err := c.Generate(ctx, r.Stages[0].Address, r, func(tok *wirepb.Token) error {
+	done, err := c.Generate(ctx, r.Stages[0].Address, r, client.Events{Token: func(tok *wirepb.Token) error {
 		if tok.Position != uint32(len(r.Emitted)+len(tokens)) || tok.Epoch != r.Epoch || tok.Session != r.Session {
 			return fault.New(fault.OutOfOrder, "position %d epoch %d", tok.Position, tok.Epoch)
 		}
@@ -317,7 +317,7 @@
 			onToken(tok)
 		}
 		return nil
-	})
+	}})
 	return tokens, done, err
 }
 
--- a/pkg/role/agent/generate.go
+++ b/pkg/role/agent/generate.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/plantainstair/plantainstair/pkg/entry"
 	"github.com/plantainstair/plantainstair/pkg/fault"
 	"github.com/plantainstair/plantainstair/pkg/upstreams"
 	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
@@ -19,14 +20,14 @@
 )
 
 // Generate implements entry.Handler.
-func (a *Agent) Generate(ctx context.Context, req *wirepb.GenerateRequest, emit func(*wirepb.Token) error) (*wirepb.GenerateDone, error) {
+func (a *Agent) Generate(ctx context.Context, req *wirepb.GenerateRequest, out *entry.Generation) (*wirepb.GenerateDone, error) {
 	started := a.now()
-	done, err := a.generate(ctx, req, emit)
+	done, err := a.generate(ctx, req, out)
 	a.metrics.finished("generate", req.Rank, a.organisationLabel(req.Organisation), err, a.now().Sub(started))
 	return done, err
 }
 
-func (a *Agent) generate(ctx context.Context, req *wirepb.GenerateRequest, emit func(*wirepb.Token) error) (*wirepb.GenerateDone, error) {
+func (a *Agent) generate(ctx context.Context, req *wirepb.GenerateRequest, out *entry.Generation) (*wirepb.GenerateDone, error) {
 	release, up, err := a.admit()
 	if err != nil {
 		return nil, err
@@ -48,7 +49,7 @@
 	if up = a.upstream.view(); up == nil {
 		return nil, errNoUpstream()
 	}
-	g := &generation{agent: a, ctx: ctx, req: req, up: up, slot: slot, emit: emit, sent: uint32(len(req.Emitted)), last: a.now()}
+	g := &generation{agent: a, ctx: ctx, req: req, up: up, slot: slot, out: out, sent: uint32(len(req.Emitted)), last: a.now()}
 	return g.run()
 }
 
@@ -113,7 +114,7 @@
 	req   *wirepb.GenerateRequest
 	up    *upstreamView
 	slot  *slot
-	emit  func(*wirepb.Token) error
+	out   *entry.Generation
 	sent  uint32 // tokens emitted, those of earlier epochs included
 	last  time.Time
 	begun bool // an engine may have run a layer
@@ -161,7 +162,7 @@
 func (g *generation) token(id uint32, last bool) error {
 	t := &wirepb.Token{Session: g.req.Session, Epoch: g.req.Epoch, Position: g.sent, Id: id, Last: last}
 	g.begun = true
-	if err := g.emit(t); err != nil {
+	if err := g.out.Emit(t); err != nil {
 		return fault.Wrap(err, fault.Cancelled, "send token").WithOutcome(fault.MayHaveRun)
 	}
 	now := g.agent.now()
--- a/pkg/role/agent/queue.go
+++ b/pkg/role/agent/queue.go
@@ -65,6 +65,29 @@
 	return s, nil
 }
 
+// tryAcquire takes a slot only if one is free at once.
+func (q *queue) tryAcquire(r sched.Request) (*slot, error) {
+	id, w, err := q.submit(r)
+	if err != nil {
+		return nil, err
+	}
+	select {
+	case <-w.ready:
+	default:
+		if q.abandon(id) {
+			return nil, fault.New(fault.Overloaded, "no slot is free").WithOutcome(fault.NotRun).WithRetryAfter(busyRetryAfter)
+		}
+		<-w.ready
+	}
+	if w.err != nil {
+		return nil, w.err
+	}
+	return &slot{queue: q, id: id}, nil
+}
+
+// busyRetryAfter is about the time in which a slot becomes free.
+const busyRetryAfter = 100 * time.Millisecond
+
 func cancelledWhileQueued(ctx context.Context) error {
 	return fault.Wrap(context.Cause(ctx), fault.Cancelled, "cancelled while queued").WithOutcome(fault.NotRun)
 }
--- a/pkg/role/agent/stage.go
+++ b/pkg/role/agent/stage.go
@@ -26,15 +26,11 @@
 	if err := a.checkStage(up, open); err != nil {
 		return err
 	}
-	ctx, end, err := a.sessions.open(ctx, open.Session, open.Epoch)
+	slot, ctx, end, err := a.stageSlot(ctx, open)
 	if err != nil {
 		return err
 	}
 	defer end()
-	slot, err := a.wait(ctx, stageWork(open))
-	if err != nil {
-		return blame(err, int(open.Index))
-	}
 	defer slot.release()
 	if up = a.upstream.view(); up == nil {
 		return blame(errNoUpstream(), int(open.Index))
@@ -49,6 +45,36 @@
 	return err
 }
 
+// stageSlot opens the session and takes a slot. A stage that must not wait takes
+// its slot first: a refusal then leaves no trace of the epoch, and the same
+// epoch may come again.
+func (a *Agent) stageSlot(ctx context.Context, open *wirepb.StageOpen) (*slot, context.Context, func(), error) {
+	var taken *slot
+	if open.NoWait {
+		s, err := a.queue.tryAcquire(a.queueRequest(stageWork(open)))
+		if err != nil {
+			return nil, nil, nil, blame(err, int(open.Index))
+		}
+		taken = s
+	}
+	ctx, end, err := a.sessions.open(ctx, open.Session, open.Epoch)
+	if err != nil {
+		if taken != nil {
+			taken.release()
+		}
+		return nil, nil, nil, err
+	}
+	if taken != nil {
+		return taken, ctx, end, nil
+	}
+	s, err := a.wait(ctx, stageWork(open))
+	if err != nil {
+		end()
+		return nil, nil, nil, blame(err, int(open.Index))
+	}
+	return s, ctx, end, nil
+}
+
 func stageWork(open *wirepb.StageOpen) work {
 	return work{
 		organisation: open.Organisation,
--- a/pkg/role/entry/attempt.go
+++ b/pkg/role/entry/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/plantainstair/plantainstair/pkg/agent"
 	"github.com/plantainstair/plantainstair/pkg/core/route"
 	"github.com/plantainstair/plantainstair/pkg/fault"
 	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
@@ -18,7 +19,7 @@
 	defer stall.Stop()
 	firstPosition := len(g.stream.Emitted())
 	var first time.Time
-	done, err := g.entry.opts.Agents.Generate(ctx, g.chain[0].Address, g.request(), func(t *wirepb.Token) error {
+	onToken := func(t *wirepb.Token) error {
 		if err := g.accept(t); err != nil {
 			return err
 		}
@@ -34,7 +35,9 @@
 		}
 		stall.Reset(g.entry.opts.Settings.Stall)
 		return nil
-	})
+	}
+	later := &laterStages{generation: g}
+	done, err := g.entry.opts.Agents.Generate(ctx, g.chain[0].Address, g.request(), agent.Events{Token: onToken, Stages: later.choose})
 	if err == nil {
 		err = g.checkDone()
 	}
@@ -79,6 +82,7 @@
 		Stages:       stageRefs(g.chain),
 		Revision:     g.rev,
 		Weight:       g.weight,
+		LateStages:   len(g.chain) > 1 && !g.entry.opts.Settings.RoundRobin,
 	}
 }
 
--- a/pkg/role/entry/bench_test.go
+++ b/pkg/role/entry/bench_test.go
@@ -14,6 +14,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/plantainstair/plantainstair/pkg/agent"
 	"github.com/plantainstair/plantainstair/pkg/control"
 	"github.com/plantainstair/plantainstair/pkg/logs"
 	"github.com/plantainstair/plantainstair/pkg/rusage"
@@ -25,9 +26,9 @@
 // memoryAgents answers in memory, so that a benchmark measures the entry alone.
 type memoryAgents struct{}
 
-func (memoryAgents) Generate(_ context.Context, _ string, req *wirepb.GenerateRequest, onToken func(*wirepb.Token) error) (*wirepb.GenerateDone, error) {
+func (memoryAgents) Generate(_ context.Context, _ string, req *wirepb.GenerateRequest, on agent.Events) (*wirepb.GenerateDone, error) {
 	for p := range endOf(req) {
-		if err := onToken(token(req, p, p)); err != nil {
+		if err := on.Token(token(req, p, p)); err != nil {
 			return nil, err
 		}
 	}
--- a/pkg/role/entry/choose.go
+++ b/pkg/role/entry/choose.go
@@ -42,6 +42,28 @@
 	return nil, last
 }
 
+// chooseAfter chooses the stages after a head that holds a slot. The head has
+// admitted the work already.
+func (e *Entry) chooseAfter(head string, need route.Need) ([]route.Stage, error) {
+	s := e.snapshot.Load()
+	need.Weight = e.weight()
+	need.Entries = s.view.LiveEntries
+	need.Head = head
+	rng := newRand()
+	for range maxChoices {
+		chain, err := s.table.Chain(need, rng)
+		if err != nil {
+			return nil, notPlaced(err)
+		}
+		refused := e.admitAll(chain[1:])
+		if refused == "" {
+			return chain, nil
+		}
+		need.Exclude[refused] = true
+	}
+	return nil, unavailable("every chain of the model crosses a failing upstream")
+}
+
 // admitAll returns the first host that does not admit work.
 func (e *Entry) admitAll(chain []route.Stage) string {
 	hosts := make([]string, len(chain))
--- a/pkg/role/entry/generate.go
+++ b/pkg/role/entry/generate.go
@@ -136,7 +136,11 @@
 	if g.prefixes == nil {
 		g.prefixes = g.entry.opts.PrefixHashes(g.req.Model, g.version, g.req.Adapter, g.req.Prompt)
 	}
-	return g.entry.chooseChain(g.entry.snapshot.Load(), route.Need{
+	return g.entry.chooseChain(g.entry.snapshot.Load(), g.need(exclude, avoid))
+}
+
+func (g *generation) need(exclude map[string]bool, avoid string) route.Need {
+	return route.Need{
 		Model:           g.req.Model,
 		Version:         g.version,
 		Adapter:         g.req.Adapter,
@@ -148,7 +152,7 @@
 		DataCentre:      g.entry.opts.Settings.DataCentre,
 		Exclude:         exclude,
 		AvoidDataCentre: avoid,
-	})
+	}
 }
 
 // begun reports whether the caller has received a token.
--- a/pkg/role/entry/interfaces.go
+++ b/pkg/role/entry/interfaces.go
@@ -6,6 +6,7 @@
 	"context"
 	"time"
 
+	"github.com/plantainstair/plantainstair/pkg/agent"
 	"github.com/plantainstair/plantainstair/pkg/control"
 	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
 )
@@ -20,7 +21,7 @@
 
 // Agents is the part of agent.Client that an entry uses.
 type Agents interface {
-	Generate(ctx context.Context, addr string, req *wirepb.GenerateRequest, onToken func(*wirepb.Token) error) (*wirepb.GenerateDone, error)
+	Generate(ctx context.Context, addr string, req *wirepb.GenerateRequest, on agent.Events) (*wirepb.GenerateDone, error)
 	Call(ctx context.Context, addr string, req *wirepb.CallRequest) (*wirepb.CallResponse, error)
 	Follow(ctx context.Context, addr string, onReport func(*wirepb.LoadReport), onRoundTrip func(time.Duration))
 	Drop(addr string)
--- a/test/e2e/chat_test.go
+++ b/test/e2e/chat_test.go
@@ -163,3 +163,12 @@
 	assert.NilError(t, err)
 	checkLayers(t, d)
 }
+
+// Guards against wrong answers when more streams arrive than there are slots,
+// so that later stages are refused and chosen anew.
+func TestChat_MoreStreamsThanSlots(t *testing.T) {
+	const chats, tokens = 40, 30
+	d, ctx := launch(t, nil)
+	checkChats(t, d, startChats(ctx, d, chats, tokens, func() {}), chats, tokens)
+	checkLayers(t, d)
+}
