Spread the reserve for urgent work over small upstreams

Cause: the derived reserve is one slot in eight, rounded down, so upstreams with fewer than 8 slots kept none. In a tenfold flood of batch work on engines with 3 slots urgent requests waited for running sessions: first token p95 2.78 s.

Change: each agent adds an offset from the hash of its host before rounding, so that three of eight agents with 3 slots keep one. A choice after a fixed head scans the range when no candidate was found.

--- a/pkg/core/route/sample.go
+++ b/pkg/core/route/sample.go
@@ -35,8 +35,11 @@
 // sample appends candidates of g to out. It finds at least one when g has one.
 func (s *sampler) sample(g *group, remote string, out []candidate) []candidate {
 	start := len(out)
+	if s.need.Head != "" && s.first == 0 {
+		return s.head(g, out)
+	}
 	if s.need.Head != "" {
-		return s.afterHead(g, out, start)
+		return s.wide(g, out, start)
 	}
 	out = s.draw(g.dataCentres[s.need.DataCentre], out, start)
 	if remote != s.need.DataCentre {
@@ -50,23 +53,29 @@
 	return out
 }
 
-// maxAfterHead bounds the candidates for a stage after a fixed head.
-const maxAfterHead = 64
+// maxWide bounds the candidates for a stage after a fixed head. Few hosts of a
+// full fleet have a free slot, and a few samples would miss them.
+const maxWide = 64
 
-// afterHead appends the fixed head, or many candidates for a later stage.
-func (s *sampler) afterHead(g *group, out []candidate, start int) []candidate {
-	if s.first == 0 {
-		for _, c := range g.all {
-			if c.host == s.need.Head {
-				return append(out, candidate{cell: c, up: c.up.Load()})
-			}
+// head appends the fixed head.
+func (s *sampler) head(g *group, out []candidate) []candidate {
+	for _, c := range g.all {
+		if c.host == s.need.Head {
+			return append(out, candidate{cell: c, up: c.up.Load()})
 		}
-		return out
 	}
+	return out
+}
+
+// wide appends many candidates from a random offset on.
+func (s *sampler) wide(g *group, out []candidate, start int) []candidate {
 	offset := s.rng.IntN(len(g.all))
-	for i := range min(len(g.all), maxAfterHead) {
+	for i := range min(len(g.all), maxWide) {
 		out = s.consider(g.all[(offset+i)%len(g.all)], out, start, true)
 	}
+	if len(out) == start {
+		out = s.scan(g.all, out, start)
+	}
 	return out
 }
 
--- a/pkg/core/sched/config.go
+++ b/pkg/core/sched/config.go
@@ -25,6 +25,10 @@
 	// urgent work was seen within ReserveWindow. Zero derives it from Slots;
 	// a negative value turns it off.
 	UrgentReserve int
+	// ReserveOffset, from 0 to below 1, is added before the derived reserve is
+	// rounded down. Spread evenly over the upstreams, it lets small ones keep
+	// an eighth of their slots together, where none could do so alone.
+	ReserveOffset float64
 	ReserveWindow time.Duration
 }
 
@@ -63,9 +67,7 @@
 	return shares
 }
 
-// slotsPerReserve is the number of slots for each reserved one. Upstreams with
-// fewer slots reserve none, because one slot would cost more than an eighth of
-// their throughput.
+// slotsPerReserve is the number of slots for each reserved one.
 const slotsPerReserve = 8
 
 // reserve returns the slots that lower ranks must leave free for urgent work.
@@ -76,5 +78,6 @@
 	if c.UrgentReserve > 0 {
 		return min(c.UrgentReserve, c.Slots-1)
 	}
-	return c.Slots / slotsPerReserve
+	derived := int(float64(c.Slots)/slotsPerReserve + c.ReserveOffset)
+	return max(min(derived, c.Slots-1), 0)
 }
--- a/pkg/role/agent/agent.go
+++ b/pkg/role/agent/agent.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/plantainstair/plantainstair/pkg/control"
 	"github.com/plantainstair/plantainstair/pkg/core/sched"
 	"github.com/plantainstair/plantainstair/pkg/entry"
@@ -105,13 +107,22 @@
 		client:    upstreams.NewClient(upstreams.Options{LineTimeout: set.StepTimeout, MaxLine: set.MaxLine}),
 	}
 	a.life, a.end = context.WithCancel(context.Background())
-	a.queue = newQueue(sched.Config{MaxQueued: set.MaxQueued, MaxQueuedBytes: set.MaxQueuedBytes, UrgentReserve: set.UrgentReserve}, opts.Now)
+	a.queue = newQueue(sched.Config{
+		MaxQueued: set.MaxQueued, MaxQueuedBytes: set.MaxQueuedBytes,
+		UrgentReserve: set.UrgentReserve, ReserveOffset: reserveOffset(set.Host),
+	}, opts.Now)
 	a.peers = newPeerSet(a.pool, opts.Now)
 	a.orders = newOrders(a)
 	a.reports = &reporter{agent: a}
 	return a
 }
 
+// reserveOffset spreads the rounding of the derived reserve over the hosts.
+func reserveOffset(host string) float64 {
+	const buckets = 1 << 16
+	return float64(xxhash.Sum64String(host)%buckets) / buckets
+}
+
 // Start listens for entries, other agents and the upstream.
 func (a *Agent) Start() error {
 	ln, err := net.Listen("tcp", a.set.Listen)
