Let agents carry out a drain

Cause: the order to drain went to the engine only. The agent kept taking work and control kept listing the upstream as serving, so `plantainctl drain` had no effect. The earlier end-to-end test ended the engine and could not see it.

Change: the agent announces that it drains, reports it to entries, and refuses new work as not run; `resume` ends it.

A drain does not outlast a restart of the agent.

--- a/cmd/plantainctl/commands.go
+++ b/cmd/plantainctl/commands.go
@@ -127,7 +127,7 @@
 	order := &wirepb.Order{}
 	sub := newSub("order", "Gives an order to an upstream.")
 	sub.AddPositionalValue(&host, "host", 1, true, "Host of the upstream.")
-	sub.AddPositionalValue(&order.Action, "action", 2, true, "load_model, unload_model, load_adapter, set_role or drain.")
+	sub.AddPositionalValue(&order.Action, "action", 2, true, "load_model, unload_model, load_adapter, set_role, drain or resume.")
 	sub.String(&order.Model, "", "model", "Model.")
 	sub.String(&order.Version, "", "version", "Version of the model.")
 	sub.String(&order.Adapter, "", "adapter", "Adapter.")
--- a/pkg/core/state/orders.go
+++ b/pkg/core/state/orders.go
@@ -12,7 +12,7 @@
 const maxOrderHosts = 100_000
 
 // OrderActions are the actions that an order may name.
-var OrderActions = []string{"load_model", "unload_model", "load_adapter", "set_role", "drain"}
+var OrderActions = []string{"load_model", "unload_model", "load_adapter", "set_role", "drain", "resume"}
 
 // order raises the epoch of the upstream, so that a later order fences it off.
 func (s *Store) order(cmd *wirepb.Command, o *wirepb.OrderChange) *wirepb.CommandResult {
--- a/pkg/role/agent/admit.go
+++ b/pkg/role/agent/admit.go
@@ -33,6 +33,10 @@
 		done()
 		return nil, nil, errNoUpstream()
 	}
+	if a.upstream.draining.Load() {
+		done()
+		return nil, nil, fault.New(fault.Draining, "upstream is drained").WithOutcome(fault.NotRun).WithRetryAfter(drainRetryAfter)
+	}
 	return done, up, nil
 }
 
--- a/pkg/role/agent/orders.go
+++ b/pkg/role/agent/orders.go
@@ -14,6 +14,13 @@
 // orderRetryAfter is the time after which a refused order may be sent again.
 const orderRetryAfter = time.Second
 
+// Actions that the agent carries out itself: new work stops at its queue,
+// whatever the upstream supports.
+const (
+	actionDrain  = "drain"
+	actionResume = "resume"
+)
+
 // orders fences the orders to the upstream. Orders run one at a time: an
 // upstream that does not check fencing numbers never has two under way, so a
 // late one cannot follow a newer one.
@@ -57,6 +64,11 @@
 		o.turn <- struct{}{}
 		return err
 	}
+	if order.Action == actionDrain || order.Action == actionResume {
+		o.agent.upstream.drain(order.Action == actionDrain)
+		o.turn <- struct{}{}
+		return nil
+	}
 	return o.send(ctx, order)
 }
 
--- a/pkg/role/agent/upstream.go
+++ b/pkg/role/agent/upstream.go
@@ -20,6 +20,8 @@
 	stateLeft    = "left"    // never announced, or withdrew
 	stateServing = "serving" // announced, heartbeats arrive
 	stateEjected = "ejected" // silent or refuses connections
+	// stateDraining is announced while an operator's drain is in force.
+	stateDraining = "draining"
 )
 
 // maxKnownPrefixes bounds the cached prefixes remembered for load reports.
@@ -65,6 +67,7 @@
 	prefixes prefixSet
 
 	announcedBefore bool
+	draining        atomic.Bool
 }
 
 func newUpstreamState(identity *wirepb.Announcement, limit time.Duration, now func() time.Time, log logs.Logger, onSlots func(int)) *upstreamState {
@@ -127,6 +130,18 @@
 	return nil
 }
 
+// drain stops or resumes new work at the order of an operator. Work in progress
+// goes on. A restart of the agent resumes it.
+func (u *upstreamState) drain(on bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.draining.Store(on)
+	if v := u.current.Load(); v != nil {
+		u.current.Store(&upstreamView{announced: v.announced, wire: u.wireAnnouncement(v.announced)})
+	}
+	u.notify()
+}
+
 // raiseIncarnation moves past a known incarnation. The clock keeps the number
 // above those of later processes' predecessors; it may have been set back.
 func (u *upstreamState) raiseIncarnation(known uint64) {
@@ -172,6 +187,9 @@
 		Kind: a.Kind, Services: a.Services, Accelerator: a.Accelerator, Slots: a.Slots, KvTokens: a.KVTokens,
 		ChecksFencing: a.ChecksFencing, State: stateServing,
 	}
+	if u.draining.Load() {
+		w.State = stateDraining
+	}
 	copyIdentity(w, &u.identity)
 	for _, m := range a.Models {
 		w.Models = append(w.Models, &wirepb.ModelHeld{
--- a/test/e2e/config_test.go
+++ b/test/e2e/config_test.go
@@ -164,6 +164,18 @@
 	before := len(records(t, drained).Layers)
 	chatAll(ctx, t, d, "after the drain")
 	assert.Equal(t, len(records(t, drained).Layers), before)
+	_, err = d.Admin().Order(ctx, &operators.OrderRequest{
+		Host: drained.Host, Order: operators.Order{Value: &wirepb.Order{Action: "resume"}},
+	})
+	assert.NilError(t, err)
+	serves := func() error {
+		chatAll(ctx, t, d, "after the resume")
+		if len(records(t, drained).Layers) == before {
+			return fault.New(fault.Unavailable, "the upstream gets no work")
+		}
+		return nil
+	}
+	assert.NilError(t, local.Until(ctx, "work for the resumed upstream", serves))
 }
 
 // Guards against an upstream that stays out after it was frozen past its lease.
