test/e2e: load both heads after a drain has ended

Cause: the check for work after a resume sent requests one after the other, then 14 at once. Both can rightly be served by the other head alone, whose chain has shorter links: 1 of 3 runs with 14 streams, and one with single requests, never used the resumed upstream.

Change: the test waits until control lists the upstream as serving, then sends 40 streams at once over two heads of 8 slots.

Conclusion: the check is as strict as before and no longer depends on the route.

--- a/test/e2e/config_test.go
+++ b/test/e2e/config_test.go
@@ -168,14 +168,23 @@
 		Host: drained.Host, Order: operators.Order{Value: &wirepb.Order{Action: "resume"}},
 	})
 	assert.NilError(t, err)
-	serves := func() error {
-		chatAll(ctx, t, d, "after the resume")
-		if len(records(t, drained).Layers) == before {
-			return fault.New(fault.Unavailable, "the upstream gets no work")
+	serving := func() error {
+		status, err := d.Admin().Status(ctx)
+		if err != nil {
+			return err
 		}
-		return nil
+		for _, u := range status.Upstreams {
+			if u.Announcement.Value.GetHost() == drained.Host && u.State == "serving" {
+				return nil
+			}
+		}
+		return fault.New(fault.Unavailable, "the upstream is not serving")
 	}
-	assert.NilError(t, local.Until(ctx, "work for the resumed upstream", serves))
+	assert.NilError(t, local.Until(ctx, "the resumed upstream", serving))
+	time.Sleep(time.Second)      // more than the time in which entries learn of it
+	const chats, tokens = 40, 30 // far more than the slots of one head, so that both are needed
+	checkChats(t, d, startChats(ctx, d, chats, tokens, func() {}), chats, tokens)
+	assert.Assert(t, len(records(t, drained).Layers) > before, "the resumed upstream gets no work")
 }
 
 // Guards against an upstream that stays out after it was frozen past its lease.
