--- a/pkg/callers/errors.go
+++ b/pkg/callers/errors.go
@@ -54,7 +54,8 @@
 func retryable(k fault.Kind) bool {
 	switch k {
 	case fault.RateLimited, fault.Overloaded, fault.Deadline, fault.Unavailable, fault.StaleConfig,
-		fault.StaleEpoch, fault.OutOfOrder, fault.Upstream, fault.Protocol, fault.Draining, fault.Unknown, fault.NotLeader:
+		fault.StaleEpoch, fault.OutOfOrder, fault.Upstream, fault.Protocol, fault.Preempted, fault.Draining,
+		fault.Unknown, fault.NotLeader:
 		return true
 	}
 	return false
@@ -124,7 +125,7 @@
 		return http.StatusGone
 	case fault.RateLimited:
 		return http.StatusTooManyRequests
-	case fault.Overloaded, fault.Unavailable, fault.StaleConfig, fault.Draining, fault.NotLeader:
+	case fault.Overloaded, fault.Unavailable, fault.StaleConfig, fault.Preempted, fault.Draining, fault.NotLeader:
 		return http.StatusServiceUnavailable
 	case fault.Deadline:
 		return http.StatusGatewayTimeout
--- a/pkg/core/route/chain_test.go
+++ b/pkg/core/route/chain_test.go
@@ -231,6 +231,25 @@
 	assert.Equal(t, chain[2].Host, "cheap")
 }
 
+// Guards against a request that takes over the head of an ended chain but not
+// its later stages, and against one that insists on a host that left.
+func TestPreferredLaterStage(t *testing.T) {
+	tab := NewTable()
+	tab.Update(&Upstream{Host: "head", Models: []Held{{Model: "m", LastLayer: 1}}})
+	for i := range 100 {
+		tab.Update(&Upstream{Host: fmt.Sprint("h", i), Models: []Held{{Model: "m", FirstLayer: 2, LastLayer: 3}}})
+	}
+	need := Need{Model: "m", Layers: testLayers, Head: "head", Later: []string{"h77"}}
+	rng := rand.New(rand.NewPCG(1, 1))
+	chain, err := tab.Chain(need, rng)
+	assert.NilError(t, err)
+	assert.Equal(t, chain[1].Host, "h77")
+	tab.Update(&Upstream{Host: "h77", Draining: true, Models: []Held{{Model: "m", FirstLayer: 2, LastLayer: 3}}})
+	chain, err = tab.Chain(need, rng)
+	assert.NilError(t, err)
+	assert.Assert(t, chain[1].Host != "h77")
+}
+
 // Guards against a chain that is not found because only one host of a large
 // range may be used.
 func TestRareEligibleHost(t *testing.T) {
--- a/pkg/core/route/sample.go
+++ b/pkg/core/route/sample.go
@@ -67,8 +67,17 @@
 	return out
 }
 
-// wide appends many candidates from a random offset on.
+// wide appends the preferred hosts or, when none of them is eligible, many
+// candidates from a random offset on.
 func (s *sampler) wide(g *group, out []candidate, start int) []candidate {
+	for _, c := range g.all {
+		if len(s.need.Later) > 0 && slices.Contains(s.need.Later, c.host) {
+			out = s.consider(c, out, start, true)
+		}
+	}
+	if len(out) > start {
+		return out
+	}
 	offset := s.rng.IntN(len(g.all))
 	for i := range min(len(g.all), maxWide) {
 		out = s.consider(g.all[(offset+i)%len(g.all)], out, start, true)
--- a/pkg/core/route/upstream.go
+++ b/pkg/core/route/upstream.go
@@ -52,6 +52,9 @@
 	// stages are then chosen from many candidates instead of a few samples, as
 	// few of them have a free slot when the fleet is full.
 	Head string
+	// Later are hosts to prefer for the stages after Head, where one of them
+	// can run the stage.
+	Later []string
 	// Entries is the number of processes that choose from the same upstreams.
 	// Each is taken to have sent as much since the last report as this one.
 	Entries int
--- a/pkg/core/sched/load.go
+++ b/pkg/core/sched/load.go
@@ -49,6 +49,9 @@
 	if q.queued == 0 && s.slotFor(r.Rank, now) && s.queuedAbove(r.Rank) == 0 {
 		return 0
 	}
+	if s.queuedUpTo(r.Rank) < s.reclaimable(r.Rank) {
+		return preemptionTime
+	}
 	ahead := margin*s.tokensAhead(q, r) + s.rate.meanCost
 	lower := 0.0
 	for o := r.Rank + 1; o < Ranks; o++ {
@@ -60,7 +63,7 @@
 	// less the minima of lower ranks once the more urgent queues are empty.
 	tokens := math.Inf(1)
 	if q.share > 0 {
-		tokens = ahead / q.share
+		tokens = max((ahead-q.credit)/q.share, ahead)
 	}
 	if lower < 1 {
 		tokens = min(tokens, (ahead+float64(s.queuedAbove(r.Rank)))/(1-lower))
@@ -91,6 +94,15 @@
 	return sum
 }
 
+// queuedUpTo counts the queued requests of rank r and of those above it.
+func (s *Scheduler) queuedUpTo(r Rank) int {
+	sum := 0
+	for o := Urgent; o <= r; o++ {
+		sum += s.ranks[o].queued - s.promised[o]
+	}
+	return sum
+}
+
 // meanQueuedCost is the mean cost of queued requests, or of finished ones
 // while none is queued.
 func (s *Scheduler) meanQueuedCost() float64 {
--- /dev/null
+++ b/pkg/core/sched/preempt.go
@@ -0,0 +1,149 @@
+package sched
+
+import "time"
+
+// MaxPreemptions is how often one request may lose its slot. It bounds the work
+// that is done twice and the delay of a request that others keep overtaking.
+const MaxPreemptions = 4
+
+// preemptionTime is about the time in which a preempted request frees its slot.
+const preemptionTime = 5 * time.Millisecond
+
+// Preempt returns a running request that must give up its slot to a queued one.
+// It stays running until Finish. It reports false when a slot is free, when
+// every queued request that may preempt has been promised a slot, or when
+// nothing that runs may be preempted for it.
+func (s *Scheduler) Preempt(now time.Time) (Request, bool) {
+	s.expireQueued(now)
+	if s.running < s.cfg.Slots {
+		return Request{}, false
+	}
+	for r := Urgent; r < Ranks; r++ {
+		if s.ranks[r].queued <= s.promised[r] {
+			continue
+		}
+		victim := s.lowerVictim(r)
+		var to *flow
+		if victim == nil {
+			victim, to = s.unfairVictim(r)
+		}
+		if victim != nil {
+			s.preempt(victim, r, to)
+			return victim.req, true
+		}
+	}
+	return Request{}, false
+}
+
+// preempt promises the slot of victim to rank r, and to the flow to if the two
+// are of the same rank.
+func (s *Scheduler) preempt(victim *item, r Rank, to *flow) {
+	victim.preempted = true
+	victim.promisedRank = r
+	victim.promisedFlow = to
+	s.promised[r]++
+	victim.flow.leaving++
+	if to != nil {
+		to.promised++
+	}
+}
+
+// settlePromise ends the promise of a preempted request that has finished.
+func (s *Scheduler) settlePromise(it *item) {
+	if !it.preempted {
+		return
+	}
+	s.promised[it.promisedRank]--
+	it.flow.leaving--
+	if it.promisedFlow != nil {
+		it.promisedFlow.promised--
+	}
+}
+
+// lowerVictim returns the request of a less urgent rank whose slot rank r takes.
+func (s *Scheduler) lowerVictim(r Rank) *item {
+	var victim *item
+	for _, it := range s.active {
+		if s.yields(it, r) && (victim == nil || cheaper(it, victim)) {
+			victim = it
+		}
+	}
+	return victim
+}
+
+// yields reports whether it must give way to rank r. A rank below its minimum
+// takes any slot of a less urgent rank, which gets the unused part of its credit
+// back and so keeps its own minimum. A rank that borrows takes only slots on
+// lent share.
+func (s *Scheduler) yields(it *item, r Rank) bool {
+	return it.req.Rank > r && it.preemptible() && (!it.entitled || s.ranks[r].credit > 0)
+}
+
+// unfairVictim returns a request of rank r whose organisation would still hold
+// at least as many slots for its weight as the next organisation of the rank,
+// which receives the slot.
+func (s *Scheduler) unfairVictim(r Rank) (*item, *flow) {
+	to := s.ranks[r].backlogged.top()
+	if to.queued <= to.promised {
+		return nil, nil
+	}
+	var victim *item
+	for _, it := range s.active {
+		if it.req.Rank == r && it.preemptible() && it.flow.exceeds(to) && (victim == nil || cheaper(it, victim)) {
+			victim = it
+		}
+	}
+	return victim, to
+}
+
+// exceeds reports whether f still holds at least as much as to after one slot
+// has moved from f to to. Without the comparison of the start tags, a flow that
+// has already received more than its share would preempt as well.
+func (f *flow) exceeds(to *flow) bool {
+	if f == to || f.virtual < to.virtual {
+		return false
+	}
+	after := float64(f.running-f.leaving-1) / f.weight
+	return after >= float64(to.running-to.leaving+to.promised+1)/to.weight
+}
+
+func (it *item) preemptible() bool {
+	return it.req.Preemptible && it.req.Preemptions < MaxPreemptions && !it.preempted
+}
+
+// cheaper reports whether the preemption of a disturbs less than that of b: the
+// less urgent rank, the one preempted less often, then the shorter replay.
+func cheaper(a, b *item) bool {
+	if a.req.Rank != b.req.Rank {
+		return a.req.Rank > b.req.Rank
+	}
+	if a.req.Preemptions != b.req.Preemptions {
+		return a.req.Preemptions < b.req.Preemptions
+	}
+	return a.used < b.used
+}
+
+// reclaimable counts the slots of less urgent ranks that rank r could take now.
+func (s *Scheduler) reclaimable(r Rank) int {
+	count := 0
+	for _, it := range s.active {
+		if s.yields(it, r) {
+			count++
+		}
+	}
+	return count
+}
+
+// activate adds it to the running requests.
+func (s *Scheduler) activate(it *item) {
+	it.activeIndex = len(s.active)
+	s.active = append(s.active, it)
+}
+
+func (s *Scheduler) deactivate(it *item) {
+	last := len(s.active) - 1
+	s.active[it.activeIndex] = s.active[last]
+	s.active[it.activeIndex].activeIndex = it.activeIndex
+	s.active[last] = nil
+	s.active = s.active[:last]
+}
--- /dev/null
+++ b/pkg/core/sched/preempt_test.go
@@ -0,0 +1,183 @@
+package sched
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// preemptAll asks for victims until there is none, checks each against the
+// naive lists, and queues it again as the entry does.
+func (n *naive) preemptAll(t *rapid.T) {
+	for {
+		v, ok := n.s.Preempt(n.now)
+		n.expire(t)
+		if !ok {
+			return
+		}
+		_, running := n.running[v.ID]
+		assert.Assert(t, running, "request %d was preempted without running", v.ID)
+		assert.Assert(t, v.Preemptible && v.Preemptions < MaxPreemptions)
+		assert.Assert(t, len(n.running) == n.slots, "preempted while a slot was free")
+		assert.Assert(t, n.yieldsToQueued(v), "nothing queued may take the slot of rank %s", v.Rank)
+		n.again = append(n.again, v)
+	}
+}
+
+// yieldsToQueued reports whether a more urgent rank, or another organisation of
+// the same rank, waits.
+func (n *naive) yieldsToQueued(v Request) bool {
+	for _, r := range n.queued {
+		if r.Rank < v.Rank || r.Rank == v.Rank && r.Organisation != v.Organisation {
+			return true
+		}
+	}
+	return false
+}
+
+// requeue ends preempted requests and submits them once more.
+func (n *naive) requeue(t *rapid.T) {
+	for _, v := range n.again {
+		if _, running := n.running[v.ID]; !running {
+			continue // finished before it noticed
+		}
+		n.finish(v.ID)
+		v.Preemptions++
+		assert.NilError(t, n.submit(v))
+	}
+	n.again = n.again[:0]
+}
+
+// Guards against preemption that lets a rank fall below its minimum share, that
+// does not end, or that loses a request. Every request may be preempted.
+func TestPreempt_RankMinima(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		slots := rapid.IntRange(1, 4).Draw(t, "slots")
+		n := newNaive(Config{Slots: slots})
+		n.preemptible = true
+		floods := []flood{
+			{Urgent, "a", rapid.IntRange(0, 5).Draw(t, "urgent depth"), 1, maxCost, 1},
+			{Standard, "a", rapid.IntRange(0, 5).Draw(t, "standard depth"), 1, maxCost, 1},
+			{Standard, "b", rapid.IntRange(0, 2).Draw(t, "small depth"), 1, maxCost, 1},
+			{Batch, "a", rapid.IntRange(0, 5).Draw(t, "batch depth"), 1, maxCost, 1},
+		}
+		n.run(t, floods, 50, func() { n.preemptAll(t); n.requeue(t) })
+		n.refill(t, floods)
+		start := n.ranks
+		n.run(t, floods, 400, func() {
+			n.preemptAll(t)
+			n.requeue(t)
+			total := 0
+			for r := range n.ranks {
+				total += n.ranks[r] - start[r]
+			}
+			for _, f := range floods {
+				got := float64(n.ranks[f.rank] - start[f.rank])
+				due := DefaultShares[f.rank] * float64(total)
+				assert.Assert(t, f.depth == 0 || got >= due-rankBound(slots),
+					"%s received %v of %v due, total %d", f.rank, got, due, total)
+			}
+		})
+	})
+}
+
+// fill starts requests of one organisation until all slots are taken.
+func fill(t *testing.T, s *Scheduler, now time.Time, slots int, r Request) {
+	for i := range slots {
+		r.ID = uint64(1000*int(r.Rank+1) + i)
+		assert.NilError(t, s.Submit(now, r))
+		_, ok := s.Next(now)
+		assert.Assert(t, ok)
+	}
+}
+
+// Guards against urgent work that waits for a long generation of another rank,
+// and against a victim that is asked twice or a free slot that is ignored.
+func TestPreempt_UrgentTakesSlot(t *testing.T) {
+	now := time.Unix(0, 0)
+	s := New(Config{Slots: 3})
+	fill(t, s, now, 3, Request{Rank: Batch, Organisation: "batch", Cost: 100, Preemptible: true})
+	s.Charge(3001, 50)
+	s.Charge(3002, 60)
+	assert.NilError(t, s.Submit(now, Request{ID: 1, Rank: Urgent, Organisation: "u", Cost: 10, Preemptible: true}))
+	assert.Equal(t, s.Load(now).Ranks[Urgent].Wait, time.Duration(0)+preemptionTime)
+	v, ok := s.Preempt(now)
+	assert.Assert(t, ok)
+	assert.Equal(t, v.ID, uint64(3000), "the shortest replay is the cheapest")
+	_, ok = s.Preempt(now)
+	assert.Assert(t, !ok, "one request was promised two slots")
+	s.Finish(now, v.ID)
+	r, ok := s.Next(now)
+	assert.Assert(t, ok)
+	assert.Equal(t, r.ID, uint64(1))
+}
+
+// Guards against preemption of service calls, of work that was preempted too
+// often, and of work of the same organisation.
+func TestPreempt_Spares(t *testing.T) {
+	now := time.Unix(0, 0)
+	for name, running := range map[string]Request{
+		"service call":        {Rank: Batch, Organisation: "b", Cost: 1},
+		"preempted too often": {Rank: Batch, Organisation: "b", Cost: 1, Preemptible: true, Preemptions: MaxPreemptions},
+		"same organisation":   {Rank: Urgent, Organisation: "u", Cost: 1, Preemptible: true},
+	} {
+		s := New(Config{Slots: 2})
+		fill(t, s, now, 2, running)
+		assert.NilError(t, s.Submit(now, Request{ID: 1, Rank: Urgent, Organisation: "u", Cost: 1}))
+		_, ok := s.Preempt(now)
+		assert.Assert(t, !ok, name)
+	}
+}
+
+// Guards against a small organisation that waits for a running generation of a
+// large one, and against two organisations that preempt each other in turn.
+func TestPreempt_SmallOrganisation(t *testing.T) {
+	now := time.Unix(0, 0)
+	s := New(Config{Slots: 3, UrgentReserve: -1})
+	fill(t, s, now, 3, Request{Rank: Standard, Organisation: "large", Cost: 100, Preemptible: true})
+	small := Request{ID: 1, Rank: Standard, Organisation: "small", Cost: 100, Preemptible: true}
+	assert.NilError(t, s.Submit(now, small))
+	v, ok := s.Preempt(now)
+	assert.Assert(t, ok)
+	assert.Equal(t, v.Organisation, "large")
+	s.Finish(now, v.ID)
+	r, _ := s.Next(now)
+	assert.Equal(t, r.ID, uint64(1))
+
+	v.Preemptions++
+	assert.NilError(t, s.Submit(now, v))
+	small.ID = 2
+	assert.NilError(t, s.Submit(now, small))
+	_, ok = s.Preempt(now)
+	assert.Assert(t, !ok, "with 2 of 3 slots the large one holds no more than its share")
+}
+
+// Guards against a preempted request that waits behind others of its
+// organisation a second time.
+func TestPreempt_ResumedGoesFirst(t *testing.T) {
+	now := time.Unix(0, 0)
+	s := New(Config{Slots: 1})
+	assert.NilError(t, s.Submit(now, Request{ID: 1, Rank: Batch, Organisation: "b", Cost: 1}))
+	assert.NilError(t, s.Submit(now, Request{ID: 2, Rank: Batch, Organisation: "b", Cost: 1, Preemptions: 1}))
+	r, ok := s.Next(now)
+	assert.Assert(t, ok)
+	assert.Equal(t, r.ID, uint64(2))
+}
+
+// Guards against a rank that loses its minimum because it has no request queued
+// at most times: its requests arrive at random, at nine tenths of its share, in
+// a flood of urgent work. Half of them must start within the time of three
+// requests; without saved credit half of them waited for that of ten.
+func TestSavedCredit_TrickleKeepsMinimum(t *testing.T) {
+	const prompt, mean = 30, 50
+	m := newModel(Config{Slots: 3}, 1)
+	perSecond := 3 / m.perToken.Seconds() / (prompt + mean) // requests
+	m.run(4*time.Hour, []arrivals{
+		{rank: Batch, organisations: 1, caller: "b", prompt: prompt, mean: mean, perSecond: 0.9 * DefaultShares[Batch] * perSecond},
+		{rank: Urgent, organisations: 3, caller: "u", prompt: prompt, mean: mean, perSecond: 2 * perSecond, deadline: 10 * time.Second},
+	})
+	wait := m.percentile(Batch, 0.5)
+	assert.Assert(t, wait < 3*(prompt+mean)*m.perToken, "wait is %v at p50", wait)
+}
--- a/pkg/core/sched/queue.go
+++ b/pkg/core/sched/queue.go
@@ -19,6 +19,11 @@
 	earned        [Ranks]float64 // credit that each rank earned on charged
 	state         itemState
 	entitled      bool // started on the minimum share of its rank
+
+	activeIndex  int // among the running requests
+	preempted    bool
+	promisedRank Rank  // receives the slot of a preempted request
+	promisedFlow *flow // of the same rank, if the slot moves within it
 }
 
 func earlierDeadline(a, b *item) bool { return a.req.Deadline.Before(b.req.Deadline) }
@@ -36,6 +41,8 @@
 	queued       int
 	queuedTokens int64
 	running      int
+	leaving      int // running requests that were preempted
+	promised     int // slots of preempted requests that go to this flow
 	index        int // in the heap of backlogged or of idle flows
 	idle         bool
 }
@@ -68,18 +75,18 @@
 	q.idle = heap[*flow]{less: lowerVirtual, place: placeFlow}
 }
 
-// push appends it to the queue of its organisation. A flow that was idle
-// starts at the current virtual time, so idle time earns no credit.
+// push adds it to the queue of its organisation: at the front if it was
+// preempted, so that it does not wait twice, and at the end otherwise. A flow
+// that was idle starts at the current virtual time, so idle time earns no
+// credit.
 func (q *rankQueue) push(it *item) {
 	f := q.flow(it.req.Organisation)
 	it.flow = f
-	it.prev = f.tail
-	if f.tail == nil {
-		f.head = it
+	if it.req.Preemptions > 0 {
+		f.prepend(it)
 	} else {
-		f.tail.next = it
+		f.append(it)
 	}
-	f.tail = it
 	f.queued++
 	f.queuedTokens += int64(it.req.Cost)
 	q.queued++
@@ -92,6 +99,26 @@
 	f.weight = it.req.Weight
 }
 
+func (f *flow) append(it *item) {
+	it.prev = f.tail
+	if f.tail == nil {
+		f.head = it
+	} else {
+		f.tail.next = it
+	}
+	f.tail = it
+}
+
+func (f *flow) prepend(it *item) {
+	it.next = f.head
+	if f.head == nil {
+		f.tail = it
+	} else {
+		f.head.prev = it
+	}
+	f.head = it
+}
+
 func (q *rankQueue) flow(organisation string) *flow {
 	f := q.flows[organisation]
 	if f == nil {
@@ -185,7 +212,7 @@
 func (q *rankQueue) dropIdle() {
 	for q.idle.len() > 0 {
 		f := q.idle.top()
-		if f.running > 0 || f.virtual > q.virtual {
+		if f.running > 0 || f.promised > 0 || f.virtual > q.virtual {
 			return
 		}
 		q.idle.remove(f.index)
--- a/pkg/core/sched/ranks.go
+++ b/pkg/core/sched/ranks.go
@@ -32,10 +32,12 @@
 }
 
 // openReserve returns the slots kept free for urgent work that arrives next.
-// Urgent work that already holds its minimum share of the slots gets no more.
+// Urgent work that already holds its minimum share of the slots gets no more,
+// and a slot that it can take back need not be kept free.
 func (s *Scheduler) openReserve() int {
 	minimum := int(s.cfg.Shares[Urgent] * float64(s.cfg.Slots))
-	return max(min(s.cfg.reserve(), minimum-s.ranks[Urgent].running), 0)
+	reserve := min(s.cfg.reserve(), minimum-s.ranks[Urgent].running)
+	return max(reserve-s.reclaimable(Urgent), 0)
 }
 
 func (s *Scheduler) urgentRecently(now time.Time) bool {
@@ -50,10 +52,9 @@
 }
 
 // charge adds tokens to what the flow and the rank of it have received. Every
-// rank earns its share of them. A rank with nothing queued earns only what it
-// owes: it keeps what it was denied while it waited, but saves nothing by being
-// idle. Tokens of a request that ran on lent share are not held against its
-// rank.
+// rank earns its share of them. A rank with nothing queued earns what it owes
+// and saves at most savedRequests on top. Tokens of a request that ran on lent
+// share are not held against its rank.
 func (s *Scheduler) charge(it *item, tokens int) {
 	it.charged += tokens
 	own := &s.ranks[it.req.Rank]
@@ -65,13 +66,21 @@
 		q := &s.ranks[r]
 		earned := q.share * float64(tokens)
 		if q.queued == 0 {
-			earned = min(earned, max(-q.credit, 0))
+			earned = min(earned, max(s.saving()-q.credit, 0))
 		}
 		q.credit += earned
 		it.earned[r] += earned
 	}
 }
 
+// savedRequests is the credit that an idle rank may save, in requests of mean
+// cost. Of the requests of a rank only a few are at one upstream at a time; if
+// the rank earned nothing between them, it would lose its minimum over the
+// fleet although every upstream kept it for what was queued there.
+const savedRequests = 4
+
+func (s *Scheduler) saving() float64 { return savedRequests * s.rate.meanCost }
+
 // refund takes back the unused part of the estimate, and from each rank what
 // it earned on that part. A rank that earned nothing must not fall into debt.
 func (s *Scheduler) refund(it *item, tokens int) {
--- a/pkg/core/sched/sched.go
+++ b/pkg/core/sched/sched.go
@@ -51,6 +51,11 @@
 	// MaxOrganisationQueued bounds the queued requests of the organisation in
 	// all ranks; zero means no bound.
 	MaxOrganisationQueued int
+	// Preemptible allows Preempt to end the request while it runs.
+	Preemptible bool
+	// Preemptions is how often the request was preempted before. A request that
+	// was goes to the front of the queue of its organisation.
+	Preemptions int
 }
 
 // Scheduler holds the queued and running requests of one upstream.
@@ -61,7 +66,9 @@
 	ranks     [Ranks]rankQueue
 	deadlines heap[*item]
 	expired   []*item
-	free      *item // recycled items
+	active    []*item    // running requests
+	promised  [Ranks]int // running requests preempted for each rank
+	free      *item      // recycled items
 
 	queued      int
 	queuedBytes int64
@@ -116,6 +123,7 @@
 	s.unqueue(it)
 	it.state = stateRunning
 	it.entitled = q.credit > 0
+	s.activate(it)
 	s.rate.advance(now, s.running)
 	s.running++
 	q.running++
@@ -157,6 +165,8 @@
 	}
 	s.rate.finished(it.used)
 	s.running--
+	s.deactivate(it)
+	s.settlePromise(it)
 	s.ranks[it.req.Rank].finished(it)
 	s.release(it)
 }
--- a/pkg/core/sched/sched_test.go
+++ b/pkg/core/sched/sched_test.go
@@ -29,6 +29,9 @@
 	granted int            // accepted requests
 	served  map[string]int // tokens by rank and organisation
 	ranks   [Ranks]int     // tokens by rank
+
+	preemptible bool      // of all requests
+	again       []Request // preempted, not yet submitted again
 }
 
 func newNaive(cfg Config) *naive {
@@ -54,6 +57,7 @@
 func (n *naive) submit(r Request) error {
 	n.nextID++
 	r.ID = n.nextID
+	r.Preemptible = r.Preemptible || n.preemptible
 	err := n.s.Submit(n.now, r)
 	if err == nil {
 		n.queued[r.ID] = r
@@ -142,7 +146,10 @@
 }
 
 func (n *naive) step(t *rapid.T) {
-	switch rapid.IntRange(0, 9).Draw(t, "operation") {
+	switch rapid.IntRange(0, 10).Draw(t, "operation") {
+	case 10:
+		n.preemptAll(t)
+		n.requeueAny(t)
 	case 0, 1, 2, 3:
 		n.submitAny(t)
 	case 4, 5:
@@ -170,6 +177,7 @@
 		Cost:                  rapid.IntRange(1, maxCost).Draw(t, "cost"),
 		Bytes:                 rapid.Int64Range(0, 20).Draw(t, "bytes"),
 		Weight:                float64(rapid.IntRange(1, 3).Draw(t, "weight")),
+		Preemptible:           rapid.Bool().Draw(t, "preemptible"),
 		MaxOrganisationQueued: rapid.IntRange(0, 5).Draw(t, "limit"),
 	}
 	if rapid.Bool().Draw(t, "has deadline") {
@@ -187,6 +195,19 @@
 	}
 }
 
+// requeueAny ends some of the preempted requests. Submitting them again may be
+// refused, like any request.
+func (n *naive) requeueAny(t *rapid.T) {
+	for _, v := range n.again {
+		if _, running := n.running[v.ID]; running && rapid.Bool().Draw(t, "noticed") {
+			n.finish(v.ID)
+			v.Preemptions++
+			_ = n.submit(v)
+		}
+	}
+	n.again = n.again[:0]
+}
+
 func (n *naive) cancelAny(t *rapid.T) {
 	if id, ok := pick(t, n.running); ok && rapid.Bool().Draw(t, "cancel running") {
 		assert.Assert(t, !n.s.Cancel(id), "a running request was reported as not run")
@@ -242,6 +263,8 @@
 	assert.Equal(t, len(n.ended), n.granted)
 	assert.Equal(t, len(n.s.items), 0)
 	assert.Equal(t, len(n.s.orgs), 0)
+	assert.Equal(t, len(n.s.active), 0)
+	assert.Equal(t, n.s.promised, [Ranks]int{})
 	for r := range n.s.ranks {
 		q := &n.s.ranks[r]
 		assert.Equal(t, q.queuedBytes, int64(0))
--- a/pkg/core/session/session_test.go
+++ b/pkg/core/session/session_test.go
@@ -119,7 +119,18 @@
 		assert.NilError(t, err)
 		failed := map[string]bool{}
 		for range 60 {
-			switch rapid.IntRange(0, 5).Draw(t, "event") {
+			switch rapid.IntRange(0, 6).Draw(t, "event") {
+			case 6:
+				if s.Complete() {
+					break
+				}
+				repairs := s.Repairs()
+				plan, err = s.Preempt(plan.Epoch)
+				assert.NilError(t, err)
+				assert.Equal(t, s.Repairs(), repairs)
+				late := s.Accept(plan.Epoch-1, uint32(len(s.Emitted())), 999, false)
+				assert.Assert(t, fault.Is(late, fault.StaleEpoch), "late token of the preempted attempt: %v", late)
+				assert.NilError(t, s.Resume(plan, chain), "a healthy host was excluded")
 			case 0:
 				stage := rapid.IntRange(fault.NoStage, 1).Draw(t, "stage")
 				if s.Complete() {
--- a/pkg/core/session/stream.go
+++ b/pkg/core/session/stream.go
@@ -91,6 +91,22 @@
 	return s.plan(), nil
 }
 
+// Preempt raises the epoch after the attempt of the given epoch lost its slot
+// to other work. No host is at fault, so none is excluded and no repair is used
+// up. Agents bound how often this happens.
+func (s *Stream) Preempt(epoch uint64) (Plan, error) {
+	if epoch != s.guard.Epoch() {
+		return Plan{}, stale(epoch, s.guard.Epoch())
+	}
+	if s.complete {
+		return Plan{}, fault.New(fault.Internal, "stream is complete").WithOutcome(fault.Answered)
+	}
+	if err := s.guard.Open(epoch+1, uint32(len(s.emitted))); err != nil {
+		return Plan{}, err
+	}
+	return s.plan(), nil
+}
+
 // Resume sets the chain of the next attempt.
 func (s *Stream) Resume(p Plan, chain []string) error { return s.Replace(p.Epoch, chain) }
 
--- a/pkg/entry/generation.go
+++ b/pkg/entry/generation.go
@@ -27,9 +27,10 @@
 }
 
 // ChooseStages asks the entry for other later stages. Refused are the hosts of
-// the last choice up to the one without a free slot.
-func (g *Generation) ChooseStages(refused []string) (*wirepb.StageChoice, error) {
-	query := &wirepb.StageQuery{Refused: refused}
+// the last choice up to the one without a free slot; freed ones probably have
+// one, and are named one for each later stage.
+func (g *Generation) ChooseStages(refused, freed []string) (*wirepb.StageChoice, error) {
+	query := &wirepb.StageQuery{Refused: refused, Freed: freed}
 	if err := g.writer.write(&wirepb.Frame{Body: &wirepb.Frame_StageQuery{StageQuery: query}}); err != nil {
 		return nil, err
 	}
--- a/pkg/fault/fault.go
+++ b/pkg/fault/fault.go
@@ -36,6 +36,7 @@
 	Disk            Kind = "disk"              // write or sync failed
 	NotLeader       Kind = "not_leader"        // receiver is not the leader
 	Cancelled       Kind = "cancelled"         // cancelled by the caller
+	Preempted       Kind = "preempted"         // lost its slot to other work
 	Draining        Kind = "draining"          // process is shutting down
 	Unknown         Kind = "unknown_outcome"   // the request may or may not have run
 	Internal        Kind = "internal"          // fault in this process
--- a/pkg/role/agent/admit.go
+++ b/pkg/role/agent/admit.go
@@ -76,6 +76,8 @@
 	cost         int
 	bytes        int
 	deadlineMS   uint32
+	preemptible  bool
+	preemptions  int
 }
 
 // wait queues the work until a slot is free, at most for the longest wait.
@@ -101,6 +103,8 @@
 		Bytes:                 int64(w.bytes),
 		Deadline:              a.now().Add(limit),
 		MaxOrganisationQueued: a.organisationQueue(w.organisation),
+		Preemptible:           w.preemptible && a.set.Preemption,
+		Preemptions:           w.preemptions,
 	}
 }
 
--- a/pkg/role/agent/agent.go
+++ b/pkg/role/agent/agent.go
@@ -64,6 +64,7 @@
 
 	lifecycle *platform.Lifecycle
 	queue     *queue
+	freed     freedStages
 	sessions  *sessions
 	upstream  *upstreamState
 	orders    *orders
@@ -107,6 +108,7 @@
 		client:    upstreams.NewClient(upstreams.Options{LineTimeout: set.StepTimeout, MaxLine: set.MaxLine}),
 	}
 	a.life, a.end = context.WithCancel(context.Background())
+	a.freed.now = opts.Now
 	a.queue = newQueue(sched.Config{
 		MaxQueued: set.MaxQueued, MaxQueuedBytes: set.MaxQueuedBytes,
 		UrgentReserve: set.UrgentReserve, ReserveOffset: reserveOffset(set.Host),
--- a/pkg/role/agent/baseline_test.go
+++ b/pkg/role/agent/baseline_test.go
@@ -25,7 +25,7 @@
 		_, err = a.queue.acquire(ended, sched.Request{Organisation: "o"})
 		assert.ErrorContains(t, err, "cancelled while queued")
 		assert.Equal(t, a.queue.load().Running, 1)
-		_, w, err := a.queue.submit(sched.Request{Organisation: "o"})
+		_, w, err := a.queue.submit(sched.Request{Organisation: "o"}, true)
 		assert.NilError(t, err)
 		granted := false
 		select {
--- a/pkg/role/agent/chain.go
+++ b/pkg/role/agent/chain.go
@@ -115,6 +115,7 @@
 		Session: o.Session, Epoch: o.Epoch, Organisation: o.Organisation, Rank: o.Rank, DeadlineMs: o.DeadlineMs,
 		Model: o.Model, Version: o.Version, Adapter: o.Adapter, Seed: o.Seed, Index: o.Index + 1,
 		Stages: o.Stages[1:], Weight: o.Weight, CostTokens: o.CostTokens, Prefixes: o.Prefixes, NoWait: o.NoWait,
+		Preemptions: o.Preemptions,
 	}
 	later := len(next.Stages)
 	wait := time.Duration(later) * (h.agent.set.MaxQueueWait + h.agent.set.OpenTimeout)
@@ -234,9 +235,25 @@
 		return g.agent.openHop(g.ctx, g.up, open, nil)
 	}
 	open.NoWait = true
+	if freed := g.agent.freed.take(); freed != nil {
+		if err := g.takeOver(open, freed); err != nil {
+			return nil, err
+		}
+	}
 	return g.agent.openHop(g.ctx, g.up, open, g.chooseStages)
 }
 
+// takeOver replaces the later stages by those of a chain that was preempted
+// here.
+func (g *generation) takeOver(open *wirepb.StageOpen, freed []string) error {
+	stages, wait, err := g.ask(nil, freed)
+	if err != nil {
+		return err
+	}
+	open.Stages, open.NoWait = stages, !wait
+	return nil
+}
+
 // chooseStages asks the entry for other stages after the head. It implements
 // stageChooser.
 func (g *generation) chooseStages(busy int) (stages []*wirepb.StageRef, wait bool, err error) {
@@ -244,7 +261,11 @@
 	for _, s := range g.req.Stages[1:min(busy+1, len(g.req.Stages))] {
 		refused = append(refused, s.Host)
 	}
-	choice, err := g.out.ChooseStages(refused)
+	return g.ask(refused, nil)
+}
+
+func (g *generation) ask(refused, freed []string) (stages []*wirepb.StageRef, wait bool, err error) {
+	choice, err := g.out.ChooseStages(refused, freed)
 	if err != nil {
 		return nil, false, fault.As(err)
 	}
@@ -268,8 +289,9 @@
 	return &wirepb.StageOpen{
 		Session: r.Session, Epoch: r.Epoch, Organisation: r.Organisation, Rank: r.Rank, DeadlineMs: g.slot.remaining(r.DeadlineMs),
 		Model: r.Model, Version: r.Version, Adapter: r.Adapter, Seed: r.Seed, Index: headIndex, Stages: r.Stages,
-		Weight: r.Weight, CostTokens: uint32(len(r.Prompt)+len(r.Emitted)) + r.MaxTokens,
-		Prefixes: g.prefixes,
+		Weight: r.Weight, CostTokens: uint32(len(r.Prompt)+len(r.Emitted)-chargedBefore(r)) + r.MaxTokens,
+		Preemptions: r.Preemptions,
+		Prefixes:    g.prefixes,
 	}
 }
 
--- /dev/null
+++ b/pkg/role/agent/freed.go
@@ -0,0 +1,63 @@
+package agent
+
+import (
+	"sync"
+	"time"
+
+	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
+)
+
+const (
+	// freedFor is the time in which the slots of an ended chain are most likely
+	// still free.
+	freedFor = 20 * time.Millisecond
+	maxFreed = 16
+)
+
+// freedStages remembers the later stages of chains that were preempted at this
+// agent. Their slots are free as well, so the request that takes over the slot
+// here need not preempt another chain there.
+type freedStages struct {
+	now func() time.Time
+
+	mu     sync.Mutex
+	chains []freedChain
+}
+
+type freedChain struct {
+	hosts []string
+	at    time.Time
+}
+
+// put adds the later stages of a chain.
+func (f *freedStages) put(stages []*wirepb.StageRef) {
+	if len(stages) == 0 {
+		return
+	}
+	hosts := make([]string, len(stages))
+	for i, s := range stages {
+		hosts[i] = s.Host
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.chains) == maxFreed {
+		f.chains = f.chains[1:]
+	}
+	f.chains = append(f.chains, freedChain{hosts: hosts, at: f.now()})
+}
+
+// take returns the newest chain and forgets it, or nil.
+func (f *freedStages) take() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.chains) == 0 {
+		return nil
+	}
+	last := f.chains[len(f.chains)-1]
+	f.chains = f.chains[:len(f.chains)-1]
+	if f.now().Sub(last.at) > freedFor {
+		f.chains = f.chains[:0]
+		return nil
+	}
+	return last.hosts
+}
--- a/pkg/role/agent/generate.go
+++ b/pkg/role/agent/generate.go
@@ -46,6 +46,8 @@
 		return nil, err
 	}
 	defer slot.release()
+	ctx, stop := slot.preemptible(ctx)
+	defer stop()
 	if up = a.upstream.view(); up == nil {
 		return nil, errNoUpstream()
 	}
@@ -59,12 +61,23 @@
 		organisation: req.Organisation,
 		rank:         req.Rank,
 		weight:       req.Weight,
-		cost:         prompt + int(req.MaxTokens),
+		cost:         int(req.MaxTokens) + prompt - chargedBefore(req),
 		bytes:        prompt * tokenBytes,
 		deadlineMS:   req.DeadlineMs,
+		preemptible:  true,
+		preemptions:  int(req.Preemptions),
 	}
 }
 
+// chargedBefore returns the tokens that the organisation does not pay for: the
+// replay of a preempted request is the system's own cost.
+func chargedBefore(req *wirepb.GenerateRequest) int {
+	if req.Preemptions == 0 {
+		return 0
+	}
+	return len(req.Prompt) + len(req.Emitted)
+}
+
 // checkGenerate refuses a request that this agent cannot head.
 func (a *Agent) checkGenerate(up *upstreamView, req *wirepb.GenerateRequest) error {
 	switch {
@@ -151,6 +164,9 @@
 	if g.begun || f.Outcome != fault.NotRun {
 		f.Outcome = fault.MayHaveRun
 	}
+	if f.Kind == fault.Preempted && g.preemptedHere() {
+		g.agent.freed.put(g.req.Stages[1:])
+	}
 	g.agent.noteUpstreamError(g.up, f, headIndex)
 	if f.Outcome != fault.NotRun {
 		g.agent.cancelSession(g.up, g.req.Session, g.req.Epoch)
@@ -158,6 +174,12 @@
 	return f
 }
 
+// preemptedHere reports whether this agent took back the slot, and not that of
+// a later stage.
+func (g *generation) preemptedHere() bool {
+	return fault.Is(context.Cause(g.ctx), fault.Preempted)
+}
+
 // token passes one token on.
 func (g *generation) token(id uint32, last bool) error {
 	t := &wirepb.Token{Session: g.req.Session, Epoch: g.req.Epoch, Position: g.sent, Id: id, Last: last}
@@ -171,7 +193,7 @@
 	g.last = now
 	g.sent++
 	if last || g.sent%chargeInterval == 0 {
-		g.slot.charge(len(g.req.Prompt) + int(g.sent))
+		g.slot.charge(len(g.req.Prompt) + int(g.sent) - chargedBefore(g.req))
 	}
 	return nil
 }
--- a/pkg/role/agent/peers.go
+++ b/pkg/role/agent/peers.go
@@ -103,7 +103,7 @@
 // stageAtFault reports whether an error of this kind is the fault of a stage
 // and not of the sender.
 func stageAtFault(kind fault.Kind) bool {
-	return kind != fault.Cancelled && kind != fault.StaleEpoch
+	return kind != fault.Cancelled && kind != fault.StaleEpoch && kind != fault.Preempted
 }
 
 // cancelled returns the reason why ctx ended.
--- /dev/null
+++ b/pkg/role/agent/preempt_test.go
@@ -0,0 +1,115 @@
+package agent
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/plantainstair/plantainstair/pkg/core/sched"
+	"github.com/plantainstair/plantainstair/pkg/fault"
+	"github.com/plantainstair/plantainstair/pkg/standin"
+	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
+)
+
+func oneSlot(o *standin.EngineOptions) { o.Slots = 1 }
+
+func batchRequest(session string, tokens uint32, nodes ...*node) *wirepb.GenerateRequest {
+	r := request(session, 1, prompt(20), tokens, nodes...)
+	r.Rank = wirepb.Rank_RANK_BATCH
+	return r
+}
+
+// Guards against urgent work that waits for a batch generation, against one that
+// is preempted without an exact position for its replay, and against slots and
+// sessions that stay behind at either stage.
+func TestGenerate_UrgentPreemptsBatch(t *testing.T) {
+	const tokens, endless = 10, 100_000
+	for _, preempting := range []string{"head", "later stage"} {
+		t.Run(preempting, func(t *testing.T) {
+			head := startEngineNode(t, "head", 0, 1, nil, oneSlot)
+			later := startEngineNode(t, "later", 2, testLayers-1, nil, oneSlot)
+			other := startEngineNode(t, "other", 0, 1, nil, oneSlot)
+			batch := batchRequest("batch", endless, head, later)
+			begun := make(chan struct{})
+			received := 0
+			ended := make(chan error, 1)
+			go func() {
+				_, _, err := collect(context.Background(), newClient(t), batch, func(*wirepb.Token) {
+					if received++; received == 3 {
+						close(begun)
+					}
+				})
+				ended <- err
+			}()
+			<-begun
+			first := head
+			if preempting == "later stage" {
+				first = other
+			}
+			urgent := request("urgent", 1, prompt(30), tokens, first, later)
+			urgent.Rank = wirepb.Rank_RANK_URGENT
+			got, _, err := collect(context.Background(), newClient(t), urgent, nil)
+			assert.NilError(t, err)
+			assert.DeepEqual(t, got, standin.Reference(urgent.Prompt, testLayers, testSeed, tokens))
+
+			f := fault.As(<-ended)
+			assert.Equal(t, f.Kind, fault.Preempted)
+			assert.Equal(t, f.Outcome, fault.MayHaveRun)
+			assert.Equal(t, f.FailedStage, fault.NoStage, "no stage is at fault")
+			assert.Equal(t, f.Position, uint32(received))
+			waitFor(t, "free slots", func() bool {
+				return head.agent.queue.load().Running == 0 && later.agent.queue.load().Running == 0
+			})
+			assert.Equal(t, len(head.agent.queue.running)+len(later.agent.queue.running), 0)
+		})
+	}
+}
+
+// Guards against preemption that is not switched off by its setting.
+func TestGenerate_PreemptionOff(t *testing.T) {
+	n := startEngineNode(t, "host", 0, testLayers-1, func(s *Settings) { s.Preemption = false }, oneSlot)
+	r := n.agent.queueRequest(generateWork(batchRequest("b", 1, n)))
+	assert.Assert(t, !r.Preemptible)
+}
+
+// Guards against a preemption that is lost because it comes before the request
+// has set up its work, and against one by a request that must not wait.
+func TestQueue_Preemption(t *testing.T) {
+	q := newQueue(sched.Config{Slots: 1}, time.Now)
+	r := sched.Request{Rank: sched.Batch, Organisation: "b", Cost: 1, Preemptible: true, Deadline: time.Now().Add(time.Hour)}
+	s, err := q.acquire(context.Background(), r)
+	assert.NilError(t, err)
+
+	urgent := sched.Request{Rank: sched.Urgent, Organisation: "u", Cost: 1, Deadline: r.Deadline}
+	_, err = q.tryAcquire(urgent)
+	assert.Assert(t, fault.Is(err, fault.Overloaded))
+	ctx, stop := s.preemptible(context.Background())
+	assert.NilError(t, ctx.Err())
+	stop()
+
+	_, w, err := q.submit(urgent, true)
+	assert.NilError(t, err)
+	ctx, stop = s.preemptible(context.Background())
+	defer stop()
+	assert.Assert(t, fault.Is(context.Cause(ctx), fault.Preempted))
+	s.release()
+	<-w.ready
+}
+
+// Guards against a takeover of stages that others have taken since.
+func TestFreedStages(t *testing.T) {
+	now := time.Unix(0, 0)
+	f := freedStages{now: func() time.Time { return now }}
+	f.put([]*wirepb.StageRef{{Host: "a"}})
+	f.put(nil)
+	f.put([]*wirepb.StageRef{{Host: "b"}, {Host: "c"}})
+	assert.DeepEqual(t, f.take(), []string{"b", "c"})
+	now = now.Add(freedFor + 1)
+	assert.Assert(t, f.take() == nil)
+	for range 2 * maxFreed {
+		f.put([]*wirepb.StageRef{{Host: "d"}})
+	}
+	assert.Equal(t, len(f.chains), maxFreed)
+}
--- a/pkg/role/agent/queue.go
+++ b/pkg/role/agent/queue.go
@@ -19,9 +19,27 @@
 	mu      sync.Mutex
 	sched   *sched.Scheduler
 	waiters map[uint64]*waiter
+	running map[uint64]*preemption // of preemptible requests
 	nextID  uint64
 }
 
+// preemption ends a running request once the request has set cancel.
+type preemption struct {
+	requested bool
+	cancel    context.CancelCauseFunc
+}
+
+func (p *preemption) request() {
+	p.requested = true
+	if p.cancel != nil {
+		p.cancel(errPreempted())
+	}
+}
+
+func errPreempted() *fault.Error {
+	return fault.New(fault.Preempted, "slot was needed for other work").WithOutcome(fault.MayHaveRun)
+}
+
 type waiter struct {
 	ready chan struct{} // closed when the slot is granted or refused
 	err   error
@@ -36,13 +54,18 @@
 }
 
 func newQueue(cfg sched.Config, now func() time.Time) *queue {
-	return &queue{now: now, sched: sched.New(cfg), waiters: make(map[uint64]*waiter)}
+	return &queue{
+		now:     now,
+		sched:   sched.New(cfg),
+		waiters: make(map[uint64]*waiter),
+		running: make(map[uint64]*preemption),
+	}
 }
 
 // acquire waits for a slot. Its errors prove that the request did not run.
 func (q *queue) acquire(ctx context.Context, r sched.Request) (*slot, error) {
 	started := q.now()
-	id, w, err := q.submit(r)
+	id, w, err := q.submit(r, true)
 	if err != nil {
 		return nil, err
 	}
@@ -65,9 +88,10 @@
 	return s, nil
 }
 
-// tryAcquire takes a slot only if one is free at once.
+// tryAcquire takes a slot only if one is free at once. It preempts nothing:
+// another upstream may have a free slot.
 func (q *queue) tryAcquire(r sched.Request) (*slot, error) {
-	id, w, err := q.submit(r)
+	id, w, err := q.submit(r, false)
 	if err != nil {
 		return nil, err
 	}
@@ -92,7 +116,7 @@
 	return fault.Wrap(context.Cause(ctx), fault.Cancelled, "cancelled while queued").WithOutcome(fault.NotRun)
 }
 
-func (q *queue) submit(r sched.Request) (uint64, *waiter, error) {
+func (q *queue) submit(r sched.Request, preempt bool) (uint64, *waiter, error) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.nextID++
@@ -103,9 +127,24 @@
 	w := &waiter{ready: make(chan struct{})}
 	q.waiters[r.ID] = w
 	q.grant()
+	if preempt {
+		q.preempt()
+	}
 	return r.ID, w, nil
 }
 
+// preempt ends running requests whose slots queued ones are due. The caller
+// holds the lock.
+func (q *queue) preempt() {
+	for {
+		r, ok := q.sched.Preempt(q.now())
+		if !ok {
+			return
+		}
+		q.running[r.ID].request()
+	}
+}
+
 // grant hands out free slots. The caller holds the lock.
 func (q *queue) grant() {
 	for {
@@ -113,6 +152,9 @@
 		if !ok {
 			return
 		}
+		if r.Preemptible {
+			q.running[r.ID] = &preemption{}
+		}
 		q.wake(r.ID, nil)
 	}
 }
@@ -144,6 +186,7 @@
 		q.wake(r.ID, fault.New(fault.Deadline, "deadline passed while queued").WithOutcome(fault.NotRun))
 	}
 	q.grant()
+	q.preempt()
 }
 
 // run enforces deadlines until ctx ends.
@@ -189,6 +232,21 @@
 	return deadlineMS - used
 }
 
+// preemptible returns a context that ends when the slot is needed for other
+// work. The caller calls stop once.
+func (s *slot) preemptible(ctx context.Context) (_ context.Context, stop func()) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	s.queue.mu.Lock()
+	defer s.queue.mu.Unlock()
+	if p := s.queue.running[s.id]; p != nil {
+		p.cancel = cancel
+		if p.requested {
+			p.request()
+		}
+	}
+	return ctx, func() { cancel(nil) }
+}
+
 // charge sets the tokens used so far.
 func (s *slot) charge(tokens int) {
 	s.queue.mu.Lock()
@@ -202,6 +260,8 @@
 		s.queue.mu.Lock()
 		defer s.queue.mu.Unlock()
 		s.queue.sched.Finish(s.queue.now(), s.id)
+		delete(s.queue.running, s.id)
 		s.queue.grant()
+		s.queue.preempt()
 	})
 }
--- a/pkg/role/agent/settings.go
+++ b/pkg/role/agent/settings.go
@@ -34,6 +34,7 @@
 	MaxPendingClaims int           `ini:"service.max_pending" default:"128" min:"1" max:"10000" help:"Claimed calls that are running or not yet recorded."`
 	ClaimTimeout     time.Duration `ini:"service.claim_timeout" default:"3s" min:"100ms" max:"1m" help:"Longest time to make or read a claim."`
 	UrgentReserve    int           `ini:"queue.urgent_reserve" default:"0" min:"-1" max:"65536" help:"Slots kept for urgent work; 0 derives the number, -1 turns it off."`
+	Preemption       bool          `ini:"queue.preemption" default:"true" help:"End generations on lent slots when other work is due those; their streams are queued again and go on."`
 
 	// NoQueue is for measurements only.
 	NoQueue bool `ini:"baseline.no_queue" default:"false" help:"For measurements only: pass requests on at once in order of arrival, without queue, ranks and fairness."`
--- a/pkg/role/agent/stage.go
+++ b/pkg/role/agent/stage.go
@@ -32,6 +32,8 @@
 	}
 	defer end()
 	defer slot.release()
+	ctx, stop := slot.preemptible(ctx)
+	defer stop()
 	if up = a.upstream.view(); up == nil {
 		return blame(errNoUpstream(), int(open.Index))
 	}
@@ -82,6 +84,8 @@
 		weight:       open.Weight,
 		cost:         int(open.CostTokens),
 		deadlineMS:   open.DeadlineMs,
+		preemptible:  true,
+		preemptions:  int(open.Preemptions),
 	}
 }
 
--- a/pkg/role/entry/attempt.go
+++ b/pkg/role/entry/attempt.go
@@ -54,7 +54,7 @@
 // stallTimer bounds the time between tokens, and the time to the first token of
 // an attempt that repairs a begun stream. Before that the deadline does.
 func (g *generation) stallTimer(cancel context.CancelCauseFunc) *time.Timer {
-	t := time.AfterFunc(g.entry.opts.Settings.ReplayTime, func() {
+	t := time.AfterFunc(g.resumeTime(), func() {
 		cancel(fault.New(fault.Upstream, "chain produces no tokens"))
 	})
 	if !g.begun() {
@@ -63,6 +63,16 @@
 	return t
 }
 
+// resumeTime is the longest time to the first token of an attempt of a begun
+// stream. After a preemption the request waits in a queue first.
+func (g *generation) resumeTime() time.Duration {
+	limit := g.entry.opts.Settings.ReplayTime
+	if g.requeued {
+		limit += g.entry.opts.Settings.RequeueWait
+	}
+	return limit
+}
+
 // request returns the message for the current plan. Max_tokens does not count
 // the emitted tokens, unlike the positions.
 func (g *generation) request() *wirepb.GenerateRequest {
@@ -82,6 +92,7 @@
 		Stages:       stageRefs(g.chain),
 		Revision:     g.rev,
 		Weight:       g.weight,
+		Preemptions:  uint32(g.preemptions),
 		LateStages:   len(g.chain) > 1 && !g.entry.opts.Settings.RoundRobin,
 	}
 }
@@ -97,7 +108,7 @@
 func (g *generation) firstTokenMs() uint32 {
 	left := g.req.Deadline.Sub(g.entry.opts.Now())
 	if g.begun() {
-		left = g.entry.opts.Settings.ReplayTime
+		left = g.resumeTime()
 	}
 	left -= min(answerMargin, left/10)
 	return uint32(max(1, left.Milliseconds()))
--- a/pkg/role/entry/generate.go
+++ b/pkg/role/entry/generate.go
@@ -41,7 +41,10 @@
 	started   time.Time
 	lastToken time.Time
 	ran       bool // an attempt failed without proof that it did not run
-	emitErr   error
+
+	preemptions int
+	requeued    bool // the attempt follows a preemption
+	emitErr     error
 }
 
 // Generate implements callers.Router.
--- a/pkg/role/entry/later.go
+++ b/pkg/role/entry/later.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"github.com/plantainstair/plantainstair/pkg/core/route"
 	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
 )
 
@@ -22,6 +23,9 @@
 	g := l.generation
 	l.note(q.GetRefused())
 	l.choices++
+	if chain := l.freed(q.GetFreed()); chain != nil {
+		return l.use(chain, false)
+	}
 	wait := l.choices >= maxStageChoices
 	exclude := copyOf(g.plan.Exclude)
 	for host := range l.opened {
@@ -44,6 +48,28 @@
 	if err != nil {
 		return nil, err
 	}
+	return l.use(chain, wait)
+}
+
+// freed returns the chain over hosts that the head expects to have free slots,
+// or nil.
+func (l *laterStages) freed(hosts []string) []route.Stage {
+	if len(hosts) == 0 {
+		return nil
+	}
+	g := l.generation
+	need := g.need(copyOf(g.plan.Exclude), "")
+	need.Later = hosts
+	chain, err := g.entry.chooseAfter(g.chain[0].Host, need)
+	if err != nil {
+		return nil
+	}
+	return chain
+}
+
+// use makes chain the one of the attempt.
+func (l *laterStages) use(chain []route.Stage, wait bool) (*wirepb.StageChoice, error) {
+	g := l.generation
 	if err := g.stream.Replace(g.plan.Epoch, hostsOf(chain)); err != nil {
 		return nil, err
 	}
--- a/pkg/role/entry/metrics.go
+++ b/pkg/role/entry/metrics.go
@@ -25,13 +25,14 @@
 
 // meters are the metrics of an entry.
 type meters struct {
-	set        *metrics.Set
-	firstToken [sched.Ranks]*metrics.Histogram
-	interToken [sched.Ranks]*metrics.Histogram
-	repairs    *metrics.Counter
-	retries    *metrics.Counter
-	noBudget   *metrics.Counter
-	ejections  *metrics.Counter
+	set         *metrics.Set
+	firstToken  [sched.Ranks]*metrics.Histogram
+	interToken  [sched.Ranks]*metrics.Histogram
+	repairs     *metrics.Counter
+	retries     *metrics.Counter
+	preemptions *metrics.Counter
+	noBudget    *metrics.Counter
+	ejections   *metrics.Counter
 
 	mu            sync.Mutex
 	organisations map[string]struct{}
@@ -51,6 +52,7 @@
 		set:           set,
 		repairs:       set.NewCounter("plantain_entry_stream_repairs_total"),
 		retries:       set.NewCounter("plantain_entry_retries_total"),
+		preemptions:   set.NewCounter("plantain_entry_preemptions_total"),
 		noBudget:      set.NewCounter("plantain_entry_retries_denied_total"),
 		ejections:     set.NewCounter("plantain_entry_ejections_total"),
 		organisations: make(map[string]struct{}),
--- a/pkg/role/entry/repair.go
+++ b/pkg/role/entry/repair.go
@@ -19,9 +19,16 @@
 	if g.emitErr != nil {
 		return g.emitErr
 	}
-	if ctx.Err() != nil || !mayMove(err.Kind) {
+	if ctx.Err() != nil {
 		return err
 	}
+	if err.Kind == fault.Preempted && g.preemptions < maxPreemptions {
+		return g.requeue(ctx, err)
+	}
+	if !mayMove(err.Kind) {
+		return err
+	}
+	g.requeued = false
 	failed := g.failedStage(err)
 	g.entry.observe(g.chain[failed].Host, err)
 	avoid := g.chain[failed].DataCentre
@@ -39,6 +46,29 @@
 	return g.resume(ctx, plan, avoid, err)
 }
 
+// maxPreemptions is far above the bound that agents keep, and ends a loop with
+// an agent that keeps none.
+const maxPreemptions = 16
+
+// requeue sends a preempted request to a queue again. It waits there as long as
+// new work would, because nothing has failed.
+func (g *generation) requeue(ctx context.Context, cause *fault.Error) error {
+	plan, err := g.stream.Preempt(g.plan.Epoch)
+	if err != nil {
+		return cause
+	}
+	if g.whole() {
+		return nil
+	}
+	g.preemptions++
+	g.requeued = true
+	g.entry.metrics.preemptions.Inc()
+	if err := g.resume(ctx, plan, "", cause); err != cause {
+		return err
+	}
+	return fault.Wrap(cause, fault.Overloaded, "no chain for a preempted request").WithOutcome(fault.MayHaveRun).WithRetryAfter(busyRetryAfter)
+}
+
 // failedStage returns the index of the stage at fault, the head if none is
 // named.
 func (g *generation) failedStage(err *fault.Error) int {
@@ -73,8 +103,7 @@
 		chain, err := g.choose(plan.Exclude, avoid)
 		if err == nil {
 			g.chain, g.plan = chain, plan
-			g.entry.opts.Log.Info("stream is repaired", logs.Str("request", g.req.RequestID),
-				logs.Uint("epoch", plan.Epoch), logs.Int("position", len(plan.Emitted)), logs.Err(cause))
+			g.logResumed(cause)
 			return g.stream.Resume(plan, hostsOf(chain))
 		}
 		if !g.begun() || !g.entry.opts.Now().Before(until) {
@@ -86,6 +115,17 @@
 	}
 }
 
+// logResumed logs preemptions at a lower level: a busy fleet has many of them.
+func (g *generation) logResumed(cause *fault.Error) {
+	log := g.entry.opts.Log.Info
+	message := "stream is repaired"
+	if g.requeued {
+		log, message = g.entry.opts.Log.Debug, "stream is queued again"
+	}
+	log(message, logs.Str("request", g.req.RequestID), logs.Uint("epoch", g.plan.Epoch),
+		logs.Int("position", len(g.plan.Emitted)), logs.Err(cause))
+}
+
 func ended(ctx context.Context) *fault.Error {
 	if e := fault.As(context.Cause(ctx)); e.Kind != fault.Internal {
 		return e
--- a/pkg/role/entry/settings.go
+++ b/pkg/role/entry/settings.go
@@ -25,6 +25,7 @@
 	Batch       time.Duration `ini:"deadline.batch" default:"10m" min:"10ms" max:"1h" help:"Deadline of batch requests that name none."`
 	Stall       time.Duration `ini:"streams.stall_timeout" default:"4s" min:"100ms" max:"5m" help:"Longest time between two tokens before the stream is repaired; longer than agents take to report a failed stage."`
 	ReplayTime  time.Duration `ini:"streams.replay_timeout" default:"10s" min:"100ms" max:"5m" help:"Longest time to the first token of a repaired stream."`
+	RequeueWait time.Duration `ini:"streams.requeue_wait" default:"2m" min:"1s" max:"1h" help:"Longest wait for a new slot of a stream that lost its slot to other work."`
 	RepairWait  time.Duration `ini:"streams.repair_wait" default:"5s" min:"0s" max:"5m" help:"How long a broken stream waits for a chain to become available."`
 	MaxRepairs  int           `ini:"streams.max_repairs" default:"4" min:"0" max:"20" help:"Largest number of repairs of one stream, including retries before its first token."`
 	MaxAttempts int           `ini:"services.max_attempts" default:"3" min:"1" max:"10" help:"Largest number of attempts of one service call."`
--- a/pkg/role/entry/stream_test.go
+++ b/pkg/role/entry/stream_test.go
@@ -54,6 +54,7 @@
 		"stage failed":  refusing(after, fault.New(fault.Upstream, "engine died").WithStage(0).WithOutcome(fault.MayHaveRun)),
 		"refused":       refusing(after, fault.New(fault.Overloaded, "queue is full").WithOutcome(fault.NotRun)),
 		"head lost":     cutting(after),
+		"preempted":     refusing(after, fault.New(fault.Preempted, "slot is needed").WithOutcome(fault.MayHaveRun)),
 		"duplicate":     wrong(func(t *wirepb.Token) { t.Position-- }),
 		"gap":           wrong(func(t *wirepb.Token) { t.Position++ }),
 		"late epoch":    wrong(func(t *wirepb.Token) { t.Epoch-- }),
@@ -91,6 +92,31 @@
 	})
 }
 
+// Guards against a preempted stream that loses or repeats tokens, excludes a
+// healthy host, or uses up the repairs of the stream and the retry budget. Only
+// one host holds the model, so an exclusion would end the stream.
+func TestChat_ContinuesAfterPreemption(t *testing.T) {
+	const times = 4
+	var list []behaviour
+	var mu sync.Mutex
+	var counts []uint32
+	for after := range uint32(times) {
+		list = append(list, func(a *fakeAgent, s *wire.Stream, f *wirepb.Frame) {
+			mu.Lock()
+			counts = append(counts, f.GetGenerate().Preemptions)
+			mu.Unlock()
+			refusing(after, fault.New(fault.Preempted, "slot is needed").WithOutcome(fault.MayHaveRun))(a, s, f)
+		})
+	}
+	s := newSystem(t, startAgents(t, 1, inTurn(list...)), nil, "[streams]\nmax_repairs=0")
+	text, err := s.stream(context.Background(), 24, 3)
+	assert.Assert(t, errors.Is(err, io.EOF), "%v", err)
+	assert.Equal(t, text, expected(24, 3))
+	assert.DeepEqual(t, counts, []uint32{0, 1, 2, 3})
+	assert.Equal(t, s.entry.metrics.preemptions.Get(), uint64(times))
+	assert.Equal(t, s.entry.metrics.retries.Get()+s.entry.metrics.repairs.Get(), uint64(0))
+}
+
 // rapidTB runs clean-ups at the end of one case.
 type rapidTB struct {
 	testing.TB
--- a/test/e2e/harness_test.go
+++ b/test/e2e/harness_test.go
@@ -110,9 +110,14 @@
 	return b.String()
 }
 
-// chat streams one completion and returns its text. onChunk may be nil.
+// chat streams one completion of the first organisation and returns its text.
+// onChunk may be nil.
 func chat(ctx context.Context, d *local.Deployment, entry int, content string, n int, onChunk func(int)) (string, error) {
-	config := openai.DefaultConfig(d.Plan.Organisations[0].Key)
+	return chatAs(ctx, d, d.Plan.Organisations[0], entry, content, n, onChunk)
+}
+
+func chatAs(ctx context.Context, d *local.Deployment, caller local.Organisation, entry int, content string, n int, onChunk func(int)) (string, error) {
+	config := openai.DefaultConfig(caller.Key)
 	config.BaseURL = "http://" + d.Entries[entry].Address + "/v1"
 	seed := modelSeed
 	stream, err := openai.NewClientWithConfig(config).CreateChatCompletionStream(ctx, openai.ChatCompletionRequest{
