core/sched: let only urgent work that is owed a request take entitled slots

Change: an entitled request yields only to urgent work that has saved the credit of a whole request and holds less than its share of the slots.

--- a/pkg/core/sched/model_test.go
+++ b/pkg/core/sched/model_test.go
@@ -30,6 +30,9 @@
 	measured arrivals
 	of       map[uint64]arrivals
 	slots    int
+
+	preemptible bool // every request
+	preemptions [Ranks]int
 }
 
 type running struct {
@@ -115,6 +118,7 @@
 	if a.deadline > 0 {
 		r.Deadline = m.now.Add(a.deadline)
 	}
+	r.Preemptible = m.preemptible
 	if err := m.s.Submit(m.now, r); err != nil {
 		if fault.Is(err, fault.Deadline) {
 			m.refused[a.rank]++
@@ -139,6 +143,9 @@
 		for _, e := range m.s.Expire(m.now) {
 			m.expired[e.Rank]++
 		}
+		if !ok && m.preempt() {
+			continue
+		}
 		if !ok {
 			return
 		}
@@ -151,6 +158,27 @@
 	}
 }
 
+// preempt ends one running request and queues the rest of it again. The replay
+// takes no time.
+func (m *upstreamModel) preempt() bool {
+	r, ok := m.s.Preempt(m.now)
+	if !ok {
+		return false
+	}
+	i := slices.IndexFunc(m.ends.items, func(e running) bool { return e.id == r.ID })
+	left := int(m.ends.items[i].end.Sub(m.now) / m.perToken)
+	m.ends.remove(i)
+	m.s.Charge(r.ID, max(m.used[r.ID]-left, 1))
+	m.s.Finish(m.now, r.ID)
+	m.tokens[r.Rank] -= left
+	m.preemptions[r.Rank]++
+	m.used[r.ID] = left
+	r.Preemptions++
+	r.Cost = max(left, 1)
+	r.Deadline = time.Time{}
+	return m.s.Submit(m.now, r) == nil
+}
+
 func (m *upstreamModel) percentile(r Rank, part float64) time.Duration {
 	w := m.waits[r]
 	if len(w) == 0 {
--- a/pkg/core/sched/preempt.go
+++ b/pkg/core/sched/preempt.go
@@ -71,12 +71,20 @@
 	return victim
 }
 
-// yields reports whether it must give way to rank r. A rank below its minimum
-// takes any slot of a less urgent rank, which gets the unused part of its credit
-// back and so keeps its own minimum. A rank that borrows takes only slots on
-// lent share.
+// yields reports whether it must give way to rank r: on lent share always, and
+// otherwise only to urgent work that is owed a request. The rank of it then gets
+// the unused part of its credit back, and so keeps its own minimum.
 func (s *Scheduler) yields(it *item, r Rank) bool {
-	return it.req.Rank > r && it.preemptible() && (!it.entitled || s.ranks[r].credit > 0)
+	return it.req.Rank > r && it.preemptible() && (!it.entitled || r == Urgent && s.urgentOwed())
+}
+
+// urgentOwed reports whether urgent work has saved the credit of a whole request
+// and holds less than its share of the slots. Any credit is not enough: in a
+// flood urgent work has some again after every few tokens, and would end the few
+// requests of the other ranks each time.
+func (s *Scheduler) urgentOwed() bool {
+	q := &s.ranks[Urgent]
+	return q.credit > s.rate.meanCost && float64(q.running+s.promised[Urgent]) < q.share*float64(s.cfg.Slots)
 }
 
 // unfairVictim returns a request of rank r whose organisation would still hold
--- a/pkg/core/sched/preempt_test.go
+++ b/pkg/core/sched/preempt_test.go
@@ -166,6 +166,29 @@
 	assert.Equal(t, r.ID, uint64(2))
 }
 
+// Guards against urgent work that, in a flood of its own, ends the few requests
+// that other ranks run on their minima. Both ranks ask for nine tenths of their
+// minima, at an upstream with few slots.
+func TestPreempt_UrgentFloodKeepsMinima(t *testing.T) {
+	const prompt, mean = 30, 50
+	m := newModel(Config{Slots: 3}, 1)
+	m.preemptible = true
+	perSecond := 3 / m.perToken.Seconds() / (prompt + mean) // requests
+	load := []arrivals{{rank: Urgent, organisations: 3, caller: "u", prompt: prompt, mean: mean, perSecond: 2 * perSecond, deadline: 10 * time.Second}}
+	for _, r := range []Rank{Standard, Batch} {
+		load = append(load, arrivals{rank: r, organisations: 1, caller: "o", prompt: prompt, mean: mean, perSecond: 0.9 * DefaultShares[r] * perSecond})
+	}
+	const period = 4 * time.Hour
+	m.run(period, load)
+	for _, a := range load[1:] {
+		offered := a.perSecond * (prompt + mean) * period.Seconds()
+		got := float64(m.tokens[a.rank]) / offered
+		assert.Assert(t, got >= 0.9, "%s received %.3f of what it offered", a.rank, got)
+		requests := int(a.perSecond * period.Seconds())
+		assert.Assert(t, m.preemptions[a.rank] <= requests/10, "%d preemptions of %d requests", m.preemptions[a.rank], requests)
+	}
+}
+
 // Guards against a rank that loses its minimum because it has no request queued
 // at most times: its requests arrive at random, at nine tenths of its share, in
 // a flood of urgent work. Half of them must start within the time of three
