agent: move the client side of a stage from role/agent

Cause: two clients opened a later stage. OpenStage of pkg/agent served only tests; the product used nextStage of pkg/role/agent, which had time-outs, the splitting of large steps and the blame of a stage.

Change: agent.Stage has the protocol of nextStage: open, time-outs, results and the failure of a broken stream. nextStage keeps what an agent adds: the splitting of activations and the blame for an error that names no stage.

Conclusion: one client of a stage.

--- a/pkg/agent/client.go
+++ b/pkg/agent/client.go
@@ -106,6 +106,19 @@
 	_ = k.stream.Close()
 }
 
+// extend moves the read deadline unless the call was cancelled.
+func (k *call) extend(d time.Duration) { k.setReadDeadline(time.Now().Add(d)) }
+
+// unbound removes the read deadline unless the call was cancelled.
+func (k *call) unbound() { k.setReadDeadline(time.Time{}) }
+
+func (k *call) setReadDeadline(at time.Time) {
+	_ = k.stream.SetReadDeadline(at)
+	if k.ctx.Err() != nil {
+		_ = k.stream.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
 // read returns the next frame. An Error frame becomes an error.
 func (k *call) read() (*wirepb.Frame, error) {
 	f, err := k.stream.Read()
--- a/pkg/agent/client_test.go
+++ b/pkg/agent/client_test.go
@@ -154,30 +154,6 @@
 	<-reports // the watch is opened again
 }
 
-// Guards against a pipeline step that takes the result of a failed stage.
-func TestStage_StepsAndFailure(t *testing.T) {
-	addr := serve(t, func(s *wire.Stream) {
-		_, _ = s.Read()
-		write(s, &wirepb.Frame{Body: &wirepb.Frame_StageReady{StageReady: &wirepb.StageReady{CachedTokens: 3}}})
-		f, err := s.Read()
-		if err != nil {
-			return
-		}
-		write(s, &wirepb.Frame{Body: &wirepb.Frame_StageResult{StageResult: &wirepb.StageResult{Position: f.GetStageStep().Position + 1}}})
-		_, _ = s.Read()
-		_ = s.WriteError(fault.New(fault.Upstream, "engine died").WithStage(1))
-	})
-	st, err := newClient(t).OpenStage(context.Background(), addr, &wirepb.StageOpen{})
-	assert.NilError(t, err)
-	defer st.Close()
-	assert.Equal(t, st.Ready().CachedTokens, uint32(3))
-	r, err := st.Step(&wirepb.StageStep{Position: 4})
-	assert.NilError(t, err)
-	assert.Equal(t, r.Position, uint32(5))
-	_, err = st.Step(&wirepb.StageStep{Position: 5})
-	assert.Equal(t, fault.As(err).FailedStage, 1)
-}
-
 // Guards against wrong limits of silence and against ejecting every agent
 // after a pause of this process.
 func TestLiveness(t *testing.T) {
--- a/pkg/agent/load.go
+++ b/pkg/agent/load.go
@@ -55,14 +55,6 @@
 	return k.read()
 }
 
-// extend moves the read deadline unless the call was cancelled.
-func (k *call) extend(d time.Duration) {
-	_ = k.stream.SetReadDeadline(time.Now().Add(d))
-	if k.ctx.Err() != nil {
-		_ = k.stream.SetReadDeadline(time.Unix(1, 0))
-	}
-}
-
 // Follow keeps a load watch on the agent at addr until ctx ends. When the
 // watch fails, the session is dropped if the agent fell silent, which ends
 // every stream to it at once. onRoundTrip receives measured round trips.
--- a/pkg/role/agent/generate_test.go
+++ b/pkg/role/agent/generate_test.go
@@ -10,6 +10,7 @@
 
 	"gotest.tools/v3/assert"
 
+	client "github.com/plantainstair/plantainstair/pkg/agent"
 	"github.com/plantainstair/plantainstair/pkg/fault"
 	"github.com/plantainstair/plantainstair/pkg/standin"
 	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
@@ -231,6 +232,7 @@
 	n := startEngineNode(t, "a", 6, 8, nil, nil)
 	c := newClient(t)
 	open := &wirepb.StageOpen{Session: "s", Epoch: 2, Model: "m", Version: "v", Index: 2, Stages: []*wirepb.StageRef{n.ref()}}
+	timeouts := client.StageTimeouts{Ready: time.Minute, Result: time.Minute}
 	hidden := [][]byte{make([]byte, 8)}
 	for name, step := range map[string]*wirepb.StageStep{
 		"position": {Epoch: 2, Position: 1, Hidden: hidden},
@@ -238,9 +240,10 @@
 		"empty":    {Epoch: 2},
 	} {
 		open.Session = name
-		s, err := c.OpenStage(context.Background(), n.agent.Address(), open)
+		s, err := c.OpenStage(context.Background(), n.agent.Address(), open, timeouts)
 		assert.NilError(t, err)
-		_, err = s.Step(step)
+		assert.NilError(t, s.Send(step))
+		_, err = s.Receive()
 		f := fault.As(err)
 		assert.Assert(t, f != nil, name)
 		assert.Assert(t, !strings.Contains(f.Message, "upstream:"), "the agent must not leave the check to the engine: %v", f)
@@ -250,7 +253,7 @@
 			assert.Equal(t, f.FailedStage, 2, "%v", f)
 		}
 		s.Close()
-		_, err = c.OpenStage(context.Background(), n.agent.Address(), open)
+		_, err = c.OpenStage(context.Background(), n.agent.Address(), open, timeouts)
 		assert.Assert(t, fault.Is(err, fault.StaleEpoch), "an epoch opens once: %v", err)
 	}
 	assert.Equal(t, len(n.engine.Records().Layers), 0)
