local: make the temporary folder of a run in one place

Cause: plantain-demo and plantain-experiment had the same lines for a folder that is temporary unless the user names one.

Change: local.Folder, with a test.

Conclusion: no behaviour changes. The test covers a named folder, a temporary one and a folder that cannot be made.

--- a/cmd/plantain-demo/main.go
+++ b/cmd/plantain-demo/main.go
@@ -11,7 +11,6 @@
 
 	"github.com/integrii/flaggy"
 
-	"github.com/plantainstair/plantainstair/pkg/fault"
 	"github.com/plantainstair/plantainstair/pkg/local"
 	"github.com/plantainstair/plantainstair/pkg/platform"
 )
@@ -33,14 +32,11 @@
 }
 
 func run(bin, dir string, check bool) error {
-	if dir == "" {
-		temporary, err := os.MkdirTemp("", "plantain-demo-")
-		if err != nil {
-			return fault.Wrap(err, fault.Internal, "create a temporary folder")
-		}
-		defer os.RemoveAll(temporary)
-		dir = temporary
+	dir, remove, err := local.Folder(dir, "plantain-demo")
+	if err != nil {
+		return err
 	}
+	defer remove()
 	ctx, stop := platform.SignalContext()
 	defer stop()
 	startCtx, cancel := context.WithTimeout(ctx, startTimeout)
--- a/cmd/plantain-experiment/main.go
+++ b/cmd/plantain-experiment/main.go
@@ -11,7 +11,7 @@
 	"github.com/integrii/flaggy"
 
 	"github.com/plantainstair/plantainstair/pkg/experiment"
-	"github.com/plantainstair/plantainstair/pkg/fault"
+	"github.com/plantainstair/plantainstair/pkg/local"
 	"github.com/plantainstair/plantainstair/pkg/platform"
 )
 
@@ -39,14 +39,11 @@
 }
 
 func run(o experiment.Options, bin, dir string) error {
-	if dir == "" {
-		temporary, err := os.MkdirTemp("", "plantain-experiment-")
-		if err != nil {
-			return fault.Wrap(err, fault.Internal, "create a temporary folder")
-		}
-		defer os.RemoveAll(temporary)
-		dir = temporary
+	dir, remove, err := local.Folder(dir, "plantain-experiment")
+	if err != nil {
+		return err
 	}
+	defer remove()
 	ctx, stop := platform.SignalContext()
 	defer stop()
 	o.Runner = &experiment.Runner{Bin: bin, Dir: dir}
--- /dev/null
+++ b/pkg/local/folder.go
@@ -0,0 +1,20 @@
+package local
+
+import (
+	"os"
+
+	"github.com/plantainstair/plantainstair/pkg/fault"
+)
+
+// Folder returns dir, or a new temporary folder named after program if dir is
+// empty. The returned function removes a temporary folder.
+func Folder(dir, program string) (path string, remove func(), err error) {
+	if dir != "" {
+		return dir, func() {}, nil
+	}
+	path, err = os.MkdirTemp("", program+"-")
+	if err != nil {
+		return "", nil, fault.Wrap(err, fault.Internal, "create a temporary folder")
+	}
+	return path, func() { _ = os.RemoveAll(path) }, nil
+}
--- /dev/null
+++ b/pkg/local/folder_test.go
@@ -0,0 +1,33 @@
+package local
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a temporary folder that stays, and against the removal of a
+// folder that the user named.
+func TestFolder(t *testing.T) {
+	t.Setenv("TMPDIR", t.TempDir())
+	named := t.TempDir()
+	path, remove, err := Folder(named, "program")
+	assert.NilError(t, err)
+	assert.Equal(t, path, named)
+	remove()
+	_, err = os.Stat(named)
+	assert.NilError(t, err)
+
+	path, remove, err = Folder("", "program")
+	assert.NilError(t, err)
+	assert.NilError(t, os.WriteFile(filepath.Join(path, "log"), nil, 0o600))
+	remove()
+	_, err = os.Stat(path)
+	assert.Assert(t, os.IsNotExist(err), "%v", err)
+
+	t.Setenv("TMPDIR", filepath.Join(named, "absent"))
+	_, _, err = Folder("", "program")
+	assert.ErrorContains(t, err, "create a temporary folder")
+}
