Set defaults of options by one function

Cause: four packages had the same setDefault and four more wrote the same condition for each option; plantain-load had its own wait that ends with a context.

Conclusion: no behaviour changes; the tests of these packages pass under -race.

--- a/pkg/callers/handler.go
+++ b/pkg/callers/handler.go
@@ -7,6 +7,7 @@
 
 	"github.com/justinas/alice"
 
+	"github.com/plantainstair/plantainstair/pkg/defaults"
 	"github.com/plantainstair/plantainstair/pkg/fault"
 	"github.com/plantainstair/plantainstair/pkg/logs"
 	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
@@ -59,15 +60,9 @@
 }
 
 func (o Options) withDefaults() Options {
-	if o.MaxBody <= 0 {
-		o.MaxBody = DefaultMaxBody
-	}
-	if o.ReadTime <= 0 {
-		o.ReadTime = DefaultReadTimeout
-	}
-	if o.WriteTime <= 0 {
-		o.WriteTime = DefaultWriteTimeout
-	}
+	defaults.Set(&o.MaxBody, DefaultMaxBody)
+	defaults.Set(&o.ReadTime, DefaultReadTimeout)
+	defaults.Set(&o.WriteTime, DefaultWriteTimeout)
 	if o.Deadlines == (Deadlines{}) {
 		o.Deadlines = DefaultDeadlines
 	}
--- a/pkg/core/raft/types.go
+++ b/pkg/core/raft/types.go
@@ -5,6 +5,7 @@
 package raft
 
 import (
+	"github.com/plantainstair/plantainstair/pkg/defaults"
 	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
 )
 
@@ -103,18 +104,12 @@
 )
 
 func (c *Config) setDefaults() {
-	setDefault(&c.ElectionTicks, DefaultElectionTicks)
-	setDefault(&c.HeartbeatTicks, DefaultHeartbeatTicks)
-	setDefault(&c.SnapshotRetryTicks, DefaultSnapshotRetryTicks)
-	setDefault(&c.MaxAppendBytes, DefaultMaxAppendBytes)
-	setDefault(&c.MaxInflight, DefaultMaxInflight)
+	defaults.Set(&c.ElectionTicks, DefaultElectionTicks)
+	defaults.Set(&c.HeartbeatTicks, DefaultHeartbeatTicks)
+	defaults.Set(&c.SnapshotRetryTicks, DefaultSnapshotRetryTicks)
+	defaults.Set(&c.MaxAppendBytes, DefaultMaxAppendBytes)
+	defaults.Set(&c.MaxInflight, DefaultMaxInflight)
 	if c.Snapshot == nil {
 		c.Snapshot = &wirepb.SnapshotMeta{}
 	}
 }
-
-func setDefault(v *int, def int) {
-	if *v <= 0 {
-		*v = def
-	}
-}
--- a/pkg/core/route/median.go
+++ b/pkg/core/route/median.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/plantainstair/plantainstair/pkg/defaults"
 )
 
 // refresh computes the median latency of the hosts with enough samples, unless
@@ -27,20 +29,14 @@
 }
 
 func (c TrackerConfig) withDefaults() TrackerConfig {
-	setDefault(&c.ErrorRate, DefaultErrorRate)
-	setDefault(&c.ErrorsInRow, DefaultErrorsInRow)
-	setDefault(&c.SlowFactor, DefaultSlowFactor)
-	setDefault(&c.MinSamples, DefaultMinSamples)
-	setDefault(&c.Window, DefaultWindow)
-	setDefault(&c.BaseEjection, DefaultBaseEjection)
-	setDefault(&c.MaxEjection, DefaultMaxEjection)
-	setDefault(&c.ProbeTimeout, DefaultProbeTimeout)
-	setDefault(&c.SlowStart, DefaultSlowStart)
+	defaults.Set(&c.ErrorRate, DefaultErrorRate)
+	defaults.Set(&c.ErrorsInRow, DefaultErrorsInRow)
+	defaults.Set(&c.SlowFactor, DefaultSlowFactor)
+	defaults.Set(&c.MinSamples, DefaultMinSamples)
+	defaults.Set(&c.Window, DefaultWindow)
+	defaults.Set(&c.BaseEjection, DefaultBaseEjection)
+	defaults.Set(&c.MaxEjection, DefaultMaxEjection)
+	defaults.Set(&c.ProbeTimeout, DefaultProbeTimeout)
+	defaults.Set(&c.SlowStart, DefaultSlowStart)
 	return c
 }
-
-func setDefault[T float64 | int | time.Duration](value *T, def T) {
-	if *value <= 0 {
-		*value = def
-	}
-}
--- a/pkg/entry/server.go
+++ b/pkg/entry/server.go
@@ -7,6 +7,7 @@
 	"context"
 	"time"
 
+	"github.com/plantainstair/plantainstair/pkg/defaults"
 	"github.com/plantainstair/plantainstair/pkg/fault"
 	"github.com/plantainstair/plantainstair/pkg/link"
 	"github.com/plantainstair/plantainstair/pkg/logs"
@@ -52,12 +53,8 @@
 
 // NewServer returns a server that passes requests to handler.
 func NewServer(handler Handler, opts Options) *Server {
-	if opts.FirstFrameTimeout <= 0 {
-		opts.FirstFrameTimeout = DefaultFirstFrameTimeout
-	}
-	if opts.WriteTimeout <= 0 {
-		opts.WriteTimeout = DefaultWriteTimeout
-	}
+	defaults.Set(&opts.FirstFrameTimeout, DefaultFirstFrameTimeout)
+	defaults.Set(&opts.WriteTimeout, DefaultWriteTimeout)
 	return &Server{handler: handler, opts: opts}
 }
 
--- a/pkg/load/runner.go
+++ b/pkg/load/runner.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"github.com/plantainstair/plantainstair/pkg/delay"
 )
 
 // Execute runs a scenario and returns its report. It ends early when ctx does.
@@ -45,12 +47,5 @@
 	if wait <= 0 {
 		return ctx.Err() == nil
 	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
+	return delay.Wait(ctx, wait)
 }
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/plantainstair/plantainstair/pkg/core/raft"
+	"github.com/plantainstair/plantainstair/pkg/defaults"
 	"github.com/plantainstair/plantainstair/pkg/fault"
 	"github.com/plantainstair/plantainstair/pkg/logs"
 	"github.com/plantainstair/plantainstair/pkg/wal"
@@ -178,29 +179,23 @@
 	if o.FS == nil {
 		o.FS = wal.OS{}
 	}
-	setDefault(&o.TickInterval, DefaultTickInterval)
-	setDefault(&o.ElectionTimeout, DefaultElectionTimeout)
-	setDefault(&o.Heartbeat, DefaultHeartbeat)
-	setDefault(&o.SegmentSize, wal.DefaultSegmentSize)
-	setDefault(&o.SnapshotEntries, DefaultSnapshotEntries)
-	setDefault(&o.TrailingEntries, DefaultTrailingEntries)
-	setDefault(&o.TrailingBytes, DefaultTrailingBytes)
-	setDefault(&o.MaxProposalBytes, DefaultMaxProposalBytes)
-	setDefault(&o.MaxPending, DefaultMaxPending)
-	setDefault(&o.SnapshotBytes, DefaultSnapshotBytes)
-	setDefault(&o.SyncStall, DefaultSyncStall)
+	defaults.Set(&o.TickInterval, DefaultTickInterval)
+	defaults.Set(&o.ElectionTimeout, DefaultElectionTimeout)
+	defaults.Set(&o.Heartbeat, DefaultHeartbeat)
+	defaults.Set(&o.SegmentSize, wal.DefaultSegmentSize)
+	defaults.Set(&o.SnapshotEntries, DefaultSnapshotEntries)
+	defaults.Set(&o.TrailingEntries, DefaultTrailingEntries)
+	defaults.Set(&o.TrailingBytes, DefaultTrailingBytes)
+	defaults.Set(&o.MaxProposalBytes, DefaultMaxProposalBytes)
+	defaults.Set(&o.MaxPending, DefaultMaxPending)
+	defaults.Set(&o.SnapshotBytes, DefaultSnapshotBytes)
+	defaults.Set(&o.SyncStall, DefaultSyncStall)
 	if o.Random == nil {
 		o.Random = randomInt
 	}
 	return nil
 }
 
-func setDefault[T int | time.Duration](v *T, def T) {
-	if *v <= 0 {
-		*v = def
-	}
-}
-
 // Step hands over a message from the transport. A message that finds the
 // queue full is dropped, as a network may do.
 func (r *Replica) Step(m *wirepb.RaftMessage) {
--- a/pkg/standin/server.go
+++ b/pkg/standin/server.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/plantainstair/plantainstair/pkg/defaults"
 	"github.com/plantainstair/plantainstair/pkg/fault"
 	"github.com/plantainstair/plantainstair/pkg/upstreams"
 )
@@ -110,12 +111,8 @@
 	if opts.Agent == "" {
 		return
 	}
-	if opts.Heartbeat <= 0 {
-		opts.Heartbeat = DefaultHeartbeat
-	}
-	if opts.LoadInterval <= 0 {
-		opts.LoadInterval = DefaultLoadInterval
-	}
+	defaults.Set(&opts.Heartbeat, DefaultHeartbeat)
+	defaults.Set(&opts.LoadInterval, DefaultLoadInterval)
 	a.Instance = uint64(time.Now().UnixNano())
 	r := &reporter{opts: opts, announcement: a, switches: switches, load: load, cache: cache}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/pkg/upstreams/client.go
+++ b/pkg/upstreams/client.go
@@ -13,6 +13,7 @@
 	"syscall"
 	"time"
 
+	"github.com/plantainstair/plantainstair/pkg/defaults"
 	"github.com/plantainstair/plantainstair/pkg/fault"
 )
 
@@ -42,21 +43,15 @@
 }
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.ConnectTimeout, DefaultConnectTimeout)
-	setDefault(&o.RequestTimeout, DefaultRequestTimeout)
-	setDefault(&o.LineTimeout, DefaultLineTimeout)
-	setDefault(&o.MaxLine, DefaultMaxLine)
-	setDefault(&o.MaxKV, DefaultMaxKV)
-	setDefault(&o.MaxAnswer, DefaultMaxAnswer)
+	defaults.Set(&o.ConnectTimeout, DefaultConnectTimeout)
+	defaults.Set(&o.RequestTimeout, DefaultRequestTimeout)
+	defaults.Set(&o.LineTimeout, DefaultLineTimeout)
+	defaults.Set(&o.MaxLine, DefaultMaxLine)
+	defaults.Set(&o.MaxKV, DefaultMaxKV)
+	defaults.Set(&o.MaxAnswer, DefaultMaxAnswer)
 	return o
 }
 
-func setDefault[T int | int64 | time.Duration](v *T, d T) {
-	if *v <= 0 {
-		*v = d
-	}
-}
-
 // Client calls the upstream beside an agent.
 type Client struct {
 	opts     Options
--- a/pkg/wal/wal.go
+++ b/pkg/wal/wal.go
@@ -8,6 +8,7 @@
 	"path/filepath"
 	"slices"
 
+	"github.com/plantainstair/plantainstair/pkg/defaults"
 	"github.com/plantainstair/plantainstair/pkg/fault"
 	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
 )
@@ -139,9 +140,7 @@
 	if o.FS == nil {
 		o.FS = OS{}
 	}
-	if o.SegmentSize <= 0 {
-		o.SegmentSize = DefaultSegmentSize
-	}
+	defaults.Set(&o.SegmentSize, DefaultSegmentSize)
 	return &Log{fs: o.FS, dir: o.Dir, maxSize: uint64(o.SegmentSize)}
 }
 
