Split files that held two jobs

Change: wal: recovery apart from writing; upstreams: generation and sessions apart from the transport; replica: options apart from the replica; core/raft: the follower's side apart from the leader's; core/route: the configuration and the groups of the tracker apart from the ejection. Declarations moved without a change; groupState got a comment.

--- a/pkg/core/route/tracker.go
+++ b/pkg/core/route/tracker.go
@@ -6,33 +6,6 @@
 	"time"
 )
 
-// TrackerConfig sets the thresholds of a Tracker. Zero values take the
-// defaults.
-type TrackerConfig struct {
-	ErrorRate    float64       // ejects above this rate of recent errors
-	ErrorsInRow  int           // ejects after this many errors in a row
-	SlowFactor   float64       // ejects above this multiple of the median latency
-	MinSamples   float64       // recent samples needed to judge rate or latency
-	Window       time.Duration // time constant of "recent"
-	BaseEjection time.Duration // first ejection; doubled for each failed probe
-	MaxEjection  time.Duration
-	ProbeTimeout time.Duration // a probe without outcome is given up
-	SlowStart    time.Duration // ramp to full weight after the return
-}
-
-// Defaults of TrackerConfig.
-const (
-	DefaultErrorRate    = 0.5
-	DefaultErrorsInRow  = 5
-	DefaultSlowFactor   = 3.0
-	DefaultMinSamples   = 8.0
-	DefaultWindow       = 10 * time.Second
-	DefaultBaseEjection = time.Second
-	DefaultMaxEjection  = 30 * time.Second
-	DefaultProbeTimeout = 5 * time.Second
-	DefaultSlowStart    = 10 * time.Second
-)
-
 const (
 	// startWeight is the weight at the beginning of slow start.
 	startWeight = 0.1
@@ -79,15 +52,6 @@
 	returned       time.Time
 }
 
-type groupState struct {
-	hosts      map[string]*hostState
-	slow       int // hosts ejected for slowness
-	median     float64
-	computed   time.Time
-	latencies  []float64
-	comparable int // hosts that the median was taken over
-}
-
 // NewTracker returns a tracker that knows no host.
 func NewTracker(cfg TrackerConfig) *Tracker {
 	return &Tracker{
@@ -97,25 +61,6 @@
 	}
 }
 
-// SetGroup assigns a host to the group whose median its latency is compared
-// with, such as the hosts with the same accelerator and layer count. Hosts
-// belong to the group "" at first.
-func (t *Tracker) SetGroup(host, group string) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	h := t.host(host)
-	g := t.group(group)
-	if h.group == g {
-		return
-	}
-	t.leaveGroup(host, h)
-	h.group = g
-	g.hosts[host] = h
-	if h.slow {
-		g.slow++
-	}
-}
-
 // Forget drops a host that left.
 func (t *Tracker) Forget(host string) {
 	t.mu.Lock()
@@ -257,13 +202,6 @@
 	return min(d, t.cfg.MaxEjection)
 }
 
-func (t *Tracker) clearSlow(h *hostState) {
-	if h.slow {
-		h.slow = false
-		h.group.slow--
-	}
-}
-
 func (t *Tracker) failing(h *hostState) bool {
 	if h.inRow >= t.cfg.ErrorsInRow {
 		return true
@@ -271,19 +209,6 @@
 	return h.weight >= t.cfg.MinSamples && h.errors/h.weight > t.cfg.ErrorRate
 }
 
-// tooSlow compares h with the median of its group.
-func (t *Tracker) tooSlow(h *hostState, now time.Time) bool {
-	if h.samples < t.cfg.MinSamples {
-		return false
-	}
-	g := h.group
-	g.refresh(now, t.cfg.MinSamples)
-	if g.comparable < minForMedian || 2*(g.slow+1) > len(g.hosts) {
-		return false
-	}
-	return h.latency > t.cfg.SlowFactor*g.median
-}
-
 // record adds a sample to the decayed sums.
 func (h *hostState) record(ok bool, latency time.Duration, now time.Time, window time.Duration) {
 	if dt := now.Sub(h.last); dt > 0 && !h.last.IsZero() {
@@ -313,19 +238,3 @@
 	}
 	return h
 }
-
-func (t *Tracker) group(name string) *groupState {
-	g := t.groups[name]
-	if g == nil {
-		g = &groupState{hosts: make(map[string]*hostState)}
-		t.groups[name] = g
-	}
-	return g
-}
-
-func (t *Tracker) leaveGroup(host string, h *hostState) {
-	delete(h.group.hosts, host)
-	if h.slow {
-		h.group.slow--
-	}
-}
--- /dev/null
+++ b/pkg/replica/options.go
@@ -0,0 +1,106 @@
+package replica
+
+import (
+	"time"
+
+	"github.com/plantainstair/plantainstair/pkg/core/raft"
+	"github.com/plantainstair/plantainstair/pkg/defaults"
+	"github.com/plantainstair/plantainstair/pkg/fault"
+	"github.com/plantainstair/plantainstair/pkg/logs"
+	"github.com/plantainstair/plantainstair/pkg/wal"
+	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
+)
+
+// StateMachine is the replicated state. Its methods are called by one
+// goroutine, which is not the one that sends heartbeats.
+type StateMachine interface {
+	// Apply must depend on nothing but the earlier calls.
+	Apply(index uint64, data []byte) any
+	Snapshot() ([]byte, error)
+	Restore(data []byte) error
+}
+
+// Transport carries messages to other replicas. Its methods must not block;
+// messages may be lost, repeated and reordered.
+type Transport interface {
+	Send(msgs []*wirepb.RaftMessage)
+	SendSnapshot(to *wirepb.Voter, meta *wirepb.SnapshotMeta, data []byte)
+	SetVoters(voters []*wirepb.Voter)
+}
+
+// Options configures a replica. Zero values mean the defaults.
+type Options struct {
+	ID  uint64
+	Dir string
+	// Bootstrap is the initial configuration. It is used only when Dir is empty.
+	// Every voter in it has to be reachable once to form the cluster.
+	Bootstrap []*wirepb.Voter
+	// Join makes a replica with an empty Dir wait until ChangeVoter adds it to an
+	// existing cluster. Its ID must never have been used before.
+	Join         bool
+	StateMachine StateMachine
+	Transport    Transport
+	Log          logs.Logger
+
+	TickInterval    time.Duration
+	ElectionTimeout time.Duration // least; the actual one is random up to twice that
+	Heartbeat       time.Duration
+	SegmentSize     int
+	SnapshotEntries int // entries applied between two snapshots
+	SnapshotBytes   int // bytes of entries applied between two snapshots
+	// TrailingEntries stay in memory behind a snapshot for slow followers.
+	TrailingEntries int
+	TrailingBytes   int
+	// MaxProposalBytes keeps an append message under the largest frame.
+	MaxProposalBytes int
+	MaxPending       int // proposals that wait for their commit
+	// SyncStall is the time after which a leader whose disk does not finish a
+	// write hands the leadership over.
+	SyncStall time.Duration
+
+	FS     wal.FS
+	Random func(n int) int
+	// Ticks replaces the ticker in tests.
+	Ticks <-chan time.Time
+}
+
+// Defaults of Options.
+const (
+	DefaultTickInterval     = 20 * time.Millisecond
+	DefaultElectionTimeout  = 200 * time.Millisecond
+	DefaultHeartbeat        = 40 * time.Millisecond
+	DefaultSnapshotEntries  = 10_000
+	DefaultTrailingEntries  = 2_000
+	DefaultTrailingBytes    = 8 << 20
+	DefaultMaxProposalBytes = 512 << 10
+	DefaultMaxPending       = 8192
+	DefaultSnapshotBytes    = 32 << 20
+	DefaultSyncStall        = 2 * time.Second
+)
+
+func (o *Options) setDefaults() error {
+	switch {
+	case o.ID == raft.None:
+		return fault.New(fault.Invalid, "replica id must not be zero").WithField("id")
+	case o.StateMachine == nil || o.Transport == nil:
+		return fault.New(fault.Invalid, "replica needs a state machine and a transport")
+	}
+	if o.FS == nil {
+		o.FS = wal.OS{}
+	}
+	defaults.Set(&o.TickInterval, DefaultTickInterval)
+	defaults.Set(&o.ElectionTimeout, DefaultElectionTimeout)
+	defaults.Set(&o.Heartbeat, DefaultHeartbeat)
+	defaults.Set(&o.SegmentSize, wal.DefaultSegmentSize)
+	defaults.Set(&o.SnapshotEntries, DefaultSnapshotEntries)
+	defaults.Set(&o.TrailingEntries, DefaultTrailingEntries)
+	defaults.Set(&o.TrailingBytes, DefaultTrailingBytes)
+	defaults.Set(&o.MaxProposalBytes, DefaultMaxProposalBytes)
+	defaults.Set(&o.MaxPending, DefaultMaxPending)
+	defaults.Set(&o.SnapshotBytes, DefaultSnapshotBytes)
+	defaults.Set(&o.SyncStall, DefaultSyncStall)
+	if o.Random == nil {
+		o.Random = randomInt
+	}
+	return nil
+}
--- a/pkg/upstreams/client.go
+++ b/pkg/upstreams/client.go
@@ -8,7 +8,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/url"
 	"strconv"
 	"syscall"
 	"time"
@@ -138,58 +137,6 @@
 	return fault.Wrap(err, fault.Upstream, "%s", what).WithOutcome(fault.MayHaveRun)
 }
 
-// Generate runs a whole-model generation. It calls onToken for each token and
-// returns the closing line. An error of onToken stops the generation. The first
-// line may take firstTimeout, each later one the line timeout.
-func (c *Client) Generate(ctx context.Context, address string, r *GenerateRequest, firstTimeout time.Duration, onToken func(*GenerateLine) error) (*GenerateLine, error) {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	watchdog := newWatchdog(firstTimeout, c.opts.LineTimeout, cancel)
-	defer watchdog.stop()
-	body, err := json.Marshal(r)
-	if err != nil {
-		return nil, fault.Wrap(err, fault.Protocol, "encode generate request")
-	}
-	resp, err := c.post(ctx, address, PathGenerate, body)
-	if err != nil {
-		return nil, err
-	}
-	defer func() { _ = resp.Body.Close() }()
-	return c.readTokens(ctx, resp.Body, r.Position, watchdog, onToken)
-}
-
-func (c *Client) readTokens(ctx context.Context, body io.Reader, next uint32, w *watchdog, onToken func(*GenerateLine) error) (*GenerateLine, error) {
-	lines := NewLineReader(body, c.opts.MaxLine)
-	for {
-		line, err := readGenerateLine(lines)
-		if err != nil {
-			return nil, streamError(ctx, err, "generate")
-		}
-		w.reset()
-		if line.Error != nil {
-			return nil, line.Error.Fault().WithOutcome(fault.MayHaveRun)
-		}
-		if line.Done {
-			return line, nil
-		}
-		if line.Position != next {
-			return nil, fault.New(fault.Upstream, "engine sent position %d in place of %d", line.Position, next).WithField("position")
-		}
-		next++
-		if err := onToken(line); err != nil {
-			return nil, err
-		}
-	}
-}
-
-func readGenerateLine(lines *LineReader) (*GenerateLine, error) {
-	line := &GenerateLine{}
-	if err := lines.ReadJSON(line); err != nil {
-		return nil, err
-	}
-	return line, nil
-}
-
 // streamError turns the end of a stream before its closing line into an error.
 func streamError(ctx context.Context, err error, what string) *fault.Error {
 	if cause := context.Cause(ctx); cause != nil {
@@ -246,51 +193,6 @@
 	return f
 }
 
-// Cancel stops a session of an epoch and frees its slot and KV state. It waits
-// for the engine's answer.
-func (c *Client) Cancel(ctx context.Context, address, session string, epoch uint64) error {
-	resp, err := c.session(ctx, http.MethodDelete, address, sessionPath(session, "", epoch), nil)
-	if err != nil {
-		return err
-	}
-	return resp.Body.Close()
-}
-
-// ExportKV returns the KV state of a session.
-func (c *Client) ExportKV(ctx context.Context, address, session string, epoch uint64) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.opts.RequestTimeout)
-	defer cancel()
-	resp, err := c.session(ctx, http.MethodGet, address, sessionPath(session, "/kv", epoch), nil)
-	if err != nil {
-		return nil, err
-	}
-	defer func() { _ = resp.Body.Close() }()
-	return readAll(resp.Body, c.opts.MaxKV)
-}
-
-// ImportKV stores the KV state of a session under an epoch.
-func (c *Client) ImportKV(ctx context.Context, address, session string, epoch uint64, state []byte) error {
-	ctx, cancel := context.WithTimeout(ctx, c.opts.RequestTimeout)
-	defer cancel()
-	resp, err := c.session(ctx, http.MethodPut, address, sessionPath(session, "/kv", epoch), state)
-	if err != nil {
-		return err
-	}
-	return resp.Body.Close()
-}
-
-func (c *Client) session(ctx context.Context, method, address, path string, body []byte) (*http.Response, error) {
-	req, err := newRequest(ctx, method, address, path, bytes.NewReader(body))
-	if err != nil {
-		return nil, err
-	}
-	return c.do(c.engine, req)
-}
-
-func sessionPath(session, suffix string, epoch uint64) string {
-	return PathSessions + url.PathEscape(session) + suffix + "?epoch=" + strconv.FormatUint(epoch, 10)
-}
-
 // SendOrder delivers an order with its fencing number. It returns once the
 // engine has answered or the connection has ended.
 func (c *Client) SendOrder(ctx context.Context, address string, o *Order) error {
--- /dev/null
+++ b/pkg/upstreams/sessions.go
@@ -0,0 +1,54 @@
+package upstreams
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"net/url"
+	"strconv"
+)
+
+// Cancel stops a session of an epoch and frees its slot and KV state. It waits
+// for the engine's answer.
+func (c *Client) Cancel(ctx context.Context, address, session string, epoch uint64) error {
+	resp, err := c.session(ctx, http.MethodDelete, address, sessionPath(session, "", epoch), nil)
+	if err != nil {
+		return err
+	}
+	return resp.Body.Close()
+}
+
+// ExportKV returns the KV state of a session.
+func (c *Client) ExportKV(ctx context.Context, address, session string, epoch uint64) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.opts.RequestTimeout)
+	defer cancel()
+	resp, err := c.session(ctx, http.MethodGet, address, sessionPath(session, "/kv", epoch), nil)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return readAll(resp.Body, c.opts.MaxKV)
+}
+
+// ImportKV stores the KV state of a session under an epoch.
+func (c *Client) ImportKV(ctx context.Context, address, session string, epoch uint64, state []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, c.opts.RequestTimeout)
+	defer cancel()
+	resp, err := c.session(ctx, http.MethodPut, address, sessionPath(session, "/kv", epoch), state)
+	if err != nil {
+		return err
+	}
+	return resp.Body.Close()
+}
+
+func (c *Client) session(ctx context.Context, method, address, path string, body []byte) (*http.Response, error) {
+	req, err := newRequest(ctx, method, address, path, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	return c.do(c.engine, req)
+}
+
+func sessionPath(session, suffix string, epoch uint64) string {
+	return PathSessions + url.PathEscape(session) + suffix + "?epoch=" + strconv.FormatUint(epoch, 10)
+}
--- a/pkg/wal/recover.go
+++ b/pkg/wal/recover.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -132,3 +133,123 @@
 	}
 	return nil
 }
+
+// State is what Open recovered.
+type State struct {
+	HardState HardState
+	// Mark is the snapshot after which the log restarted, if any.
+	Mark    *wirepb.SnapshotMeta
+	Entries []*wirepb.LogEntry
+	// Torn tells how many bytes of an interrupted write were cut off.
+	Torn int
+}
+
+// Open recovers the log in a directory.
+func Open(o Options) (*Log, *State, error) {
+	l := newLog(o)
+	if err := l.lockDir(); err != nil {
+		return nil, nil, err
+	}
+	state, err := l.recover()
+	if err != nil {
+		_ = l.Close()
+		return nil, nil, err
+	}
+	return l, state, nil
+}
+
+func (l *Log) recover() (*State, error) {
+	hard, err := readHardState(l.fs, l.dir)
+	if err != nil {
+		return nil, err
+	}
+	l.hard = *hard
+	state := &State{HardState: *hard}
+	return state, l.recoverSegments(state)
+}
+
+func (l *Log) recoverSegments(state *State) error {
+	sequences, err := l.listSegments()
+	if err != nil {
+		return err
+	}
+	if len(sequences) == 0 {
+		return corrupt(l.path(hardStateFile), 0, "hard state without any log segment")
+	}
+	r := &replay{}
+	for i, sequence := range sequences {
+		if sequence != sequences[0]+uint64(i) {
+			return corrupt(l.path(segmentName(sequence)), 0, "segment %d is missing", sequences[0]+uint64(i))
+		}
+		isLast := i == len(sequences)-1
+		torn, err := l.recoverSegment(r, sequence, isLast)
+		if err != nil {
+			return err
+		}
+		state.Torn = torn
+	}
+	state.Mark, state.Entries = r.mark, r.entries
+	return nil
+}
+
+// listSegments returns the sequence numbers in order and removes temporary
+// files.
+func (l *Log) listSegments() ([]uint64, error) {
+	names, err := l.fs.List(l.dir)
+	if err != nil {
+		return nil, diskFault(err, "list", l.dir)
+	}
+	var sequences []uint64
+	for _, name := range names {
+		if IsTemp(name) {
+			if err := l.fs.Remove(l.path(name)); err != nil {
+				return nil, diskFault(err, "remove", name)
+			}
+		}
+		if sequence, ok := parseSegmentName(name); ok {
+			sequences = append(sequences, sequence)
+		}
+	}
+	slices.Sort(sequences)
+	return sequences, nil
+}
+
+func (l *Log) recoverSegment(r *replay, sequence uint64, isLast bool) (torn int, err error) {
+	name := l.path(segmentName(sequence))
+	content, err := l.fs.Read(name)
+	if err != nil {
+		return 0, diskFault(err, "read", name)
+	}
+	s, err := r.readSegment(name, content, isLast)
+	if err != nil {
+		return 0, err
+	}
+	if !isLast {
+		l.finished = append(l.finished, s)
+		return 0, nil
+	}
+	if sequence < l.hard.Segment || (sequence == l.hard.Segment && s.size < l.hard.Offset) {
+		return 0, corrupt(name, s.size, "log ends before offset %d of segment %d, which was synced", l.hard.Offset, l.hard.Segment)
+	}
+	l.active = s
+	torn = len(content) - int(s.size)
+	return torn, l.reopen(name, torn > 0)
+}
+
+func (l *Log) reopen(name string, cut bool) error {
+	f, err := l.fs.Append(name)
+	if err != nil {
+		return diskFault(err, "open", name)
+	}
+	l.file = f
+	if cut {
+		if err := f.Truncate(int64(l.active.size)); err != nil {
+			return diskFault(err, "truncate", name)
+		}
+	}
+	// Records that a crash left unsynced count as durable from here on.
+	if err := f.Sync(); err != nil {
+		return diskFault(err, "sync", name)
+	}
+	return nil
+}
