--- a/pkg/upstreams/fuzz_test.go
+++ b/pkg/upstreams/fuzz_test.go
@@ -113,6 +113,21 @@
 	})
 }
 
+// Guards against a crash on a malformed error answer, and against one that
+// proves that a request was not run although its status does not.
+func FuzzStatusError(f *testing.F) {
+	f.Add(http.StatusConflict, []byte(`{"error":{"kind":"stale_epoch","message":"old","position":3}}`))
+	f.Add(http.StatusInternalServerError, []byte(`{"error":{"kind":"answered"}}`))
+	f.Add(http.StatusServiceUnavailable, []byte("not JSON"))
+	f.Fuzz(func(t *testing.T, status int, body []byte) {
+		e := statusError(&http.Response{StatusCode: status, Body: io.NopCloser(bytes.NewReader(body))})
+		assert.Assert(t, e.Kind != "")
+		proved := status < http.StatusInternalServerError || status == http.StatusServiceUnavailable
+		assert.Equal(t, e.Outcome == fault.NotRun, proved)
+		assert.Equal(t, e.Outcome == fault.MayHaveRun, !proved)
+	})
+}
+
 // Guards against faults of the hand-written encoder of steps.
 func TestAppendStep_MatchesEncodingJSON(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
