--- a/pkg/standin/server.go
+++ b/pkg/standin/server.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/plantainstair/plantainstair/pkg/defaults"
 	"github.com/plantainstair/plantainstair/pkg/fault"
 	"github.com/plantainstair/plantainstair/pkg/upstreams"
 )
@@ -100,7 +101,7 @@
 // Done is closed when the server has ended.
 func (s *Server) Done() <-chan struct{} { return s.done }
 
-// Close stops the server without a farewell.
+// Close stops the server without withdrawing its announcement.
 func (s *Server) Close() {
 	s.cancel()
 	s.wg.Wait()
@@ -110,12 +111,8 @@
 	if opts.Agent == "" {
 		return
 	}
-	if opts.Heartbeat <= 0 {
-		opts.Heartbeat = DefaultHeartbeat
-	}
-	if opts.LoadInterval <= 0 {
-		opts.LoadInterval = DefaultLoadInterval
-	}
+	defaults.Set(&opts.Heartbeat, DefaultHeartbeat)
+	defaults.Set(&opts.LoadInterval, DefaultLoadInterval)
 	a.Instance = uint64(time.Now().UnixNano())
 	r := &reporter{opts: opts, announcement: a, switches: switches, load: load, cache: cache}
 	ctx, cancel := context.WithCancel(context.Background())
