core/sched: give a promised slot to the small organisation

Cause: a small organisation that already held a slot was ahead of the large one in virtual time at that agent. It then did not preempt, or the large one took the freed slot. Change: besides the next organisation in virtual time, the one with the fewest requests in progress over the fleet may preempt, and a freed slot goes to the organisation that it was promised to.

--- a/pkg/core/sched/preempt.go
+++ b/pkg/core/sched/preempt.go
@@ -55,8 +55,10 @@
 	}
 	s.promised[it.promisedRank]--
 	it.flow.leaving--
-	if it.promisedFlow != nil {
-		it.promisedFlow.promised--
+	if f := it.promisedFlow; f != nil {
+		f.promised--
+		q := &s.ranks[it.promisedRank]
+		q.due = append(q.due, f)
 	}
 }
 
@@ -88,11 +90,35 @@
 }
 
 // unfairVictim returns a request of rank r whose organisation holds more than
-// the next organisation of the rank, which receives the slot.
+// another one, which receives the slot: the next organisation of the rank, or
+// the smallest of those that wait.
 func (s *Scheduler) unfairVictim(r Rank) (*item, *flow) {
-	to := s.ranks[r].backlogged.top()
-	if to.queued <= to.promised {
-		return nil, nil
+	q := &s.ranks[r]
+	for _, to := range []*flow{q.backlogged.top(), q.smallest()} {
+		if victim := s.victimFor(to, r); victim != nil {
+			return victim, to
+		}
+	}
+	return nil, nil
+}
+
+// smallest returns the waiting flow with the fewest requests in progress for its
+// weight over all upstreams, or nil if none is known.
+func (q *rankQueue) smallest() *flow {
+	var small *flow
+	for _, f := range q.backlogged.items {
+		if f.inProgress > 0 && (small == nil || f.fleetLoad() < small.fleetLoad()) {
+			small = f
+		}
+	}
+	return small
+}
+
+func (f *flow) fleetLoad() float64 { return float64(f.inProgress) / f.weight }
+
+func (s *Scheduler) victimFor(to *flow, r Rank) *item {
+	if to == nil || to.queued <= to.promised {
+		return nil
 	}
 	var victim *item
 	for _, it := range s.active {
@@ -100,24 +126,27 @@
 			victim = it
 		}
 	}
-	return victim, to
+	return victim
 }
 
 // smallPart is the part of another organisation's requests in progress, over
 // all upstreams, up to which an organisation counts as small beside it.
 const smallPart = 0.25
 
-// exceeds reports whether f holds more than to: it still holds at least as many
-// slots here for its weight after one has moved to to, or to is small beside it
-// over all upstreams. Without the comparison of the start tags, a flow that has
-// already received more than its share would preempt as well.
+// exceeds reports whether f holds more than to: to is small beside it over all
+// upstreams, or f still holds at least as many slots here for its weight after
+// one has moved to to. Without the comparison of the start tags, a flow that has
+// already received more than its share here would preempt as well.
 func (f *flow) exceeds(to *flow) bool {
-	if f == to || f.virtual < to.virtual {
+	if f == to {
 		return false
 	}
-	if to.inProgress > 0 && float64(to.inProgress)/to.weight <= smallPart*float64(f.inProgress)/f.weight {
+	if to.inProgress > 0 && to.fleetLoad() <= smallPart*f.fleetLoad() {
 		return true
 	}
+	if f.virtual < to.virtual {
+		return false
+	}
 	after := float64(f.running-f.leaving-1) / f.weight
 	return after >= float64(to.running-to.leaving+to.promised+1)/to.weight
 }
--- a/pkg/core/sched/preempt_test.go
+++ b/pkg/core/sched/preempt_test.go
@@ -164,6 +164,9 @@
 	v, ok = s.Preempt(now)
 	assert.Assert(t, ok, "the small one has a quarter of the requests in progress")
 	assert.Equal(t, v.Organisation, "large")
+	s.Finish(now, v.ID)
+	r, _ = s.Next(now)
+	assert.Equal(t, r.Organisation, "small", "another took the promised slot")
 }
 
 // Guards against a preempted request that waits behind others of its
--- a/pkg/core/sched/queue.go
+++ b/pkg/core/sched/queue.go
@@ -66,6 +66,7 @@
 	queuedBytes  int64
 	queuedTokens int64
 	weights      float64 // of backlogged flows
+	due          []*flow // flows whose promised slots have been freed
 	running      int
 }
 
@@ -140,17 +141,33 @@
 	q.backlogged.push(f)
 }
 
-// pop removes the first request of the flow with the lowest start tag.
+// pop removes the first request of a flow that was promised the slot or, without
+// one, of the flow with the lowest start tag.
 func (q *rankQueue) pop() *item {
-	f := q.backlogged.top()
+	f := q.popDue()
+	if f == nil {
+		f = q.backlogged.top()
+		q.virtual = max(q.virtual, f.virtual)
+	}
 	it := f.head
-	q.virtual = max(q.virtual, f.virtual)
 	f.running++
 	q.remove(it)
 	q.dropIdle()
 	return it
 }
 
+// popDue returns the next flow whose promised slot was freed, or nil.
+func (q *rankQueue) popDue() *flow {
+	for len(q.due) > 0 {
+		f := q.due[0]
+		q.due = q.due[1:]
+		if f.queued > 0 {
+			return f
+		}
+	}
+	return nil
+}
+
 // remove takes a queued item out of its flow.
 func (q *rankQueue) remove(it *item) {
 	f := it.flow
@@ -191,6 +208,7 @@
 	it.flow.running--
 	q.running--
 	if q.running == 0 && q.queued == 0 {
+		q.due = nil
 		clear(q.flows)
 		clear(q.idle.items)
 		q.idle.items = q.idle.items[:0]
