local: add a TCP relay that cuts or delays the link to an agent

Cause: a cut or slow link could be tested in process only, as no isolation tools are used. Change: Stage.Relayed puts a relay before each agent of a stage; agent.advertise names the relay, so entries and other agents reach the agent through it. A relay passes, cuts silently (one or both directions) or delays. AddEngine adds an engine that joins once it is started. Conclusion: end-to-end tests and experiments can degrade links.

--- a/pkg/local/deployment.go
+++ b/pkg/local/deployment.go
@@ -47,6 +47,7 @@
 	Address    string // of the stand-in
 	Platform   string // of the agent
 	Stage      int    // index into Plan.Stages, or -1 for a service
+	Link       *Relay // in front of the agent; nil without one
 }
 
 // Deployment is a running set of processes.
@@ -195,6 +196,7 @@
 // Stop ends all processes gracefully, entries first, and returns the first
 // error.
 func (d *Deployment) Stop() error {
+	defer d.closeLinks()
 	var first error
 	for _, p := range d.Processes() {
 		if p.PID() == 0 {
@@ -214,6 +216,15 @@
 			p.Kill()
 		}
 	}
+	d.closeLinks()
+}
+
+func (d *Deployment) closeLinks() {
+	for _, u := range d.Upstreams {
+		if u.Link != nil {
+			u.Link.Close()
+		}
+	}
 }
 
 func digest(text string) string {
--- a/pkg/local/plan.go
+++ b/pkg/local/plan.go
@@ -24,6 +24,7 @@
 	Engines     int
 	Accelerator string
 	Args        []string // further arguments of the stand-in
+	Relayed     bool     // a Relay in front of each agent
 }
 
 // Plan says what a local deployment consists of.
--- /dev/null
+++ b/pkg/local/relay.go
@@ -0,0 +1,189 @@
+package local
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/plantainstair/plantainstair/pkg/fault"
+)
+
+const (
+	// relayMaxConnections bounds the goroutines of a relay, four for each.
+	relayMaxConnections = 256
+	relayDialTimeout    = 5 * time.Second
+	relayChunk          = 32 << 10
+	// relayQueue is the number of chunks of one direction that wait for their
+	// delay. A full queue holds the sender back, as a full socket buffer does.
+	relayQueue = 64
+)
+
+// Condition is the state of a relayed link. The zero value passes everything.
+type Condition struct {
+	CutTo   bool          // nothing reaches the target
+	CutFrom bool          // nothing comes back from it
+	Delay   time.Duration // added in each direction
+}
+
+// Relay passes TCP connections on to a target and can cut or delay them. A cut
+// is silent: connections stay open, new ones are accepted, and what waits is
+// delivered once the cut is healed.
+type Relay struct {
+	target   string
+	listener net.Listener
+	ctx      context.Context
+	stop     context.CancelFunc
+	running  sync.WaitGroup
+	free     chan struct{}
+
+	mu        sync.Mutex
+	condition Condition
+	changed   chan struct{} // closed when the condition changes
+}
+
+// NewRelay listens on address and passes connections on to target.
+func NewRelay(address, target string) (*Relay, error) {
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Internal, "listen as relay of %s", target)
+	}
+	r := &Relay{target: target, listener: ln, free: make(chan struct{}, relayMaxConnections), changed: make(chan struct{})}
+	r.ctx, r.stop = context.WithCancel(context.Background())
+	r.running.Go(r.accept)
+	return r, nil
+}
+
+// Address returns the address that the relay listens on.
+func (r *Relay) Address() string { return r.listener.Addr().String() }
+
+// Set changes the state of the link, for existing connections as well.
+func (r *Relay) Set(c Condition) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.condition = c
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+// Close ends all connections and returns when every goroutine has ended.
+func (r *Relay) Close() {
+	r.stop()
+	_ = r.listener.Close()
+	r.running.Wait()
+}
+
+func (r *Relay) current() (Condition, <-chan struct{}) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.condition, r.changed
+}
+
+func (r *Relay) accept() {
+	for {
+		conn, err := r.listener.Accept()
+		if err != nil {
+			return
+		}
+		select {
+		case r.free <- struct{}{}:
+			r.running.Go(func() {
+				defer func() { <-r.free }()
+				r.serve(conn.(*net.TCPConn))
+			})
+		default:
+			_ = conn.Close()
+		}
+	}
+}
+
+// serve relays one connection until both directions have ended.
+func (r *Relay) serve(client *net.TCPConn) {
+	defer client.Close()
+	dialer := net.Dialer{Timeout: relayDialTimeout}
+	conn, err := dialer.DialContext(r.ctx, "tcp", r.target)
+	if err != nil {
+		return
+	}
+	server := conn.(*net.TCPConn)
+	defer server.Close()
+	ctx, cancel := context.WithCancel(r.ctx)
+	defer cancel()
+	defer context.AfterFunc(ctx, func() {
+		_ = client.Close()
+		_ = server.Close()
+	})()
+	var directions sync.WaitGroup
+	directions.Go(func() { r.pass(ctx, cancel, client, server, func(c Condition) bool { return c.CutTo }) })
+	directions.Go(func() { r.pass(ctx, cancel, server, client, func(c Condition) bool { return c.CutFrom }) })
+	directions.Wait()
+}
+
+// chunk is data that is due at a time. The last one has no data.
+type chunk struct {
+	data []byte
+	due  time.Time
+}
+
+// pass copies one direction. A failed write ends both.
+func (r *Relay) pass(ctx context.Context, cancel func(), from, to *net.TCPConn, cut func(Condition) bool) {
+	queue := make(chan chunk, relayQueue)
+	var reader sync.WaitGroup
+	reader.Go(func() { r.read(ctx, from, queue) })
+	defer reader.Wait()
+	for c := range queue {
+		if !r.wait(ctx, c.due, cut) {
+			continue
+		}
+		if c.data == nil {
+			_ = to.CloseWrite()
+			continue
+		}
+		if _, err := to.Write(c.data); err != nil {
+			cancel()
+		}
+	}
+}
+
+// read queues what arrives, and its end, until ctx ends.
+func (r *Relay) read(ctx context.Context, from *net.TCPConn, queue chan<- chunk) {
+	defer close(queue)
+	for {
+		data := make([]byte, relayChunk)
+		n, err := from.Read(data)
+		if err != nil {
+			data, n = nil, 0
+		}
+		state, _ := r.current()
+		select {
+		case queue <- chunk{data: data[:n:n], due: time.Now().Add(state.Delay)}:
+		case <-ctx.Done():
+			return
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// wait returns once data due at a time may pass, or false when ctx ended.
+func (r *Relay) wait(ctx context.Context, due time.Time, cut func(Condition) bool) bool {
+	timer := time.NewTimer(time.Until(due))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+		return false
+	}
+	for {
+		state, changed := r.current()
+		if !cut(state) {
+			return ctx.Err() == nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
--- a/pkg/local/roles.go
+++ b/pkg/local/roles.go
@@ -114,7 +114,7 @@
 	n := 0
 	for index, stage := range d.Plan.Stages {
 		for range stage.Engines {
-			if err := d.startEngine(n, index, stage); err != nil {
+			if err := startNew(d.addEngine(n, index, stage)); err != nil {
 				return err
 			}
 			n++
@@ -122,7 +122,7 @@
 	}
 	for _, service := range d.Plan.Services {
 		for range max(1, d.Plan.ServiceCopies) {
-			if err := d.startService(n, service); err != nil {
+			if err := startNew(d.addService(n, service)); err != nil {
 				return err
 			}
 			n++
@@ -131,48 +131,73 @@
 	return nil
 }
 
-func (d *Deployment) startEngine(n, index int, stage Stage) error {
+func startNew(u *Upstream, err error) error {
+	if err != nil {
+		return err
+	}
+	return u.Start()
+}
+
+func (d *Deployment) addEngine(n, index int, stage Stage) (*Upstream, error) {
 	args := []string{"--model", d.Plan.Model, "--model-version", d.Plan.Version,
 		"--layers", number(d.Plan.Layers), "--first-layer", number(stage.First), "--last-layer", number(stage.Last),
 		"--slots", strconv.Itoa(d.Plan.Slots), "--accelerator", stage.Accelerator}
 	args = append(args, d.Plan.EngineArgs...)
 	args = append(args, stage.Args...)
-	return d.startUpstream(n, index, "engine", args)
+	return d.addUpstream(n, index, "engine", stage.Relayed, args)
+}
+
+// AddEngine adds an engine of a stage that joins once it is started.
+func (d *Deployment) AddEngine(index int) (*Upstream, error) {
+	return d.addEngine(len(d.Upstreams), index, d.Plan.Stages[index])
 }
 
-func (d *Deployment) startService(n int, service string) error {
+func (d *Deployment) addService(n int, service string) (*Upstream, error) {
 	args := append([]string{"--services", service}, d.Plan.ServiceArgs...)
-	return d.startUpstream(n, -1, "service", args)
+	return d.addUpstream(n, -1, "service", false, args)
 }
 
-func (d *Deployment) startUpstream(n, stage int, kind string, args []string) error {
+func (d *Deployment) addUpstream(n, stage int, kind string, relayed bool, args []string) (*Upstream, error) {
 	addresses, err := FreeAddresses(4)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	host := fmt.Sprintf("host%d", n+1)
 	u := &Upstream{Host: host, Address: addresses[0], Platform: addresses[1], Stage: stage}
 	u.DataCentre = d.Plan.dataCentre(n)
+	agent := []string{"[agent]", "listen = " + addresses[2], "upstream_listen = " + addresses[3]}
+	if relayed {
+		if u.Link, err = NewRelay(loopbackAny, addresses[2]); err != nil {
+			return nil, err
+		}
+		agent = append(agent, "advertise = "+u.Link.Address())
+	}
 	lines := append([]string{d.common(host, u.DataCentre),
-		"[agent]",
-		"listen = " + addresses[2],
-		"upstream_listen = " + addresses[3],
+		strings.Join(agent, "\n"),
 		"[platform]", "listen = " + u.Platform,
 		"[control]",
 		"addresses = " + d.controlAddresses(),
 	}, d.Plan.AgentSettings...)
 	path, err := d.writeSettings(host, lines...)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	u.Agent = NewProcess(host+"-agent", d.Dir, filepath.Join(d.Bin, "plantain-agent"), "--config", path)
 	fixed := []string{kind, "--name", host, "--listen", u.Address, "--agent", addresses[3]}
 	u.Standin = NewProcess(host+"-"+kind, d.Dir, filepath.Join(d.Bin, "plantain-standin"), append(fixed, args...)...)
 	d.Upstreams = append(d.Upstreams, u)
+	return u, nil
+}
+
+// Start starts the agent and the stand-in.
+func (u *Upstream) Start() error {
 	if err := u.Agent.Start(); err != nil {
 		return err
 	}
 	return u.Standin.Start()
 }
 
+// loopbackAny lets the system choose a port.
+const loopbackAny = "127.0.0.1:0"
+
 func number(n uint32) string { return strconv.FormatUint(uint64(n), 10) }
