load: ask again for a truncated answer

Change: resends of a chat mix ask again from the beginning through the next entry; tokens received before do not count twice; resends are counted apart. Conclusion: a killed entry is measured as a caller sees it. Go test -race of pkg/load passes.

--- a/pkg/load/chat.go
+++ b/pkg/load/chat.go
@@ -69,7 +69,19 @@
 	return text.String()
 }
 
-// chat performs a chat request. go-openai is not used, because it reports the
+// chats performs a chat request. A truncated answer is asked for again through
+// the next entry; a token that was received before is not counted again.
+func (c *client) chats(ctx context.Context, a *Arrival, number int, r *Result) {
+	for {
+		c.chat(ctx, a, c.entry(number+r.Resends), r)
+		if r.Outcome != Truncated || r.Resends >= a.Mix.Resends || ctx.Err() != nil {
+			return
+		}
+		r.Resends++
+	}
+}
+
+// chat performs a chat request once. go-openai is not used, because it reports the
 // end of a connection and the end mark of a complete stream alike.
 func (c *client) chat(ctx context.Context, a *Arrival, entry string, r *Result) {
 	body, err := json.Marshal(chatBody{
@@ -91,11 +103,13 @@
 	resp, err := c.http.Do(req)
 	if err != nil {
 		r.failConnection(err)
+		r.keepTruncated()
 		return
 	}
 	defer drain(resp.Body)
 	if resp.StatusCode != http.StatusOK {
 		r.failResponse(resp)
+		r.keepTruncated()
 		return
 	}
 	s := &chatStream{client: c, arrival: a, result: r}
@@ -108,9 +122,18 @@
 	arrival *Arrival
 	result  *Result
 	text    strings.Builder
+	tokens  int
 	finish  string
 }
 
+// keepTruncated keeps the outcome of a caller that holds a part of the answer
+// and whose resend failed.
+func (r *Result) keepTruncated() {
+	if len(r.Tokens) > 0 {
+		r.Outcome = Truncated
+	}
+}
+
 func (s *chatStream) read(body io.Reader) {
 	lines := bufio.NewScanner(body)
 	lines.Buffer(nil, maxEventBytes)
@@ -140,15 +163,15 @@
 	}
 	if e.Error != nil {
 		s.result.failNamed(e.Error.Outcome, e.Error.Code)
-		if len(s.result.Tokens) > 0 {
-			s.result.Outcome = Truncated
-		}
+		s.result.keepTruncated()
 		s.checkPart()
 		return false
 	}
 	for _, choice := range e.Choices {
 		if choice.Delta.Content != "" {
-			s.result.Tokens = append(s.result.Tokens, s.client.elapsed())
+			if s.tokens++; s.tokens > len(s.result.Tokens) {
+				s.result.Tokens = append(s.result.Tokens, s.client.elapsed())
+			}
 			s.text.WriteString(choice.Delta.Content)
 		}
 		if choice.FinishReason != nil {
@@ -160,8 +183,8 @@
 
 // complete checks an answer that the entry presents as complete.
 func (s *chatStream) complete() {
-	s.result.Outcome = Answered
-	if s.finish == "" || len(s.result.Tokens) != s.arrival.MaxTokens {
+	s.result.Outcome, s.result.Code = Answered, ""
+	if s.finish == "" || s.tokens != s.arrival.MaxTokens {
 		s.result.Outcome, s.result.Code = Wrong, codeIncomplete
 		return
 	}
@@ -178,15 +201,13 @@
 		s.result.Code = codeConnection
 	}
 	s.result.Outcome = Unknown
-	if len(s.result.Tokens) > 0 {
-		s.result.Outcome = Truncated
-	}
+	s.result.keepTruncated()
 	s.checkPart()
 }
 
 // checkPart checks the tokens of an incomplete answer.
 func (s *chatStream) checkPart() {
-	if !s.client.checks(s.arrival) || len(s.result.Tokens) == 0 {
+	if !s.client.checks(s.arrival) || s.tokens == 0 {
 		return
 	}
 	if !strings.HasPrefix(s.arrival.reference(), s.text.String()) {
--- a/pkg/load/client.go
+++ b/pkg/load/client.go
@@ -56,7 +56,7 @@
 	ctx, cancel := context.WithTimeout(ctx, c.run.Timeout)
 	defer cancel()
 	if a.Mix.Kind == KindChat {
-		c.chat(ctx, a, c.entry(number), r)
+		c.chats(ctx, a, number, r)
 	} else {
 		c.service(ctx, a, number, r)
 	}
--- a/pkg/load/result.go
+++ b/pkg/load/result.go
@@ -33,7 +33,7 @@
 	Arrival *Arrival
 	Outcome Outcome
 	Code    string          // error code, or what was wrong
-	Tokens  []time.Duration // receipt of each token, from the start of the run
+	Tokens  []time.Duration // first receipt of each token of the answer, from the start of the run
 	End     time.Duration   // from the start of the run
 	Late    time.Duration   // delay of the send after the planned time
 	Resends int
--- a/pkg/load/scenario.go
+++ b/pkg/load/scenario.go
@@ -61,7 +61,7 @@
 	Path      string `ini:"mix.path" default:"/" help:"Path of service calls."`
 	BodyBytes int    `ini:"mix.body_bytes" default:"100" min:"1" max:"100000" help:"Length of the body of service calls."`
 	Keyed     bool   `ini:"mix.keyed" default:"true" help:"Send an idempotency key with service calls."`
-	Resends   int    `ini:"mix.resends" default:"0" min:"0" max:"10" help:"Sends of a keyed call again after an unknown outcome, with the same key."`
+	Resends   int    `ini:"mix.resends" default:"0" min:"0" max:"10" help:"Sends of a keyed call again after an unknown outcome, with the same key, or of a chat after a truncated answer."`
 }
 
 // Flood multiplies the rate of a mix for a time.
