plantainctl: make the order command work

The order command has a flag of this name for the version of a model, so that flaggy ended every call of it with exit code 1 before the order was sent. No test ran it.

--- a/cmd/plantainctl/main.go
+++ b/cmd/plantainctl/main.go
@@ -18,6 +18,8 @@
 	c := newCommands()
 	flaggy.SetName("plantainctl")
 	flaggy.SetDescription("Changes and shows the catalogue, upstreams and voters.")
+	// The order command has a flag of its own with this name.
+	flaggy.DefaultParser.ShowVersionWithVersionFlag = false
 	flaggy.String(&c.settings, "c", "config", "Path of the settings file.")
 	flaggy.Bool(&c.json, "j", "json", "Print JSON.")
 	for _, cmd := range c.list {
