Keep a drain over restarts of the agent

Cause: a drain was kept in the memory of the agent only, so that a restart of the agent ended it without the operator. A replica tells the agent right after its registration; the agent takes no work and announces "draining" until then. It adopts a state with a higher epoch than the orders it has seen and ignores others. A drain or resume no longer waits for an order that is under way at the engine. `plantainctl status` shows the drains. TestRegister_ExpiryAndReturn expected the end of the registration as its first frame; it now requires the order state and then that end. Conclusion: TestUpstream_DrainHoldsOverRestart (test/e2e), the model test of the state, TestDrain_HoldsOverRestart (pkg/role/agent) and TestClient_KeepsNewestOrders pass with -race. Each of six single-line reversals of the change fails one of the unit tests.

--- a/pkg/control/client.go
+++ b/pkg/control/client.go
@@ -44,6 +44,8 @@
 	// OnFenced is called when a replica refuses the incarnation of a
 	// registered upstream, with the highest one that it knows.
 	OnFenced func(known uint64)
+	// OnOrders is called when Orders has changed.
+	OnOrders func()
 }
 
 // Client talks to the control replicas. Its methods may be used by many
@@ -57,9 +59,8 @@
 	preferred atomic.Int64 // index of the address that answered last
 	changed   chan struct{}
 
-	orderMu    sync.Mutex
-	orderEpoch uint64
-	orderKnown bool
+	orderMu sync.Mutex
+	orders  Orders
 }
 
 // NewClient returns a client. Run must be called for the view to be filled.
--- a/pkg/control/client_test.go
+++ b/pkg/control/client_test.go
@@ -168,3 +168,20 @@
 	assert.Equal(t, len(ev.Entries), 3)
 	assert.Assert(t, ev.Full)
 }
+
+// Guards against a drain that comes back because a replica repeats the order
+// state of an earlier registration.
+func TestClient_KeepsNewestOrders(t *testing.T) {
+	calls := 0
+	c := NewClient(Options{Log: logs.Nop(), OnOrders: func() { calls++ }})
+	defer c.Close()
+	tell := func(read bool, epoch uint64, drained bool) Orders {
+		c.learnOrders(&wirepb.HeartbeatReply{OrderEpochRead: read, OrderEpoch: epoch, Drained: drained})
+		return c.Orders()
+	}
+	assert.Equal(t, tell(false, 9, true), Orders{})
+	assert.Equal(t, tell(true, 0, false), Orders{Known: true})
+	assert.Equal(t, tell(true, 2, false), Orders{Known: true, Epoch: 2})
+	assert.Equal(t, tell(true, 1, true), Orders{Known: true, Epoch: 2})
+	assert.Equal(t, calls, 2)
+}
--- a/pkg/control/register.go
+++ b/pkg/control/register.go
@@ -214,7 +214,7 @@
 func (l *registerLoop) handle(s *wire.Stream, f *wirepb.Frame) error {
 	switch {
 	case f.GetHeartbeatReply() != nil:
-		l.reg.client.learnOrderEpoch(f.GetHeartbeatReply())
+		l.reg.client.learnOrders(f.GetHeartbeatReply())
 		return nil
 	case f.GetOrder() != nil:
 		go l.carryOut(s, f.GetOrder())
@@ -251,21 +251,34 @@
 	}
 }
 
-// learnOrderEpoch takes over an order epoch that the replica read linearizably.
-func (c *Client) learnOrderEpoch(r *wirepb.HeartbeatReply) {
+// learnOrders takes over an order state that the replica read linearizably. A
+// replica repeats the state at the time of the registration, so that one with
+// a lower epoch may arrive after a newer one.
+func (c *Client) learnOrders(r *wirepb.HeartbeatReply) {
 	if !r.OrderEpochRead {
 		return
 	}
 	c.orderMu.Lock()
-	defer c.orderMu.Unlock()
-	c.orderEpoch = max(c.orderEpoch, r.OrderEpoch)
-	c.orderKnown = true
+	newer := !c.orders.Known || r.OrderEpoch > c.orders.Epoch
+	if newer {
+		c.orders = Orders{Known: true, Epoch: r.OrderEpoch, Drained: r.Drained}
+	}
+	c.orderMu.Unlock()
+	if newer && c.opts.OnOrders != nil {
+		c.opts.OnOrders()
+	}
+}
+
+// Orders is the order state of this host.
+type Orders struct {
+	Known   bool   // a replica has told the rest
+	Epoch   uint64 // highest order epoch that control knew after the registration
+	Drained bool   // the newest drain or resume up to that epoch was a drain
 }
 
-// OrderEpoch returns the highest order epoch of this host that control knew
-// after the registration. Known is false until a replica has told it.
-func (c *Client) OrderEpoch() (epoch uint64, known bool) {
+// Orders returns the newest order state that a replica has told.
+func (c *Client) Orders() Orders {
 	c.orderMu.Lock()
 	defer c.orderMu.Unlock()
-	return c.orderEpoch, c.orderKnown
+	return c.orders
 }
--- a/pkg/core/state/model_test.go
+++ b/pkg/core/state/model_test.go
@@ -21,7 +21,7 @@
 	outcomes            map[requestKey]modelOutcome
 	claims              []*modelClaim
 	released            map[string]int64
-	orders              map[string]uint64
+	orders              map[string]OrderState
 	audits              int
 }
 
@@ -42,7 +42,7 @@
 		entries:  make(map[entryID]string),
 		outcomes: make(map[requestKey]modelOutcome),
 		released: make(map[string]int64),
-		orders:   make(map[string]uint64),
+		orders:   make(map[string]OrderState),
 	}
 }
 
@@ -73,8 +73,13 @@
 
 func (m *model) execute(cmd *wirepb.Command) string {
 	if o := cmd.GetOrder(); o != nil {
-		m.orders[o.Host]++
-		return fmt.Sprintf("epoch %d", m.orders[o.Host])
+		next := m.orders[o.Host]
+		next.Epoch++
+		if a := o.Order.Action; a != "load_model" {
+			next.Drained = a == "drain"
+		}
+		m.orders[o.Host] = next
+		return fmt.Sprintf("epoch %d", next.Epoch)
 	}
 	ch := cmd.GetChange()
 	if ch.BaseRevision != m.revision {
@@ -225,7 +230,8 @@
 		cmd.Body = &wirepb.Command_Change{Change: generateChange(t, m)}
 	case 3:
 		host := rapid.SampledFrom([]string{"h1", "h2"}).Draw(t, "host")
-		cmd.Body = &wirepb.Command_Order{Order: &wirepb.OrderChange{Host: host, Order: &wirepb.Order{Action: "drain"}}}
+		cmd.Body = &wirepb.Command_Order{Order: &wirepb.OrderChange{Host: host, Order: &wirepb.Order{
+			Action: rapid.SampledFrom([]string{"drain", "resume", "load_model"}).Draw(t, "action")}}}
 	case 4, 5, 6:
 		cmd.Body = &wirepb.Command_Claim{Claim: generateClaim(t, m)}
 	case 7:
@@ -294,6 +300,9 @@
 			assert.NilError(t, fresh.Restore(after))
 			restarted = fresh
 			assert.Equal(t, whole.AuditSequence(), uint64(m.audits))
+			for host, want := range m.orders {
+				assert.Equal(t, restarted.OrderState(host), want, "orders to %s", host)
+			}
 		}
 	})
 }
--- a/pkg/core/state/orders.go
+++ b/pkg/core/state/orders.go
@@ -12,7 +12,18 @@
 const maxOrderHosts = 100_000
 
 // OrderActions are the actions that an order may name.
-var OrderActions = []string{"load_model", "unload_model", "load_adapter", "set_role", "drain", "resume"}
+var OrderActions = []string{"load_model", "unload_model", "load_adapter", "set_role", actionDrain, actionResume}
+
+const (
+	actionDrain  = "drain"
+	actionResume = "resume"
+)
+
+// OrderState is what the orders to one host have led to.
+type OrderState struct {
+	Epoch   uint64 // of the newest order
+	Drained bool   // the newest drain or resume was a drain
+}
 
 // order raises the epoch of the upstream, so that a later order fences it off.
 func (s *Store) order(cmd *wirepb.Command, o *wirepb.OrderChange) *wirepb.CommandResult {
@@ -28,9 +39,22 @@
 		s.record(cmd, record)
 		return s.refuse(err)
 	}
-	s.orders[o.GetHost()]++
+	next := s.orders[o.GetHost()].after(o.GetOrder().GetAction())
+	s.orders[o.GetHost()] = next
 	s.record(cmd, record)
-	return &wirepb.CommandResult{Revision: s.catalogue.revision, OrderEpoch: s.orders[o.GetHost()]}
+	return &wirepb.CommandResult{Revision: s.catalogue.revision, OrderEpoch: next.Epoch}
+}
+
+// after returns the state after one more order.
+func (o OrderState) after(action string) OrderState {
+	o.Epoch++
+	switch action {
+	case actionDrain:
+		o.Drained = true
+	case actionResume:
+		o.Drained = false
+	}
+	return o
 }
 
 func (s *Store) checkOrder(o *wirepb.OrderChange) *fault.Error {
@@ -56,5 +80,17 @@
 	return text
 }
 
-// OrderEpoch returns the epoch of the newest order to the host.
-func (s *Store) OrderEpoch(host string) uint64 { return s.orders[host] }
+// OrderState returns what the orders to the host have led to.
+func (s *Store) OrderState(host string) OrderState { return s.orders[host] }
+
+// Drained returns the drained hosts in the order of their names.
+func (s *Store) Drained() []string {
+	var out []string
+	for host, o := range s.orders {
+		if o.Drained {
+			out = append(out, host)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
--- a/pkg/core/state/snapshot.go
+++ b/pkg/core/state/snapshot.go
@@ -99,7 +99,7 @@
 func (s *Store) orderRecords() []*wirepb.OrderEpoch {
 	var out []*wirepb.OrderEpoch
 	for _, host := range slices.Sorted(maps.Keys(s.orders)) {
-		out = append(out, &wirepb.OrderEpoch{Host: host, Epoch: s.orders[host]})
+		out = append(out, &wirepb.OrderEpoch{Host: host, Epoch: s.orders[host].Epoch, Drained: s.orders[host].Drained})
 	}
 	return out
 }
@@ -133,7 +133,7 @@
 		return err
 	}
 	for _, o := range m.Orders {
-		fresh.orders[o.Host] = o.Epoch
+		fresh.orders[o.Host] = OrderState{Epoch: o.Epoch, Drained: o.Drained}
 	}
 	for _, r := range m.Dedup {
 		fresh.dedup.add(r)
--- a/pkg/core/state/store.go
+++ b/pkg/core/state/store.go
@@ -32,7 +32,7 @@
 
 	catalogue catalogue
 	claims    claimTable
-	orders    map[string]uint64
+	orders    map[string]OrderState
 	audit     auditTrail
 	dedup     dedupTable
 }
@@ -42,7 +42,7 @@
 	return &Store{
 		catalogue: newCatalogue(),
 		claims:    newClaimTable(),
-		orders:    make(map[string]uint64),
+		orders:    make(map[string]OrderState),
 		dedup:     newDedupTable(),
 	}
 }
--- a/pkg/ctl/read.go
+++ b/pkg/ctl/read.go
@@ -84,12 +84,16 @@
 					r.ID, r.Voter.Value.GetPeerAddress(), r.Leader, r.Reports, r.Revision, r.Watchers, r.Lagging)
 			}
 		})
-		table(w, "UPSTREAM\tDATA CENTRE\tKIND\tSTATE\tHOLDS\tEPOCH", func(t io.Writer) {
+		table(w, "UPSTREAM\tDATA CENTRE\tKIND\tSTATE\tHOLDS\tEPOCH\tDRAINED", func(t io.Writer) {
 			for _, u := range reply.Upstreams {
 				an := u.Announcement.Value
-				fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%d\n", an.GetHost(), an.GetDataCentre(), an.GetKind(), u.State, holds(an), u.OrderEpoch)
+				fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%d\t%t\n",
+					an.GetHost(), an.GetDataCentre(), an.GetKind(), u.State, holds(an), u.OrderEpoch, u.Drained)
 			}
 		})
+		if len(reply.DrainedAbsent) > 0 {
+			fmt.Fprintf(w, "drained and not registered: %s\n", strings.Join(reply.DrainedAbsent, " "))
+		}
 	})
 }
 
--- a/pkg/operators/types.go
+++ b/pkg/operators/types.go
@@ -145,6 +145,9 @@
 	Announcement Announcement `json:"announcement"`
 	State        string       `json:"state"`
 	OrderEpoch   uint64       `json:"order_epoch"`
+	// Drained says that the newest drain or resume was a drain. State is what
+	// the agent announces.
+	Drained bool `json:"drained"`
 }
 
 // StatusReply describes the answering replica and what it knows of the others.
@@ -162,6 +165,8 @@
 	Claims      int              `json:"claims"`
 	Replicas    []ReplicaStatus  `json:"replicas"`
 	Upstreams   []UpstreamStatus `json:"upstreams"`
+	// DrainedAbsent lists drained hosts without a registered upstream.
+	DrainedAbsent []string `json:"drained_absent,omitempty"`
 }
 
 // VotersReply lists the voters and learners.
--- a/pkg/role/agent/admit.go
+++ b/pkg/role/agent/admit.go
@@ -33,6 +33,11 @@
 		done()
 		return nil, nil, errNoUpstream()
 	}
+	if !a.orders.known() {
+		done()
+		return nil, nil, fault.New(fault.Unavailable, "control has not yet told whether the upstream is drained").
+			WithOutcome(fault.NotRun).WithRetryAfter(drainRetryAfter)
+	}
 	if a.upstream.draining.Load() {
 		done()
 		return nil, nil, fault.New(fault.Draining, "upstream is drained").WithOutcome(fault.NotRun).WithRetryAfter(drainRetryAfter)
--- a/pkg/role/agent/agent.go
+++ b/pkg/role/agent/agent.go
@@ -27,9 +27,9 @@
 	View() *control.View
 	Confirmed() time.Time
 	Register(ctx context.Context, announce func() *wirepb.Announcement, changed <-chan struct{}, onOrder control.OrderFunc)
-	// OrderEpoch returns the highest order epoch that control knew after this
+	// Orders returns the order state of this host that control knew after this
 	// process had registered, read linearizably.
-	OrderEpoch() (epoch uint64, known bool)
+	Orders() control.Orders
 	Claim(ctx context.Context, req *wirepb.ClaimRequest) (*wirepb.ClaimReply, error)
 	Resolve(ctx context.Context, req *wirepb.ClaimResolve) (*wirepb.ClaimReply, error)
 	Release(ctx context.Context, req *wirepb.ClaimRequest) (*wirepb.ClaimReply, error)
--- a/pkg/role/agent/call_test.go
+++ b/pkg/role/agent/call_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	client "github.com/plantainstair/plantainstair/pkg/agent"
+	"github.com/plantainstair/plantainstair/pkg/control"
 	"github.com/plantainstair/plantainstair/pkg/fault"
 	"github.com/plantainstair/plantainstair/pkg/standin"
 	"github.com/plantainstair/plantainstair/pkg/upstreams"
@@ -273,13 +274,13 @@
 // the highest epoch is known after a restart.
 func TestOrders_Fenced(t *testing.T) {
 	n := startEngineNode(t, "a", 0, testLayers-1, nil, func(o *standin.EngineOptions) { o.ChecksFencing = false })
-	n.control.set(func() { n.control.epoch, n.control.epochOK = 5, false })
+	n.control.set(func() { n.control.orders = control.Orders{Epoch: 5} })
 	send := func(epoch uint64) fault.Kind {
 		r := n.agent.orders.carryOut(&wirepb.Order{Id: fmt.Sprint(epoch), Epoch: epoch, Action: "load_model"})
 		return fault.KindOf(asError(r.Error))
 	}
 	assert.Equal(t, send(6), fault.Unavailable)
-	n.control.set(func() { n.control.epochOK = true })
+	n.control.set(func() { n.control.orders.Known = true })
 	assert.Equal(t, send(4), fault.StaleEpoch)
 	assert.Equal(t, send(7), fault.Kind(""))
 	assert.Equal(t, send(6), fault.StaleEpoch)
--- /dev/null
+++ b/pkg/role/agent/drain_test.go
@@ -0,0 +1,85 @@
+package agent
+
+import (
+	"context"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/plantainstair/plantainstair/pkg/control"
+	"github.com/plantainstair/plantainstair/pkg/fault"
+	"github.com/plantainstair/plantainstair/pkg/standin"
+	"github.com/plantainstair/plantainstair/pkg/upstreams"
+	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
+)
+
+// startRestarted starts an agent for one engine with all layers and a service,
+// to which control has told nothing yet.
+func startRestarted(t *testing.T) *node {
+	fake := newFakeControl()
+	fake.orders = control.Orders{}
+	n := startAgent(t, "a", fake, nil)
+	n.last = testLayers - 1
+	models := []upstreams.Model{{Model: "m", Version: "v", LastLayer: testLayers - 1}}
+	n.engine = standin.NewEngine(standin.EngineOptions{Name: "a", Layers: testLayers, Slots: 16, KVTokens: 4096, Models: models})
+	t.Cleanup(n.engine.Close)
+	n.server = standin.ServeEngine(n.engine, listen(t))
+	t.Cleanup(n.server.Close)
+	assert.NilError(t, n.agent.upstream.Announced(&upstreams.Announcement{
+		Name: "a", Kind: upstreams.KindEngine, Address: n.server.Address(), Models: models, Services: []string{"pay"}, Slots: 16, KVTokens: 4096,
+	}))
+	return n
+}
+
+// Guards against work that reaches a drained upstream after its agent has
+// restarted: before control has told of the drain, while it is in force, and
+// when an older state arrives after the resume.
+func TestDrain_HoldsOverRestart(t *testing.T) {
+	n := startRestarted(t)
+	c := newClient(t)
+	ctx := context.Background()
+	refused := func(kind fault.Kind) {
+		t.Helper()
+		_, _, generated := collect(ctx, c, request("s", 1, prompt(3), 2, n), nil)
+		_, staged := c.OpenStage(ctx, n.agent.Address(), &wirepb.StageOpen{Session: "t", Epoch: 1, Model: "m", Version: "v", Stages: []*wirepb.StageRef{n.ref()}})
+		keyed := call("r1", "k")
+		repeatable := call("r2", "")
+		repeatable.Repeatable = true
+		_, once := c.Call(ctx, n.agent.Address(), keyed)
+		_, called := c.Call(ctx, n.agent.Address(), repeatable)
+		for i, err := range []error{generated, staged, once, called} {
+			assert.Assert(t, fault.Is(err, kind), "work %d: %v", i, err)
+			assert.Equal(t, fault.As(err).Outcome, fault.NotRun, "work %d", i)
+		}
+		assert.Equal(t, n.agent.upstream.announcement().State, stateDraining)
+		assert.Assert(t, n.agent.buildReport().Draining)
+	}
+	tell := func(o control.Orders) {
+		n.control.set(func() { n.control.orders = o })
+		n.agent.orders.learn()
+	}
+	served := func(session string) {
+		t.Helper()
+		tokens, _, err := collect(ctx, c, request(session, 1, prompt(3), 2, n), nil)
+		assert.NilError(t, err)
+		assert.Equal(t, len(tokens), 2)
+		waitFor(t, "the announcement", func() bool {
+			n.control.mu.Lock()
+			defer n.control.mu.Unlock()
+			return n.control.announced.GetState() == stateServing
+		})
+	}
+	refused(fault.Unavailable)
+	tell(control.Orders{Known: true, Epoch: 4, Drained: true})
+	refused(fault.Draining)
+	resumed := n.agent.orders.carryOut(&wirepb.Order{Id: "r", Epoch: 5, Action: actionResume})
+	assert.Assert(t, resumed.Error == nil, "%v", resumed.Error)
+	served("u")
+	tell(control.Orders{Known: true, Epoch: 4, Drained: true})
+	served("v")
+	tell(control.Orders{Known: true, Epoch: 6, Drained: true}) // the order itself was lost
+	refused(fault.Draining)
+	late := n.agent.orders.carryOut(&wirepb.Order{Id: "late", Epoch: 5, Action: actionResume})
+	assert.Equal(t, late.Error.GetKind(), string(fault.StaleEpoch))
+	refused(fault.Draining)
+}
--- a/pkg/role/agent/fakes_test.go
+++ b/pkg/role/agent/fakes_test.go
@@ -27,8 +27,7 @@
 	mu        sync.Mutex
 	view      *control.View
 	stale     bool
-	epoch     uint64
-	epochOK   bool
+	orders    control.Orders
 	claims    map[string]*fakeClaim
 	released  map[string]bool
 	cut       bool                 // every request fails before it is applied
@@ -48,7 +47,7 @@
 func newFakeControl() *fakeControl {
 	return &fakeControl{
 		view:     &control.View{Revision: 7, Organisations: map[string]*wirepb.Entry{"o": {}}, Services: map[string]*wirepb.Entry{}},
-		epochOK:  true,
+		orders:   control.Orders{Known: true},
 		claims:   make(map[string]*fakeClaim),
 		released: make(map[string]bool),
 		lose:     func(string) bool { return false },
@@ -66,10 +65,10 @@
 	return time.Now()
 }
 
-func (f *fakeControl) OrderEpoch() (uint64, bool) {
+func (f *fakeControl) Orders() control.Orders {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.epoch, f.epochOK
+	return f.orders
 }
 
 func (f *fakeControl) Register(ctx context.Context, announce func() *wirepb.Announcement, changed <-chan struct{}, onOrder control.OrderFunc) {
--- a/pkg/role/agent/orders.go
+++ b/pkg/role/agent/orders.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/plantainstair/plantainstair/pkg/fault"
@@ -28,9 +29,10 @@
 	agent *Agent
 	turn  chan struct{} // holds one token
 
+	learned atomic.Bool // set once control has told the order state of the host
+
 	mu      sync.Mutex
-	highest uint64
-	learned bool // highest is at least what control knew after the start
+	highest uint64 // at least what control knew after the start
 }
 
 func newOrders(a *Agent) *orders {
@@ -49,6 +51,9 @@
 }
 
 func (o *orders) run(order *wirepb.Order) error {
+	if order.Action == actionDrain || order.Action == actionResume {
+		return o.setDrained(order)
+	}
 	if err := o.accept(order.Epoch); err != nil {
 		return err
 	}
@@ -64,26 +69,57 @@
 		o.turn <- struct{}{}
 		return err
 	}
-	if order.Action == actionDrain || order.Action == actionResume {
-		o.agent.upstream.drain(order.Action == actionDrain)
-		o.turn <- struct{}{}
-		return nil
-	}
 	return o.send(ctx, order)
 }
 
+// setDrained drains or resumes. It does not wait for an order at the engine,
+// and happens together with the check of the epoch, so that a newer drain or
+// resume is not undone.
+func (o *orders) setDrained(order *wirepb.Order) error {
+	o.learn()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if err := o.raise(order.Epoch); err != nil {
+		return err
+	}
+	o.agent.upstream.drain(order.Action == actionDrain)
+	return nil
+}
+
+// learn takes over an order state of control that is newer than the orders
+// seen here, and reports whether one was ever told. A drain whose order was
+// lost with its connection takes effect here after the next registration.
+func (o *orders) learn() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	told := o.agent.control.Orders()
+	if !told.Known {
+		return false
+	}
+	if !o.learned.Load() || told.Epoch > o.highest {
+		o.highest = told.Epoch
+		o.agent.upstream.drain(told.Drained)
+		o.learned.Store(true)
+	}
+	return true
+}
+
+// known reports whether control has told the order state of the host. Later
+// changes come by orders and by the callback of the control client.
+func (o *orders) known() bool { return o.learned.Load() || o.learn() }
+
 // accept raises the highest epoch seen, or refuses a lower one.
 func (o *orders) accept(epoch uint64) error {
+	o.learn()
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if !o.learned {
-		known, ok := o.agent.control.OrderEpoch()
-		if !ok {
-			return fault.New(fault.Unavailable, "order epoch is not yet known from control").
-				WithOutcome(fault.NotRun).WithRetryAfter(orderRetryAfter)
-		}
-		o.highest = max(o.highest, known)
-		o.learned = true
+	return o.raise(epoch)
+}
+
+func (o *orders) raise(epoch uint64) error {
+	if !o.learned.Load() {
+		return fault.New(fault.Unavailable, "order epoch is not yet known from control").
+			WithOutcome(fault.NotRun).WithRetryAfter(orderRetryAfter)
 	}
 	if epoch < o.highest {
 		return fault.New(fault.StaleEpoch, "order epoch %d is below %d", epoch, o.highest).
--- a/pkg/role/agent/process.go
+++ b/pkg/role/agent/process.go
@@ -34,7 +34,9 @@
 	var a *Agent
 	client := control.NewClient(control.Options{
 		Addresses: set.ControlAddresses, Link: opts, Role: Role, Host: set.Host, Log: log.Part("control"),
-		OnFenced: func(known uint64) { a.upstream.Fenced(known) }, // registration begins after the start below
+		// Registration begins after the start below.
+		OnFenced: func(known uint64) { a.upstream.Fenced(known) },
+		OnOrders: func() { a.orders.learn() },
 	})
 	watch, stopWatch := context.WithCancel(context.Background())
 	watchEnded := make(chan struct{})
--- a/pkg/role/agent/upstream.go
+++ b/pkg/role/agent/upstream.go
@@ -20,7 +20,7 @@
 	stateLeft    = "left"    // never announced, or withdrew
 	stateServing = "serving" // announced, heartbeats arrive
 	stateEjected = "ejected" // silent or refuses connections
-	// stateDraining is announced while an operator's drain is in force.
+	// stateDraining is announced while an operator's drain is in force or may be.
 	stateDraining = "draining"
 )
 
@@ -67,7 +67,9 @@
 	prefixes prefixSet
 
 	announcedBefore bool
-	draining        atomic.Bool
+	// draining is set while an operator's drain is in force, and until control
+	// has told whether one is.
+	draining atomic.Bool
 }
 
 func newUpstreamState(identity *wirepb.Announcement, limit time.Duration, now func() time.Time, log logs.Logger, onSlots func(int)) *upstreamState {
@@ -85,6 +87,7 @@
 		machine:  fsm.NewFSM(stateLeft, events, nil),
 		prefixes: newPrefixSet(maxKnownPrefixes),
 	}
+	u.draining.Store(true)
 	copyIdentity(&u.identity, identity)
 	return u
 }
@@ -131,11 +134,13 @@
 }
 
 // drain stops or resumes new work at the order of an operator. Work in progress
-// goes on. A restart of the agent resumes it.
+// goes on.
 func (u *upstreamState) drain(on bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.draining.Store(on)
+	if u.draining.Swap(on) == on {
+		return
+	}
 	if v := u.current.Load(); v != nil {
 		u.current.Store(&upstreamView{announced: v.announced, wire: u.wireAnnouncement(v.announced)})
 	}
--- a/pkg/role/control/control_test.go
+++ b/pkg/role/control/control_test.go
@@ -12,6 +12,7 @@
 
 	"gotest.tools/v3/assert"
 
+	client "github.com/plantainstair/plantainstair/pkg/control"
 	"github.com/plantainstair/plantainstair/pkg/core/state"
 	"github.com/plantainstair/plantainstair/pkg/fault"
 	"github.com/plantainstair/plantainstair/pkg/link"
@@ -286,7 +287,9 @@
 		restarted.Register(again, func() *wirepb.Announcement { return next }, nil, nil)
 	}()
 	t.Cleanup(func() { cancelAgain(); <-doneAgain })
-	c.until("the order epoch", func() bool { epoch, known := restarted.OrderEpoch(); return known && epoch == 2 })
+	c.until("the order epoch", func() bool {
+		return restarted.Orders() == client.Orders{Known: true, Epoch: 2, Drained: true}
+	})
 
 	entry := c.run(c.client(roleEntry, "e1"))
 	c.until("the upstream in the view", func() bool { return entry.View() != nil && entry.View().Upstreams["h1"] != nil })
@@ -342,10 +345,17 @@
 	listed := func(incarnation uint64) func() bool {
 		return func() bool { return entry.View().Upstreams["h9"].GetIncarnation() == incarnation }
 	}
+	// end returns what follows the order state, which comes by itself.
+	end := func(s *wire.Stream) (*wirepb.Frame, error) {
+		f, err := s.Read()
+		assert.NilError(t, err)
+		assert.Assert(t, f.GetHeartbeatReply().GetOrderEpochRead(), "%v", f)
+		return s.Read()
+	}
 	frozen := register(5)
 	c.until("the upstream", listed(5))
 	since := time.Now()
-	f, err := frozen.Read()
+	f, err := end(frozen)
 	assert.NilError(t, err)
 	assert.Equal(t, f.GetError().GetKind(), string(fault.StaleEpoch))
 	c.until("the upstream gone", listed(0))
@@ -358,7 +368,7 @@
 	restarted := register(6)
 	c.until("the next incarnation", listed(6))
 	assert.NilError(t, restarted.Write(&wirepb.Frame{Body: &wirepb.Frame_Leave{Leave: &wirepb.Leave{}}}))
-	_, err = restarted.Read()
+	_, err = end(restarted)
 	assert.Equal(t, err, io.EOF)
 	c.until("the upstream gone after its leave", listed(0))
 }
--- a/pkg/role/control/register.go
+++ b/pkg/role/control/register.go
@@ -24,9 +24,9 @@
 	stream *wire.Stream
 	done   chan struct{} // closed when the stream has ended
 
-	// epoch is the order epoch of the host, read linearizably after the
+	// orders is the order state of the host, read linearizably after the
 	// registration; nil until then.
-	epoch atomic.Pointer[uint64]
+	orders atomic.Pointer[state.OrderState]
 
 	mu      sync.Mutex
 	pending map[uint64]chan *wirepb.OrderResult // by epoch
@@ -51,7 +51,7 @@
 		_ = stream.WriteError(err)
 		return
 	}
-	c.readEpoch(rs, reg.host)
+	c.readOrders(rs, reg.host)
 	if err := c.runRegister(rs, reg); err != nil {
 		c.log.Debug("registration ended", logs.Str("upstream", reg.host), logs.Err(err))
 		_ = stream.WriteError(err)
@@ -90,29 +90,35 @@
 	if err := c.registry.Heartbeat(c.opts.Now(), reg, h.GetAnnouncement()); err != nil {
 		return err
 	}
-	reply := &wirepb.HeartbeatReply{Sequence: h.GetSequence(), LiveEntries: uint32(c.liveEntries())}
-	if epoch := rs.epoch.Load(); epoch != nil {
-		reply.OrderEpoch, reply.OrderEpochRead = *epoch, true
+	return c.replyHeartbeat(rs, h.GetSequence())
+}
+
+func (c *Control) replyHeartbeat(rs *registerStream, sequence uint64) error {
+	reply := &wirepb.HeartbeatReply{Sequence: sequence, LiveEntries: uint32(c.liveEntries())}
+	if o := rs.orders.Load(); o != nil {
+		reply.OrderEpoch, reply.Drained, reply.OrderEpochRead = o.Epoch, o.Drained, true
 	}
 	return rs.write(&wirepb.Frame{Body: &wirepb.Frame_HeartbeatReply{HeartbeatReply: reply}})
 }
 
-// readEpoch reads the order epoch of the host and repeats that while no quorum
-// confirms the read.
-func (c *Control) readEpoch(rs *registerStream, host string) {
+// readOrders reads the order state of the host and repeats that while no
+// quorum confirms the read. The agent is told at once, because it takes no
+// work before.
+func (c *Control) readOrders(rs *registerStream, host string) {
 	c.barrier.submit(func(err error) {
 		if err != nil {
 			select {
 			case <-rs.done:
 			case <-c.ctx.Done():
 			default:
-				c.readEpoch(rs, host)
+				c.readOrders(rs, host)
 			}
 			return
 		}
-		epoch := uint64(0)
-		c.machine.Read(func(s *state.Store) { epoch = s.OrderEpoch(host) })
-		rs.epoch.Store(&epoch)
+		var orders state.OrderState
+		c.machine.Read(func(s *state.Store) { orders = s.OrderState(host) })
+		rs.orders.Store(&orders)
+		go func() { _ = c.replyHeartbeat(rs, 0) }() // the barrier must not wait for an agent
 	})
 }
 
--- a/pkg/role/control/status.go
+++ b/pkg/role/control/status.go
@@ -33,13 +33,23 @@
 	c.machine.Read(func(s *state.Store) {
 		reply.Revision = s.Revision()
 		reply.Claims = s.Counts().Claims
+		registered := make(map[string]bool, len(upstreams))
 		for _, u := range upstreams {
+			host := u.announcement.GetHost()
+			orders := s.OrderState(host)
+			registered[host] = true
 			reply.Upstreams = append(reply.Upstreams, operators.UpstreamStatus{
 				Announcement: operators.Announcement{Value: u.announcement},
 				State:        u.state,
-				OrderEpoch:   s.OrderEpoch(u.announcement.GetHost()),
+				OrderEpoch:   orders.Epoch,
+				Drained:      orders.Drained,
 			})
 		}
+		for _, host := range s.Drained() {
+			if !registered[host] {
+				reply.DrainedAbsent = append(reply.DrainedAbsent, host)
+			}
+		}
 	})
 	return reply, nil
 }
--- a/test/e2e/config_test.go
+++ b/test/e2e/config_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/plantainstair/plantainstair/pkg/ctl"
 	"github.com/plantainstair/plantainstair/pkg/fault"
 	"github.com/plantainstair/plantainstair/pkg/local"
 	"github.com/plantainstair/plantainstair/pkg/operators"
@@ -168,21 +170,59 @@
 		Host: drained.Host, Order: operators.Order{Value: &wirepb.Order{Action: "resume"}},
 	})
 	assert.NilError(t, err)
-	serving := func() error {
+	assert.NilError(t, local.Until(ctx, "the resumed upstream", announces(ctx, d, drained.Host, "serving")))
+	time.Sleep(time.Second)      // more than the time in which entries learn of it
+	const chats, tokens = 40, 30 // far more than the slots of one head, so that both are needed
+	checkChats(t, d, startChats(ctx, d, chats, tokens, func() {}), chats, tokens)
+	assert.Assert(t, len(records(t, drained).Layers) > before, "the resumed upstream gets no work")
+}
+
+// announces returns a condition on the state of an upstream in the registry.
+func announces(ctx context.Context, d *local.Deployment, host, state string) func() error {
+	return func() error {
 		status, err := d.Admin().Status(ctx)
 		if err != nil {
 			return err
 		}
 		for _, u := range status.Upstreams {
-			if u.Announcement.Value.GetHost() == drained.Host && u.State == "serving" {
+			if u.Announcement.Value.GetHost() == host && u.State == state {
 				return nil
 			}
 		}
-		return fault.New(fault.Unavailable, "the upstream is not serving")
+		return fault.New(fault.Unavailable, "%s is not %s", host, state)
 	}
-	assert.NilError(t, local.Until(ctx, "the resumed upstream", serving))
-	time.Sleep(time.Second)      // more than the time in which entries learn of it
-	const chats, tokens = 40, 30 // far more than the slots of one head, so that both are needed
+}
+
+// Guards against a drain that ends when its agent restarts, although the
+// operator has not resumed the host.
+func TestUpstream_DrainHoldsOverRestart(t *testing.T) {
+	d, ctx := launch(t, nil)
+	c := newCommandLine(t, d)
+	drained := d.Upstreams[0]
+	_, code := c.run("drain", drained.Host)
+	assert.Equal(t, code, ctl.ExitOK)
+	time.Sleep(leaveLimit)
+	before := len(records(t, drained).Layers)
+	drained.Agent.Kill()
+	gone := func() error {
+		if out, _ := c.run("status"); !strings.Contains(out, "drained and not registered: "+drained.Host) {
+			return fault.New(fault.Unavailable, "status without the drained host: %s", out)
+		}
+		return nil
+	}
+	assert.NilError(t, local.Until(ctx, "the lease to pass", gone))
+	assert.NilError(t, drained.Agent.Start())
+	for deadline := time.Now().Add(leaveLimit); time.Now().Before(deadline); {
+		chatAll(ctx, t, d, "across the restart")
+	}
+	assert.NilError(t, local.Until(ctx, "the drained upstream", announces(ctx, d, drained.Host, "draining")))
+	chatAll(ctx, t, d, "after the restart")
+	assert.Equal(t, len(records(t, drained).Layers), before)
+	_, code = c.run("order", drained.Host, "resume")
+	assert.Equal(t, code, ctl.ExitOK)
+	assert.NilError(t, local.Until(ctx, "the resumed upstream", announces(ctx, d, drained.Host, "serving")))
+	time.Sleep(time.Second) // more than the time in which entries learn of it
+	const chats, tokens = 40, 30
 	checkChats(t, d, startChats(ctx, d, chats, tokens, func() {}), chats, tokens)
 	assert.Assert(t, len(records(t, drained).Layers) > before, "the resumed upstream gets no work")
 }
