Let an operator settle a claim without an outcome

Cause: a claim whose agent died between claim and answer blocked its key as "unknown" until the horizon, and nobody could say what happened. Change: the command ClaimSettle decides on one named pending attempt. As not run, it removes the claim and refuses the attempt from then on; as run, the claim counts as answered without a response, and a resend gets the new error answer_lost (410, outcome answered). Other states are refused as a conflict that names them. Every decision is in the audit trail. GET /v1/claims, POST /v1/claims/settle and `plantainctl claims` list and settle.

The check with real processes was not run for this commit.

--- a/cmd/plantainctl/commands.go
+++ b/cmd/plantainctl/commands.go
@@ -36,6 +36,7 @@
 	c.addDrain()
 	c.addOrder()
 	c.addVoters()
+	c.addClaims()
 	c.addSnapshot()
 	c.addCheckConfig()
 	c.addSettings()
@@ -159,6 +160,37 @@
 	})
 }
 
+func (c *commands) addClaims() {
+	var action string
+	var ran, notRun bool
+	var q operators.ClaimsQuery
+	var req operators.SettleRequest
+	q.Limit = 100
+	sub := newSub("claims", "Lists claims on calls, or settles one without an outcome.")
+	sub.AddPositionalValue(&action, "action", 1, false, "list or settle.")
+	sub.String(&req.Organisation, "o", "organisation", "Organisation of the claim, or of the claims to list.")
+	sub.String(&req.Service, "s", "service", "Service of the claim, or of the claims to list.")
+	sub.String(&q.State, "", "state", "State to list: pending (default), answered, settled or any.")
+	sub.String(&q.After, "a", "after", "Place to continue the list at.")
+	sub.Int(&q.Limit, "n", "limit", "Largest number of rows.")
+	sub.String(&req.Key, "k", "key", "Idempotency key of the claim to settle.")
+	sub.String(&req.Attempt, "", "attempt", "Attempt that holds the claim, as listed.")
+	sub.Bool(&ran, "", "ran", "The call ran: a resend is told so and does not run.")
+	sub.Bool(&notRun, "", "not-run", "The call did not run and cannot run any more: a resend runs.")
+	sub.String(&req.Comment, "m", "comment", "Comment for the audit trail.")
+	sub.String(&req.RequestID, "", "request-id", "Id of an earlier attempt whose answer was lost.")
+	c.add(sub, func(ctx context.Context, app *ctl.App) error {
+		switch action {
+		case "", "list":
+			q.Organisation, q.Service = req.Organisation, req.Service
+			return app.Claims(ctx, q)
+		case "settle":
+			return app.SettleClaim(ctx, req, ran, notRun)
+		}
+		return fault.New(fault.Invalid, "%q is not list or settle", action).WithField("action").WithOutcome(fault.NotRun)
+	})
+}
+
 func (c *commands) addSnapshot() {
 	sub := newSub("snapshot", "Makes the first control replica write a snapshot.")
 	c.add(sub, func(ctx context.Context, app *ctl.App) error { return app.Snapshot(ctx) })
--- a/pkg/callers/errors.go
+++ b/pkg/callers/errors.go
@@ -96,7 +96,7 @@
 // typeOf returns the closest of OpenAI's error types.
 func typeOf(k fault.Kind) string {
 	switch k {
-	case fault.Invalid, fault.NotFound, fault.Conflict, fault.Expired:
+	case fault.Invalid, fault.NotFound, fault.Conflict, fault.Expired, fault.AnswerLost:
 		return "invalid_request_error"
 	case fault.Unauthenticated:
 		return "authentication_error"
@@ -120,7 +120,7 @@
 		return http.StatusNotFound
 	case fault.Conflict:
 		return http.StatusConflict
-	case fault.Expired:
+	case fault.Expired, fault.AnswerLost:
 		return http.StatusGone
 	case fault.RateLimited:
 		return http.StatusTooManyRequests
--- a/pkg/core/state/audit.go
+++ b/pkg/core/state/audit.go
@@ -17,6 +17,7 @@
 	ActionOrder       = "order"
 	ActionAddVoter    = "add_voter"
 	ActionRemoveVoter = "remove_voter"
+	ActionSettleClaim = "settle_claim"
 )
 
 // auditTrail is a ring of the newest records.
--- a/pkg/core/state/claims.go
+++ b/pkg/core/state/claims.go
@@ -41,6 +41,7 @@
 	created  int64
 	response []byte
 	answered bool
+	settled  bool // answered by an operator, without a response
 }
 
 // bucket lists what was created within the same minute, so that it can be
@@ -67,7 +68,15 @@
 	}
 }
 
-func claimID(c *wirepb.ClaimRequest) string {
+// named is a message that names a claim.
+type named interface {
+	GetOrganisation() string
+	GetService() string
+	GetKey() string
+	GetAttempt() string
+}
+
+func claimID(c named) string {
 	return c.GetOrganisation() + "\x00" + c.GetService() + "\x00" + c.GetKey()
 }
 
@@ -75,6 +84,16 @@
 	if len(c.GetRequestDigest()) != digestSize {
 		return invalid("request_digest", "%d bytes in place of %d", len(c.GetRequestDigest()), digestSize)
 	}
+	if err := validateClaimNames(c); err != nil {
+		return err
+	}
+	if len(c.GetHost()) > maxKeyLength {
+		return invalid("host", "longer than %d bytes", maxKeyLength)
+	}
+	return nil
+}
+
+func validateClaimNames(c named) *fault.Error {
 	for _, f := range [...]struct{ name, value string }{
 		{"organisation", c.GetOrganisation()}, {"service", c.GetService()}, {"key", c.GetKey()}, {"attempt", c.GetAttempt()},
 	} {
@@ -82,9 +101,6 @@
 			return invalid(f.name, "not between 1 and %d bytes without NUL", maxKeyLength)
 		}
 	}
-	if len(c.GetHost()) > maxKeyLength {
-		return invalid("host", "longer than %d bytes", maxKeyLength)
-	}
 	return nil
 }
 
@@ -243,6 +259,9 @@
 	if !c.answered {
 		return &wirepb.ClaimReply{Status: ClaimPending, Attempt: c.attempt}, nil
 	}
+	if c.settled {
+		return &wirepb.ClaimReply{Status: ClaimAnswered, Attempt: c.attempt}, nil
+	}
 	response := &wirepb.CallResponse{}
 	if err := proto.Unmarshal(c.response, response); err != nil {
 		return nil, fault.Wrap(err, fault.Corrupt, "decode recorded response")
--- /dev/null
+++ b/pkg/core/state/settle.go
@@ -0,0 +1,185 @@
+package state
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/plantainstair/plantainstair/pkg/fault"
+	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
+)
+
+// States of a listed claim besides ClaimPending and ClaimAnswered.
+const (
+	// ClaimSettled is a claim of which an operator stated that its call ran.
+	// To agents it is answered, without a response.
+	ClaimSettled = "settled"
+	// ClaimAny selects claims in every state.
+	ClaimAny = "any"
+)
+
+// maxClaimsExamined bounds how long one page of claims keeps commands from
+// being applied. A page ends after the minute in which it is exceeded.
+const maxClaimsExamined = 50_000
+
+// settle carries out the decision of an operator about a claim without an
+// outcome.
+func (s *Store) settle(cmd *wirepb.Command, d *wirepb.ClaimSettle) *wirepb.CommandResult {
+	reply, err := s.decide(d)
+	record := &wirepb.AuditRecord{
+		Action:   ActionSettleClaim,
+		Accepted: err == nil,
+		Entries:  appendName(nil, "claim", d.GetOrganisation()+"/"+d.GetService()+"/"+d.GetKey()),
+		Comment:  truncate(describeSettle(d), maxCommentLength),
+	}
+	if err != nil {
+		record.Reason = truncate(err.Error(), maxCommentLength)
+	}
+	s.record(cmd, record)
+	return s.claimResult(reply, err)
+}
+
+func describeSettle(d *wirepb.ClaimSettle) string {
+	text := "attempt " + truncate(d.GetAttempt(), maxKeyLength)
+	if d.GetRan() {
+		text += " ran"
+	} else {
+		text += " not run"
+	}
+	if d.GetComment() != "" {
+		text += ": " + d.GetComment()
+	}
+	return text
+}
+
+func (s *Store) decide(d *wirepb.ClaimSettle) (*wirepb.ClaimReply, *fault.Error) {
+	if err := validateClaimNames(d); err != nil {
+		return nil, err
+	}
+	if len(d.GetComment()) > maxCommentLength {
+		return nil, invalid("comment", "longer than %d bytes", maxCommentLength)
+	}
+	known := s.claims.claims[claimID(d)]
+	switch {
+	case known == nil:
+		return nil, settleConflict("key", "claim is absent")
+	case known.created < s.expiredBefore:
+		return nil, settleConflict("key", "claim is expired")
+	case known.settled:
+		return nil, settleConflict("key", "claim is settled as run")
+	case known.answered:
+		return nil, settleConflict("key", "claim is answered")
+	case known.attempt != d.GetAttempt():
+		return nil, settleConflict("attempt", "claim is held by attempt %q", known.attempt)
+	}
+	if d.GetRan() {
+		known.answered, known.settled = true, true
+		return known.reply()
+	}
+	// The command of the attempt may still be on the way, as in a release.
+	if err := s.claims.remember(known.attempt, known.created); err != nil {
+		return nil, err
+	}
+	s.claims.remove(known)
+	return &wirepb.ClaimReply{Status: ClaimAbsent}, nil
+}
+
+func settleConflict(field, format string, args ...any) *fault.Error {
+	return fault.New(fault.Conflict, format, args...).WithField(field)
+}
+
+// ClaimInfo describes one claim.
+type ClaimInfo struct {
+	Organisation, Service, Key string
+	Attempt, Host, State       string
+	KeyCreatedUnixMs           int64
+}
+
+// ClaimCursor is a place between two claims in the order of a list.
+type ClaimCursor struct {
+	CreatedUnixMs int64
+	ID            string
+}
+
+// ClaimQuery selects claims. Empty fields match everything, but an empty state
+// means pending.
+type ClaimQuery struct {
+	Organisation, Service, State string
+	After                        ClaimCursor
+	Limit                        int
+}
+
+// Claims lists claims by the creation time of their keys, oldest first. Next
+// is set when there may be more; a page may then hold fewer than the limit.
+func (s *Store) Claims(q ClaimQuery) (page []ClaimInfo, next *ClaimCursor) {
+	examined := 0
+	for _, number := range slices.Sorted(maps.Keys(s.claims.buckets)) {
+		if number < q.After.CreatedUnixMs/bucketMS {
+			continue
+		}
+		if examined > maxClaimsExamined {
+			return page, &ClaimCursor{CreatedUnixMs: number * bucketMS}
+		}
+		examined += len(s.claims.buckets[number].claims)
+		for _, c := range s.selected(number, q) {
+			if len(page) == q.Limit {
+				last := page[len(page)-1]
+				return page, &ClaimCursor{last.KeyCreatedUnixMs, last.Organisation + "\x00" + last.Service + "\x00" + last.Key}
+			}
+			page = append(page, c.info())
+		}
+	}
+	return page, nil
+}
+
+// selected returns the matching claims of one minute in the order of the list.
+func (s *Store) selected(number int64, q ClaimQuery) []*claim {
+	prefix := ""
+	if q.Organisation != "" {
+		prefix = q.Organisation + "\x00"
+	}
+	state := cmp.Or(q.State, ClaimPending)
+	var out []*claim
+	for _, c := range s.claims.buckets[number].claims {
+		if state != ClaimAny && c.state() != state || !strings.HasPrefix(c.id, prefix) {
+			continue
+		}
+		if _, service, _ := c.names(); q.Service != "" && service != q.Service {
+			continue
+		}
+		if compareCursor(c, q.After) > 0 {
+			out = append(out, c)
+		}
+	}
+	slices.SortFunc(out, func(a, b *claim) int { return compareCursor(a, ClaimCursor{b.created, b.id}) })
+	return out
+}
+
+func compareCursor(c *claim, at ClaimCursor) int {
+	return cmp.Or(cmp.Compare(c.created, at.CreatedUnixMs), cmp.Compare(c.id, at.ID))
+}
+
+func (c *claim) info() ClaimInfo {
+	organisation, service, key := c.names()
+	return ClaimInfo{
+		Organisation: organisation, Service: service, Key: key,
+		Attempt: c.attempt, Host: c.host.Value(), State: c.state(), KeyCreatedUnixMs: c.created,
+	}
+}
+
+func (c *claim) state() string {
+	switch {
+	case c.settled:
+		return ClaimSettled
+	case c.answered:
+		return ClaimAnswered
+	}
+	return ClaimPending
+}
+
+func (c *claim) names() (organisation, service, key string) {
+	organisation, rest, _ := strings.Cut(c.id, "\x00")
+	service, key, _ = strings.Cut(rest, "\x00")
+	return organisation, service, key
+}
--- a/pkg/core/state/snapshot.go
+++ b/pkg/core/state/snapshot.go
@@ -3,7 +3,6 @@
 import (
 	"maps"
 	"slices"
-	"strings"
 	"unique"
 
 	"google.golang.org/protobuf/encoding/protowire"
@@ -26,6 +25,7 @@
 	fieldHost         = protowire.Number(7)
 	fieldResponse     = protowire.Number(8)
 	fieldAnswered     = protowire.Number(9)
+	fieldSettled      = protowire.Number(10)
 )
 
 // claimEncodingHint is the usual size of an encoded claim without a response.
@@ -53,8 +53,7 @@
 
 // encode appends the claim as a wirepb.ClaimRecord.
 func (c *claim) encode(b []byte) []byte {
-	organisation, rest, _ := strings.Cut(c.id, "\x00")
-	service, key, _ := strings.Cut(rest, "\x00")
+	organisation, service, key := c.names()
 	b = appendString(b, fieldOrganisation, organisation)
 	b = appendString(b, fieldService, service)
 	b = appendString(b, fieldKey, key)
@@ -68,6 +67,10 @@
 		b = protowire.AppendTag(b, fieldAnswered, protowire.VarintType)
 		b = protowire.AppendVarint(b, protowire.EncodeBool(true))
 	}
+	if c.settled {
+		b = protowire.AppendTag(b, fieldSettled, protowire.VarintType)
+		b = protowire.AppendVarint(b, protowire.EncodeBool(true))
+	}
 	return b
 }
 
@@ -165,6 +168,7 @@
 			created:  r.KeyCreatedUnixMs,
 			response: r.Response,
 			answered: r.Answered,
+			settled:  r.Settled,
 		}
 		copy(c.digest[:], r.RequestDigest)
 		s.claims.add(c)
--- a/pkg/core/state/store.go
+++ b/pkg/core/state/store.go
@@ -78,7 +78,7 @@
 		return s.claimResult(s.resolve(body.Resolve))
 	case *wirepb.Command_Release:
 		return s.claimResult(s.release(body.Release.GetClaim()))
-	case *wirepb.Command_Change, *wirepb.Command_Order, *wirepb.Command_Refused, *wirepb.Command_Voter:
+	case *wirepb.Command_Change, *wirepb.Command_Order, *wirepb.Command_Refused, *wirepb.Command_Voter, *wirepb.Command_Settle:
 		return s.once(cmd)
 	default:
 		return s.refuse(fault.New(fault.Invalid, "command has no known body").WithField("body"))
@@ -122,6 +122,8 @@
 		return s.order(cmd, body.Order)
 	case *wirepb.Command_Voter:
 		return s.voter(cmd, body.Voter)
+	case *wirepb.Command_Settle:
+		return s.settle(cmd, body.Settle)
 	}
 	return s.refuse(fault.New(fault.Invalid, "command has no known body").WithField("body"))
 }
--- a/pkg/fault/fault.go
+++ b/pkg/fault/fault.go
@@ -23,6 +23,7 @@
 	NotFound        Kind = "not_found"         // no such model, service or entry
 	Conflict        Kind = "conflict"          // lost a race on a revision or key
 	Expired         Kind = "expired"           // idempotency key outside the horizon
+	AnswerLost      Kind = "answer_lost"       // the call of the key ran, its answer was not recorded
 	RateLimited     Kind = "rate_limited"      // over the organisation's limit
 	Overloaded      Kind = "overloaded"        // queue full
 	Deadline        Kind = "deadline_exceeded" // cannot finish or did not finish in time
--- a/pkg/operators/api.go
+++ b/pkg/operators/api.go
@@ -64,6 +64,8 @@
 	a.route(mux, "POST /v1/voters", maxOtherBody, voterTimeout, a.atLeader(a.changeVoter))
 	a.route(mux, "POST /v1/orders", maxOtherBody, orderTimeout, a.atLeader(a.orders))
 	a.route(mux, "POST /v1/upstreams/{host}/drain", maxOtherBody, orderTimeout, a.atLeader(a.drain))
+	a.route(mux, "GET /v1/claims", 0, requestTimeout, a.claims)
+	a.route(mux, "POST /v1/claims/settle", maxOtherBody, changeTimeout, a.settleClaim)
 	a.route(mux, "POST /v1/snapshot", maxOtherBody, requestTimeout, a.snapshot)
 	if opts.Platform != nil {
 		for _, path := range []string{"GET /healthz", "GET /readyz", "GET /metrics"} {
--- a/pkg/operators/client.go
+++ b/pkg/operators/client.go
@@ -102,6 +102,17 @@
 	return call[OrderReply](ctx, c, operation{http.MethodPost, "/v1/orders", nil, req, req.Limit() + answerAllowance})
 }
 
+// Claims returns one page of claims.
+func (c *Client) Claims(ctx context.Context, q *ClaimsQuery) (*ClaimsReply, error) {
+	return call[ClaimsReply](ctx, c, read("/v1/claims", q.values()))
+}
+
+// SettleClaim states whether the call of a pending claim ran.
+func (c *Client) SettleClaim(ctx context.Context, req *SettleRequest) (*SettleReply, error) {
+	req.RequestID = orNewID(req.RequestID)
+	return call[SettleReply](ctx, c, operation{http.MethodPost, "/v1/claims/settle", nil, req, changeTimeout + answerAllowance})
+}
+
 // Snapshot makes one replica write a snapshot. It uses only the first address.
 func (c *Client) Snapshot(ctx context.Context) (*SnapshotReply, error) {
 	one := &Client{Addresses: c.Addresses[:min(1, len(c.Addresses))], Token: c.Token, HTTP: c.HTTP}
--- a/pkg/operators/respond.go
+++ b/pkg/operators/respond.go
@@ -19,6 +19,7 @@
 	fault.Conflict:        http.StatusConflict,
 	fault.StaleEpoch:      http.StatusConflict,
 	fault.Expired:         http.StatusGone,
+	fault.AnswerLost:      http.StatusGone,
 	fault.RateLimited:     http.StatusTooManyRequests,
 	fault.Overloaded:      http.StatusServiceUnavailable,
 	fault.Unavailable:     http.StatusServiceUnavailable,
--- a/pkg/operators/service.go
+++ b/pkg/operators/service.go
@@ -15,5 +15,7 @@
 	Voters(ctx context.Context) (*VotersReply, error)
 	ChangeVoter(ctx context.Context, operator string, req *VoterRequest) (*VotersReply, error)
 	Order(ctx context.Context, operator string, req *OrderRequest) (*OrderReply, error)
+	Claims(ctx context.Context, q *ClaimsQuery) (*ClaimsReply, error)
+	SettleClaim(ctx context.Context, operator string, req *SettleRequest) (*SettleReply, error)
 	Snapshot(ctx context.Context) (*SnapshotReply, error)
 }
--- a/pkg/role/agent/call_test.go
+++ b/pkg/role/agent/call_test.go
@@ -270,6 +270,39 @@
 	assert.Assert(t, n.agent.upstream.view() == nil, "a service that refuses connections must be withdrawn")
 }
 
+// Guards against a key that runs again, or whose caller is not told that it
+// ran, after an operator has settled its claim: for a resend, for a caller that
+// already waits and for a call that the agent refuses.
+func TestCall_SettledAsRun(t *testing.T) {
+	service := newService()
+	fake := newFakeControl()
+	n := startServiceNode(t, "a", fake, quickClaims, service)
+	c := newClient(t)
+	id := "o/pay/k"
+	lost := &fakeClaim{attempt: "lost", digest: string(requestDigest(call("", "k")))}
+	fake.set(func() { fake.claims[id] = lost })
+	send := func(request string) error {
+		req := call(request, "k")
+		req.DeadlineMs = 10_000
+		_, err := c.Call(context.Background(), n.agent.Address(), req)
+		return err
+	}
+	check := func(err error) {
+		t.Helper()
+		assert.Assert(t, fault.Is(err, fault.AnswerLost), "%v", err)
+		assert.Equal(t, fault.As(err).Outcome, fault.Answered)
+	}
+	waiting := make(chan error, 1)
+	go func() { waiting <- send("r1") }()
+	waitFor(t, "the call", func() bool { return n.agent.lifecycle.InFlight() == 1 })
+	fake.set(func() { lost.settled = true })
+	check(<-waiting)
+	check(send("r2"))
+	n.agent.upstream.drain(true)
+	check(send("r3"))
+	assert.Equal(t, execution(service, "k").Count, 0)
+}
+
 // Guards against an order that follows a newer one, and against orders before
 // the highest epoch is known after a restart.
 func TestOrders_Fenced(t *testing.T) {
--- a/pkg/role/agent/fakes_test.go
+++ b/pkg/role/agent/fakes_test.go
@@ -42,6 +42,7 @@
 	attempt  string
 	digest   string
 	response *wirepb.CallResponse
+	settled  bool
 }
 
 func newFakeControl() *fakeControl {
@@ -112,6 +113,8 @@
 	switch {
 	case known == nil:
 		return &wirepb.ClaimReply{Status: control.ClaimAbsent}
+	case known.settled:
+		return &wirepb.ClaimReply{Status: control.ClaimAnswered, Attempt: known.attempt}
 	case known.response != nil:
 		return &wirepb.ClaimReply{Status: control.ClaimAnswered, Attempt: known.attempt, Response: known.response}
 	}
--- a/pkg/role/agent/once.go
+++ b/pkg/role/agent/once.go
@@ -125,6 +125,8 @@
 		return nil, f.WithOutcome(fault.NotRun)
 	case reply.Status == control.ClaimAnswered && reply.Response != nil:
 		return c.replay(reply), nil
+	case reply.Status == control.ClaimAnswered:
+		return nil, errAnswerLost()
 	default:
 		return nil, f.WithOutcome(fault.MayHaveRun)
 	}
@@ -198,9 +200,16 @@
 	return fault.New(fault.Unknown, "state of the claim is not known").WithOutcome(fault.MayHaveRun)
 }
 
+// errAnswerLost is the outcome of a key whose call ran according to an
+// operator. No response is known, and none will be.
+func errAnswerLost() *fault.Error {
+	return fault.New(fault.AnswerLost, "the call ran, but its answer was not recorded").
+		WithField("idempotency_key").WithOutcome(fault.Answered)
+}
+
 func (c *onceCall) finishReplay(reply *wirepb.ClaimReply) {
 	if reply.Response == nil {
-		c.finish(nil, errClaimUnknown())
+		c.finish(nil, errAnswerLost())
 		return
 	}
 	c.finish(c.replay(reply), nil)
--- a/pkg/role/control/control_test.go
+++ b/pkg/role/control/control_test.go
@@ -233,6 +233,71 @@
 	assert.Equal(t, reply.Status, state.ClaimExpired)
 }
 
+// Guards against a settled key that stays blocked or runs twice, waiting
+// readers that do not learn of the decision, and a cursor that skips claims.
+func TestClaims_SettleAndList(t *testing.T) {
+	c := startCluster(t, 3)
+	k := c.client(roleAgent, "h1")
+	ctx := background(t)
+	base := claimOf("k0", "a0")
+	for i := range 3 {
+		req := base0(base, fmt.Sprintf("a%d", i))
+		req.Key = fmt.Sprintf("k%d", i)
+		_, err := k.Claim(ctx, req)
+		assert.NilError(t, err)
+	}
+	var listed []string
+	for q := (&operators.ClaimsQuery{Organisation: "org", Limit: 1}); ; {
+		page, err := c.members[len(listed)%3].Claims(ctx, q)
+		assert.NilError(t, err)
+		for _, claim := range page.Claims {
+			assert.Equal(t, claim.Host, "h1")
+			assert.Equal(t, claim.KeyCreatedUnixMS, base.KeyCreatedUnixMs)
+			listed = append(listed, claim.Key+claim.Attempt)
+		}
+		if q.After = page.Next; q.After == "" {
+			break
+		}
+	}
+	assert.DeepEqual(t, listed, []string{"k0a0", "k1a1", "k2a2"})
+	_, err := c.members[0].Claims(ctx, &operators.ClaimsQuery{After: "x", Limit: 1})
+	assert.Equal(t, fault.As(err).Field, "after")
+	read := make(chan *wirepb.ClaimReply, 1)
+	go func() {
+		reply, err := k.ReadClaim(ctx, base, 10*time.Second)
+		assert.Check(t, err)
+		read <- reply
+	}()
+	c.until("the reader to wait", func() bool {
+		waiting := 0
+		for _, m := range c.members {
+			m.machine.waitMu.Lock()
+			waiting += len(m.machine.waiters)
+			m.machine.waitMu.Unlock()
+		}
+		return waiting > 0
+	})
+	decided := time.Now()
+	settle := func(key, attempt string, ran bool) error {
+		_, err := c.members[1].SettleClaim(ctx, "ann", &operators.SettleRequest{
+			RequestID: key + attempt + fmt.Sprint(ran), Organisation: "org", Service: "pay", Key: key, Attempt: attempt, Ran: &ran, Comment: "c"})
+		return err
+	}
+	assert.NilError(t, settle("k0", "a0", true))
+	reply := <-read
+	assert.Equal(t, reply.Status, state.ClaimAnswered)
+	assert.Assert(t, reply.Response == nil)
+	assert.Assert(t, time.Since(decided) < 5*time.Second, "the reader was not woken")
+	assert.NilError(t, settle("k0", "a0", true)) // a resend
+	assert.Assert(t, fault.Is(settle("k0", "a0", false), fault.Conflict))
+	assert.NilError(t, settle("k1", "a1", false))
+	next := base0(base, "a9")
+	next.Key = "k1"
+	reply, err = k.Claim(ctx, next)
+	assert.NilError(t, err)
+	assert.Equal(t, reply.Status, state.ClaimWon)
+}
+
 func base0(c *wirepb.ClaimRequest, attempt string) *wirepb.ClaimRequest {
 	req := claimOf(c.Key, attempt)
 	req.KeyCreatedUnixMs = c.KeyCreatedUnixMs
--- a/pkg/role/control/machine.go
+++ b/pkg/role/control/machine.go
@@ -24,7 +24,14 @@
 
 type claimIdentity struct{ organisation, service, key string }
 
-func identityOf(c *wirepb.ClaimRequest) claimIdentity {
+// keyed is a message that names the key of a claim.
+type keyed interface {
+	GetOrganisation() string
+	GetService() string
+	GetKey() string
+}
+
+func identityOf(c keyed) claimIdentity {
 	return claimIdentity{c.GetOrganisation(), c.GetService(), c.GetKey()}
 }
 
@@ -98,8 +105,8 @@
 	return m.store.ReadClaim(c)
 }
 
-// watchClaim returns a channel that is closed after the next resolve or
-// release of the key. The caller calls stop when it no longer waits.
+// watchClaim returns a channel that is closed after the next resolve,
+// release or settlement of the key. The caller calls stop when it no longer waits.
 func (m *Machine) watchClaim(c *wirepb.ClaimRequest) (changed <-chan struct{}, stop func()) {
 	id := identityOf(c)
 	ch := make(chan struct{})
@@ -122,12 +129,14 @@
 }
 
 func (m *Machine) wakeClaim(cmd *wirepb.Command) {
-	var claim *wirepb.ClaimRequest
+	var claim keyed
 	switch body := cmd.GetBody().(type) {
 	case *wirepb.Command_Resolve:
 		claim = body.Resolve.GetClaim()
 	case *wirepb.Command_Release:
 		claim = body.Release.GetClaim()
+	case *wirepb.Command_Settle:
+		claim = body.Settle
 	default:
 		return
 	}
--- a/pkg/role/entry/call.go
+++ b/pkg/role/entry/call.go
@@ -131,6 +131,9 @@
 // settle sets the outcome of a call that failed.
 func (c *serviceCall) settle(ctx context.Context, err *fault.Error) error {
 	e := *err
+	if e.Kind == fault.AnswerLost && e.Outcome == fault.Answered {
+		return &e
+	}
 	if c.ran || e.Outcome != fault.NotRun {
 		e.Outcome = fault.MayHaveRun
 	}
