Bound the loads over a change of leader

Cause: the places of concurrent_loads were kept in the memory of each leader. A new leader started with all of them free while loads of the old one went on, and loads that waited at the old leader still recorded their order through the new one and sent it themselves. Together up to twice the loads of the policy ran against the weight store. Change: in each term a leader first reads the load orders of the last orders.load_time (40 s, a new setting) from the audit trail behind a quorum round and keeps a place for each until that time has passed. It gives a load only in the term in which it took over; loads that wait at an earlier leader are refused as not_leader and not run. A repeated order continues on its own place. Before, with the reading switched off, TestLoads_BoundedAcrossLeaders saw 2 loads at once with concurrent_loads = 1; after, 1. With only the check of the term switched off it fails as well.

--- a/pkg/core/state/orders.go
+++ b/pkg/core/state/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 
 	"github.com/plantainstair/plantainstair/pkg/fault"
 	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
@@ -80,6 +81,32 @@
 	return text
 }
 
+// LoadOrder is an accepted order to load weights.
+type LoadOrder struct {
+	Operator, RequestID string
+	TimeUnixMs          int64
+}
+
+// LoadsSince returns the accepted load orders from the given log time on,
+// newest first. They are read from the audit trail, which is ordered by time.
+func (s *Store) LoadsSince(unixMS int64) []LoadOrder {
+	var out []LoadOrder
+	for seq := s.audit.sequence; seq >= s.audit.oldest() && seq > 0; seq-- {
+		r := s.audit.at(seq)
+		if r.TimeUnixMs < unixMS {
+			break
+		}
+		action, _, _ := strings.Cut(r.Comment, " ")
+		if r.Action == ActionOrder && r.Accepted && IsLoad(action) {
+			out = append(out, LoadOrder{r.Operator, r.RequestId, r.TimeUnixMs})
+		}
+	}
+	return out
+}
+
+// IsLoad reports whether an order of this action reads the store of the weights.
+func IsLoad(action string) bool { return action == "load_model" || action == "load_adapter" }
+
 // OrderState returns what the orders to the host have led to.
 func (s *Store) OrderState(host string) OrderState { return s.orders[host] }
 
--- a/pkg/role/control/control.go
+++ b/pkg/role/control/control.go
@@ -26,8 +26,15 @@
 	Open func(*Machine, *Transport) (Node, error)
 	Log  logs.Logger
 	Now  func() time.Time
+	// LoadTime is the longest time from the record of an order to the answer
+	// of its agent.
+	LoadTime time.Duration
 }
 
+// defaultLoadTime covers the default engine.order_timeout of agents and the
+// time to record an order.
+const defaultLoadTime = 40 * time.Second
+
 // Control is a running control process without its admin listener.
 type Control struct {
 	opts      Options
@@ -60,6 +67,9 @@
 	if opts.Now == nil {
 		opts.Now = time.Now
 	}
+	if opts.LoadTime == 0 {
+		opts.LoadTime = defaultLoadTime
+	}
 	opts.Link.MaxFrame = controlMaxFrame
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &Control{
--- /dev/null
+++ b/pkg/role/control/loads_test.go
@@ -0,0 +1,152 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/plantainstair/plantainstair/pkg/fault"
+	"github.com/plantainstair/plantainstair/pkg/operators"
+	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
+)
+
+// weightStore counts the loads in progress at all agents. A load lasts until
+// finish is called for its host.
+type weightStore struct {
+	mu      sync.Mutex
+	running int
+	most    int
+	started map[string]time.Time
+	ends    map[string]chan struct{}
+}
+
+func (w *weightStore) load(host string) {
+	w.mu.Lock()
+	w.running++
+	w.most = max(w.most, w.running)
+	w.started[host] = time.Now()
+	end := w.ends[host]
+	w.mu.Unlock()
+	<-end
+	w.mu.Lock()
+	w.running--
+	w.mu.Unlock()
+}
+
+func (w *weightStore) startedAt(host string) time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.started[host]
+}
+
+func (w *weightStore) finish(host string) { close(w.ends[host]) }
+
+// register keeps an agent registered whose loads go to the store.
+func (w *weightStore) register(c *cluster, host string) {
+	w.ends[host] = make(chan struct{})
+	agent := c.run(c.client(roleAgent, host))
+	announcement := &wirepb.Announcement{Host: host, AgentAddress: "127.0.0.1:1", Incarnation: 1}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		agent.Register(ctx, func() *wirepb.Announcement { return announcement }, nil, func(o *wirepb.Order) *wirepb.OrderResult {
+			w.load(host)
+			return &wirepb.OrderResult{Id: o.Id, Epoch: o.Epoch}
+		})
+	}()
+	c.t.Cleanup(func() { cancel(); <-done })
+	c.until("the registration of "+host, func() bool {
+		for _, m := range c.members {
+			if m.registry.Find(host) == nil {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// Guards against more loads than the weight store allows after a change of
+// leader: a new leader that does not count the loads of the old one, and an old
+// one that goes on with the loads that wait there.
+func TestLoads_BoundedAcrossLeaders(t *testing.T) {
+	const loadTime = 3 * time.Second
+	c := startCluster(t, 3)
+	policy := &wirepb.Entry{Kind: "policy", Name: "default", Owner: "o", Policy: &wirepb.PolicySpec{ConcurrentLoads: 1}}
+	_, err := c.members[0].Apply(background(t), "ann", &operators.ChangeRequest{RequestID: "policy", Put: []operators.Entry{{Value: policy}}})
+	assert.NilError(t, err)
+	w := &weightStore{started: make(map[string]time.Time), ends: make(map[string]chan struct{})}
+	for _, host := range []string{"h1", "h2", "h3"} {
+		w.register(c, host)
+	}
+	for _, m := range c.members {
+		m.opts.LoadTime = loadTime
+	}
+	order := func(m *Control, host string) <-chan error {
+		result := make(chan error, 1)
+		go func() {
+			_, err := m.Order(background(t), "ann", &operators.OrderRequest{
+				RequestID: host, Host: host, Order: operators.Order{Value: &wirepb.Order{Action: "load_model", Model: "m", Version: "v"}}})
+			result <- err
+		}()
+		return result
+	}
+	waiting := func(m *Control) func() bool {
+		return func() bool {
+			m.orders.loads.mu.Lock()
+			defer m.orders.loads.mu.Unlock()
+			return len(m.orders.loads.queue) == 1
+		}
+	}
+	old := c.members[c.leader()]
+	ordered := time.Now()
+	first := order(old, "h1")
+	c.until("the first load", func() bool { return !w.startedAt("h1").IsZero() })
+	queued := order(old, "h3")
+	c.until("a load that waits at the old leader", waiting(old))
+	c.isolate(old.opts.ID, true)
+	c.until("another leader", func() bool { lead := c.leader(); return lead >= 0 && c.members[lead] != old })
+	next := c.members[c.leader()]
+	second := order(next, "h2")
+	c.until("a load at the new leader", func() bool { return waiting(next)() || !w.startedAt("h2").IsZero() })
+	c.until("the old leader to step down", func() bool { return old.requireLeader() != nil })
+	w.finish("h1")
+	assert.NilError(t, <-first)
+	refused := <-queued
+	assert.Assert(t, fault.Is(refused, fault.NotLeader), "%v", refused)
+	assert.Equal(t, fault.As(refused).Outcome, fault.NotRun)
+	c.until("the second load", func() bool { return !w.startedAt("h2").IsZero() })
+	w.finish("h2")
+	assert.NilError(t, <-second)
+	w.finish("h3")
+	assert.Assert(t, w.startedAt("h3").IsZero())
+	assert.Equal(t, w.most, 1)
+	const truncation = 2 * time.Millisecond // the log keeps milliseconds
+	assert.Assert(t, w.startedAt("h2").Sub(ordered) >= loadTime-truncation, "the new leader did not wait")
+}
+
+// Guards against a repeated load order that waits for its own place at a new
+// leader.
+func TestLoads_RepeatedOrderKeepsItsPlace(t *testing.T) {
+	c := startCluster(t, 1)
+	b := c.members[0].orders
+	key := orderKey{"ann", "r"}
+	b.mu.Lock()
+	b.inherit(key, time.Hour)
+	b.inherit(key, time.Hour)
+	b.mu.Unlock()
+	assert.Equal(t, b.loads.running, 1)
+	assert.NilError(t, b.acquire(background(t), key, &orderRun{}))
+	assert.Equal(t, b.loads.running, 1)
+	b.mu.Lock()
+	b.inherit(orderKey{"ann", "other"}, 0)
+	b.mu.Unlock()
+	c.until("the end of an inherited place", func() bool {
+		b.loads.mu.Lock()
+		defer b.loads.mu.Unlock()
+		return b.loads.running == 1
+	})
+}
--- a/pkg/role/control/orders.go
+++ b/pkg/role/control/orders.go
@@ -29,6 +29,7 @@
 	reply   *operators.OrderReply
 	err     error
 	ended   time.Time
+	placed  bool // it has had a place of the pacer, so that it is not inherited
 }
 
 type orderKey struct{ operator, request string }
@@ -41,10 +42,14 @@
 
 	mu   sync.Mutex
 	runs map[orderKey]*orderRun
+	term uint64 // term whose loads of earlier leaders are accounted for
+	// inherited holds the places of loads that earlier leaders allowed, each
+	// until the time after which its agent has answered.
+	inherited map[orderKey]*time.Timer
 }
 
 func newOrderBook(c *Control) *orderBook {
-	b := &orderBook{control: c, runs: make(map[orderKey]*orderRun)}
+	b := &orderBook{control: c, runs: make(map[orderKey]*orderRun), inherited: make(map[orderKey]*time.Timer)}
 	b.loads.limit = func() int {
 		n := 0
 		c.machine.Read(func(s *state.Store) { n = s.ConcurrentLoads() })
@@ -114,7 +119,7 @@
 func (b *orderBook) run(key orderKey, run *orderRun) {
 	ctx, cancel := context.WithTimeout(b.control.ctx, orderMax)
 	defer cancel()
-	reply, err := b.carryOut(ctx, key, run.request)
+	reply, err := b.carryOut(ctx, key, run)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	run.reply, run.err = reply, err
@@ -127,12 +132,111 @@
 	}
 }
 
-func (b *orderBook) carryOut(ctx context.Context, key orderKey, req *operators.OrderRequest) (*operators.OrderReply, error) {
-	if isLoad(req.Order.Value.GetAction()) {
-		if err := b.loads.acquire(ctx); err != nil {
-			return nil, err
-		}
-		defer b.loads.release()
+func (b *orderBook) carryOut(ctx context.Context, key orderKey, run *orderRun) (*operators.OrderReply, error) {
+	req := run.request
+	if !state.IsLoad(req.Order.Value.GetAction()) {
+		return b.give(ctx, key, req, func() error { return nil })
+	}
+	term, err := b.takeOver(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if err := b.acquire(ctx, key, run); err != nil {
+		return nil, err
+	}
+	defer b.loads.release()
+	return b.give(ctx, key, req, func() error { return b.control.requireTerm(term) })
+}
+
+// takeOver gives places to the loads that earlier leaders allowed and that may
+// still be in progress, once in each term of this replica as the leader, and
+// returns the term. The read index confirms the term, so that all that earlier
+// leaders have recorded is applied, and they send no load that is not recorded.
+func (b *orderBook) takeOver(ctx context.Context) (uint64, error) {
+	if err := b.control.requireLeader(); err != nil {
+		return 0, err
+	}
+	term := b.control.node.Status().Term
+	b.mu.Lock()
+	done := b.term == term
+	b.mu.Unlock()
+	if done {
+		return term, nil
+	}
+	if err := b.control.barrier.wait(ctx); err != nil {
+		return 0, err
+	}
+	if err := b.control.requireTerm(term); err != nil {
+		return 0, err
+	}
+	now := b.control.proposalTime()
+	var loads []state.LoadOrder
+	b.control.machine.Read(func(s *state.Store) { loads = s.LoadsSince(now.Add(-b.control.opts.LoadTime).UnixMilli()) })
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.term == term {
+		return term, nil
+	}
+	b.term = term
+	for _, l := range loads {
+		b.inherit(orderKey{l.Operator, l.RequestID}, b.control.opts.LoadTime-now.Sub(time.UnixMilli(l.TimeUnixMs)))
+	}
+	return term, nil
+}
+
+// inherit holds a place for the load of an earlier leader. The caller holds mu.
+func (b *orderBook) inherit(key orderKey, left time.Duration) {
+	if run, ok := b.runs[key]; ok && run.placed {
+		return // allowed by this replica in an earlier term
+	}
+	if b.inherited[key] != nil {
+		return
+	}
+	b.loads.occupy()
+	b.inherited[key] = time.AfterFunc(left, func() {
+		b.mu.Lock()
+		delete(b.inherited, key)
+		b.mu.Unlock()
+		b.loads.release()
+	})
+}
+
+// acquire waits for a place. A repeated request continues on the place that
+// its order has already.
+func (b *orderBook) acquire(ctx context.Context, key orderKey, run *orderRun) error {
+	b.mu.Lock()
+	if timer := b.inherited[key]; timer != nil && timer.Stop() {
+		delete(b.inherited, key)
+		run.placed = true
+		b.mu.Unlock()
+		return nil
+	}
+	b.mu.Unlock()
+	if err := b.loads.acquire(ctx); err != nil {
+		return err
+	}
+	b.mu.Lock()
+	run.placed = true
+	b.mu.Unlock()
+	return nil
+}
+
+// requireTerm returns an error unless this replica leads in the term.
+func (c *Control) requireTerm(term uint64) error {
+	if err := c.requireLeader(); err != nil {
+		return err
+	}
+	if now := c.node.Status().Term; now != term {
+		return fault.New(fault.Unavailable, "leadership of term %d has ended", term).
+			WithOutcome(fault.NotRun).WithRetryAfter(time.Second)
+	}
+	return nil
+}
+
+// give records the order and sends it. Check is asked before both.
+func (b *orderBook) give(ctx context.Context, key orderKey, req *operators.OrderRequest, check func() error) (*operators.OrderReply, error) {
+	if err := check(); err != nil {
+		return nil, err
 	}
 	reg := b.control.registry.Find(req.Host)
 	if reg == nil {
@@ -143,11 +247,13 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := check(); err != nil {
+		// Recorded and not sent: a repeated request at the new leader sends it.
+		return nil, err
+	}
 	return b.send(ctx, reg, epoch, req)
 }
 
-func isLoad(action string) bool { return action == "load_model" || action == "load_adapter" }
-
 // raiseEpoch makes the order durable before the upstream sees it.
 func (b *orderBook) raiseEpoch(ctx context.Context, key orderKey, req *operators.OrderRequest) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
--- a/pkg/role/control/pacer.go
+++ b/pkg/role/control/pacer.go
@@ -36,6 +36,13 @@
 	}
 }
 
+// occupy takes a place that is in use already, even beyond the limit.
+func (p *pacer) occupy() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.running++
+}
+
 // giveUp leaves the queue, or returns the place that came at the same moment.
 func (p *pacer) giveUp(ctx context.Context, turn chan struct{}) error {
 	p.mu.Lock()
--- a/pkg/role/control/process.go
+++ b/pkg/role/control/process.go
@@ -126,6 +126,7 @@
 		Listener: ln,
 		Link:     linkOptions,
 		Seeds:    voters,
+		LoadTime: settings.LoadTime,
 		Log:      log,
 		Open: OpenReplica(ReplicaOptions{
 			ID:              settings.ID,
