agent: announce a drain only once it is known

Cause: an agent announced "draining" from its start until control had told whether it is drained. The first run of a new end-to-end test sent its first call right after the start and got "no upstream of service"; this window is the likely reason, which was not shown by a second run. Change: the agent announces "serving" until it knows of a drain. It still refuses all work until then, and its load reports say so. No run of test/e2e was made for this commit.

--- a/pkg/role/agent/report.go
+++ b/pkg/role/agent/report.go
@@ -46,7 +46,7 @@
 		TokensPerSecond: load.TokensPerSecond,
 		FirstTokenMsP50: uint32(a.metrics.enginePrefill.median() / time.Millisecond),
 		InterTokenUsP50: uint32(a.metrics.engineStep.median() / time.Microsecond),
-		Draining:        a.lifecycle.State() != platform.Ready || a.upstream.view() == nil || a.upstream.draining.Load(),
+		Draining:        a.lifecycle.State() != platform.Ready || a.upstream.view() == nil || !a.orders.known() || a.upstream.draining.Load(),
 		StaleConfig:     a.stale(),
 		Links:           a.peers.links(),
 	}
--- a/pkg/role/agent/upstream.go
+++ b/pkg/role/agent/upstream.go
@@ -20,7 +20,7 @@
 	stateLeft    = "left"    // never announced, or withdrew
 	stateServing = "serving" // announced, heartbeats arrive
 	stateEjected = "ejected" // silent or refuses connections
-	// stateDraining is announced while an operator's drain is in force or may be.
+	// stateDraining is announced while an operator's drain is in force.
 	stateDraining = "draining"
 )
 
@@ -67,9 +67,7 @@
 	prefixes prefixSet
 
 	announcedBefore bool
-	// draining is set while an operator's drain is in force, and until control
-	// has told whether one is.
-	draining atomic.Bool
+	draining        atomic.Bool // an operator's drain is in force
 }
 
 func newUpstreamState(identity *wirepb.Announcement, limit time.Duration, now func() time.Time, log logs.Logger, onSlots func(int)) *upstreamState {
@@ -87,7 +85,6 @@
 		machine:  fsm.NewFSM(stateLeft, events, nil),
 		prefixes: newPrefixSet(maxKnownPrefixes),
 	}
-	u.draining.Store(true)
 	copyIdentity(&u.identity, identity)
 	return u
 }
