--- a/pkg/core/state/orders.go
+++ b/pkg/core/state/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 
 	"github.com/plantainstair/plantainstair/pkg/fault"
 	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
@@ -12,7 +13,18 @@
 const maxOrderHosts = 100_000
 
 // OrderActions are the actions that an order may name.
-var OrderActions = []string{"load_model", "unload_model", "load_adapter", "set_role", "drain", "resume"}
+var OrderActions = []string{"load_model", "unload_model", "load_adapter", "set_role", actionDrain, actionResume}
+
+const (
+	actionDrain  = "drain"
+	actionResume = "resume"
+)
+
+// OrderState is what the orders to one host have led to.
+type OrderState struct {
+	Epoch   uint64 // of the newest order
+	Drained bool   // the newest drain or resume was a drain
+}
 
 // order raises the epoch of the upstream, so that a later order fences it off.
 func (s *Store) order(cmd *wirepb.Command, o *wirepb.OrderChange) *wirepb.CommandResult {
@@ -28,9 +40,22 @@
 		s.record(cmd, record)
 		return s.refuse(err)
 	}
-	s.orders[o.GetHost()]++
+	next := s.orders[o.GetHost()].after(o.GetOrder().GetAction())
+	s.orders[o.GetHost()] = next
 	s.record(cmd, record)
-	return &wirepb.CommandResult{Revision: s.catalogue.revision, OrderEpoch: s.orders[o.GetHost()]}
+	return &wirepb.CommandResult{Revision: s.catalogue.revision, OrderEpoch: next.Epoch}
+}
+
+// after returns the state after one more order.
+func (o OrderState) after(action string) OrderState {
+	o.Epoch++
+	switch action {
+	case actionDrain:
+		o.Drained = true
+	case actionResume:
+		o.Drained = false
+	}
+	return o
 }
 
 func (s *Store) checkOrder(o *wirepb.OrderChange) *fault.Error {
@@ -56,5 +81,43 @@
 	return text
 }
 
-// OrderEpoch returns the epoch of the newest order to the host.
-func (s *Store) OrderEpoch(host string) uint64 { return s.orders[host] }
+// LoadOrder is an accepted order to load weights.
+type LoadOrder struct {
+	Operator, RequestID string
+	TimeUnixMs          int64
+}
+
+// LoadsSince returns the accepted load orders from the given log time on,
+// newest first. They are read from the audit trail, which is ordered by time.
+func (s *Store) LoadsSince(unixMS int64) []LoadOrder {
+	var out []LoadOrder
+	for seq := s.audit.sequence; seq >= s.audit.oldest() && seq > 0; seq-- {
+		r := s.audit.at(seq)
+		if r.TimeUnixMs < unixMS {
+			break
+		}
+		action, _, _ := strings.Cut(r.Comment, " ")
+		if r.Action == ActionOrder && r.Accepted && IsLoad(action) {
+			out = append(out, LoadOrder{r.Operator, r.RequestId, r.TimeUnixMs})
+		}
+	}
+	return out
+}
+
+// IsLoad reports whether an order of this action reads the store of the weights.
+func IsLoad(action string) bool { return action == "load_model" || action == "load_adapter" }
+
+// OrderState returns what the orders to the host have led to.
+func (s *Store) OrderState(host string) OrderState { return s.orders[host] }
+
+// Drained returns the drained hosts in the order of their names.
+func (s *Store) Drained() []string {
+	var out []string
+	for host, o := range s.orders {
+		if o.Drained {
+			out = append(out, host)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
--- a/pkg/role/agent/upstream.go
+++ b/pkg/role/agent/upstream.go
@@ -67,7 +67,7 @@
 	prefixes prefixSet
 
 	announcedBefore bool
-	draining        atomic.Bool
+	draining        atomic.Bool // an operator's drain is in force
 }
 
 func newUpstreamState(identity *wirepb.Announcement, limit time.Duration, now func() time.Time, log logs.Logger, onSlots func(int)) *upstreamState {
@@ -131,11 +131,13 @@
 }
 
 // drain stops or resumes new work at the order of an operator. Work in progress
-// goes on. A restart of the agent resumes it.
+// goes on.
 func (u *upstreamState) drain(on bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.draining.Store(on)
+	if u.draining.Swap(on) == on {
+		return
+	}
 	if v := u.current.Load(); v != nil {
 		u.current.Store(&upstreamView{announced: v.announced, wire: u.wireAnnouncement(v.announced)})
 	}
