Limit the threads of an agent to one

Cause: each step of a stream crosses several goroutines of the agent. With a thread for each core the runtime wakes a sleeping thread at many of these hand-overs, which moves the next goroutine to another core or finds nothing to do.

Change: the setting process.threads of the agent bounds GOMAXPROCS, by default to 1; 0 keeps a thread for each core. The entry is not limited: it serves many agents.

--- a/pkg/role/agent/process.go
+++ b/pkg/role/agent/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime"
 	"time"
 
 	"github.com/plantainstair/plantainstair/pkg/config"
@@ -23,9 +24,20 @@
 	return s, err
 }
 
+// limitThreads bounds the threads that run code at the same time. An agent is
+// small and mostly idle: on a host with many cores the runtime wakes a further
+// thread for most hand-overs between goroutines, which finds nothing to do.
+// More threads than cores are never used.
+func limitThreads(n int) {
+	if n > 0 && n < runtime.GOMAXPROCS(0) {
+		runtime.GOMAXPROCS(n)
+	}
+}
+
 // RunProcess runs the agent with its platform endpoints until ctx ends and the
 // work in progress has finished.
 func RunProcess(ctx context.Context, set Settings, log logs.Logger) error {
+	limitThreads(set.Threads)
 	incarnation := uint64(time.Now().UnixNano())
 	opts, err := set.LinkOptions(link.Identity{Role: Role, Host: set.Host, DataCentre: set.DataCentre, Incarnation: incarnation})
 	if err != nil {
--- a/pkg/role/agent/settings.go
+++ b/pkg/role/agent/settings.go
@@ -17,6 +17,7 @@
 	PlatformListen   string   `ini:"platform.listen" required:"true" format:"address" help:"Address of /healthz, /readyz and /metrics."`
 	ControlAddresses []string `ini:"control.addresses" required:"true" format:"address" help:"Control replicas to start from, as IP addresses and ports."`
 
+	Threads          int           `ini:"process.threads" default:"1" min:"0" max:"1024" help:"Threads that run code at the same time; 0 means one for each core."`
 	ConfigGrace      time.Duration `ini:"control.config_grace" default:"4s" min:"500ms" max:"1m" help:"Longest time without confirmation that the configuration is current."`
 	UpstreamSilence  time.Duration `ini:"agent.upstream_silence" default:"2s" min:"100ms" max:"1m" help:"Longest time without a heartbeat of the upstream."`
 	DrainTimeout     time.Duration `ini:"drain.timeout" default:"5m" min:"1s" max:"1h" help:"Longest time for requests in progress at a shutdown."`
