--- a/pkg/role/agent/drain_test.go
+++ b/pkg/role/agent/drain_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
+	client "github.com/plantainstair/plantainstair/pkg/agent"
 	"github.com/plantainstair/plantainstair/pkg/control"
 	"github.com/plantainstair/plantainstair/pkg/fault"
 	"github.com/plantainstair/plantainstair/pkg/standin"
@@ -41,7 +43,7 @@
 	refused := func(kind fault.Kind, state string) {
 		t.Helper()
 		_, _, generated := collect(ctx, c, request("s", 1, prompt(3), 2, n), nil)
-		_, staged := c.OpenStage(ctx, n.agent.Address(), &wirepb.StageOpen{Session: "t", Epoch: 1, Model: "m", Version: "v", Stages: []*wirepb.StageRef{n.ref()}})
+		_, staged := c.OpenStage(ctx, n.agent.Address(), &wirepb.StageOpen{Session: "t", Epoch: 1, Model: "m", Version: "v", Stages: []*wirepb.StageRef{n.ref()}}, client.StageTimeouts{Ready: time.Second, Result: time.Second})
 		keyed := call("r1", "k")
 		repeatable := call("r2", "")
 		repeatable.Repeatable = true
--- a/test/e2e/ctl_test.go
+++ b/test/e2e/ctl_test.go
@@ -110,7 +110,10 @@
 	assert.Assert(t, strings.Contains(out, "cartridge@v1[0-1]"), out)
 	out, code = c.run("voters", "list")
 	assert.Equal(t, code, ctl.ExitOK)
-	assert.Assert(t, strings.Count(out, "127.") == 6, out)
+	for _, r := range d.Controls {
+		assert.Equal(t, strings.Count(out, r.PeerAddress+" "), 1, out)
+		assert.Equal(t, strings.Count(out, r.AdminAddress+" "), 1, out)
+	}
 	_, code = c.run("snapshot")
 	assert.Equal(t, code, ctl.ExitOK)
 	_, code = c.run("drain", "host1")
