role/entry: count a new engine as fast as its group

Beside engines that report 6 to 10 ms for a token, a new host got no work while the others had free slots. The cause was read from the code and confirmed by the change; the table was not traced. Change: the times that an engine of the same group reported last stand in.

--- a/pkg/role/entry/owner.go
+++ b/pkg/role/entry/owner.go
@@ -40,8 +40,15 @@
 	events    chan event
 	lastCheck time.Time
 	viewSince time.Time // when the first view arrived
+	// speeds holds what an engine of each group reported last. It stands in
+	// for one that has not run yet: with a default that is slower than its
+	// group, a new host gets no work while the others have free slots.
+	speeds map[string]speed
 }
 
+// speed is the time of an engine for a first and for each further token.
+type speed struct{ first, inter time.Duration }
+
 func newOwner(ctx context.Context, e *Entry) *owner {
 	return &owner{
 		entry:  e,
@@ -49,6 +56,7 @@
 		table:  route.NewTable(),
 		peers:  make(map[string]*peer),
 		events: make(chan event, eventQueueSize),
+		speeds: make(map[string]speed),
 	}
 }
 
@@ -103,18 +111,19 @@
 		o.remove(p)
 		p = nil
 	}
-	o.entry.tracker.SetGroup(a.Host, groupOf(a))
+	group := groupOf(a)
+	o.entry.tracker.SetGroup(a.Host, group)
 	if p != nil {
-		p.announcement = a
+		p.announcement, p.group = a, group
 		o.update(p)
 		return
 	}
-	o.start(a)
+	o.start(a, group)
 }
 
-func (o *owner) start(a *wirepb.Announcement) {
+func (o *owner) start(a *wirepb.Announcement, group string) {
 	ctx, cancel := context.WithCancel(o.ctx)
-	p := &peer{announcement: a, cancel: cancel}
+	p := &peer{announcement: a, cancel: cancel, group: group}
 	o.peers[a.Host] = p
 	send := func(ev event) {
 		select {
@@ -167,8 +176,27 @@
 
 // update writes the state of an upstream that has reported to the table.
 func (o *owner) update(p *peer) {
-	if p.report != nil {
-		o.table.Update(p.upstream())
+	if p.report == nil {
+		return
+	}
+	u := p.upstream()
+	o.fillSpeed(u, p.group)
+	o.table.Update(u)
+}
+
+// fillSpeed notes the speed that an engine reports, or gives it that of its
+// group when it has not run yet.
+func (o *owner) fillSpeed(u *route.Upstream, group string) {
+	if u.FirstToken > 0 && u.InterToken > 0 {
+		o.speeds[group] = speed{first: u.FirstToken, inter: u.InterToken}
+		return
+	}
+	known := o.speeds[group]
+	if u.FirstToken <= 0 {
+		u.FirstToken = known.first
+	}
+	if u.InterToken <= 0 {
+		u.InterToken = known.inter
 	}
 }
 
--- a/pkg/role/entry/peer.go
+++ b/pkg/role/entry/peer.go
@@ -22,6 +22,7 @@
 	liveness     agent.Liveness
 	state        agent.State
 	roundTrip    time.Duration
+	group        string // of comparable upstreams
 
 	// Sets derived from the last report, reused while they do not change.
 	prefixList []uint64
--- /dev/null
+++ b/pkg/role/entry/speed_test.go
@@ -0,0 +1,23 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/plantainstair/plantainstair/pkg/core/route"
+)
+
+// Guards against a new host that counts as slower than its group, and so gets
+// no work while the others have free slots.
+func TestOwner_NewHostHasSpeedOfItsGroup(t *testing.T) {
+	o := newOwner(t.Context(), nil)
+	first, inter := 40*time.Millisecond, 6*time.Millisecond
+	o.fillSpeed(&route.Upstream{FirstToken: first, InterToken: inter}, "a")
+	for group, want := range map[string]speed{"a": {first, inter}, "b": {}} {
+		u := &route.Upstream{}
+		o.fillSpeed(u, group)
+		assert.Equal(t, speed{u.FirstToken, u.InterToken}, want, "group %s", group)
+	}
+}
