agent: withhold the reports of an agent that answers no ping

Cause: load reports prove only the direction from the agent. Behind a link that carries nothing towards the agent they kept it alive. How the ejection came about before was not traced (keep-alive of the session or failed requests). Conclusion: a one-way cut is found by silence, not by failing requests.

--- a/pkg/agent/load.go
+++ b/pkg/agent/load.go
@@ -66,6 +66,7 @@
 // Follow keeps a load watch on the agent at addr until ctx ends. When the
 // watch fails, the session is dropped if the agent fell silent, which ends
 // every stream to it at once. onRoundTrip receives measured round trips.
+// Reports are withheld while a ping is unanswered for SuspectAfter.
 func (c *Client) Follow(ctx context.Context, addr string, onReport func(*wirepb.LoadReport), onRoundTrip func(time.Duration)) {
 	backoff := followMinDelay
 	p := &pinger{client: c, addr: addr, onRoundTrip: onRoundTrip}
@@ -75,8 +76,12 @@
 		err := c.WatchLoad(ctx, addr, func(r *wirepb.LoadReport) {
 			got++
 			last = time.Now()
-			onReport(r)
 			p.after(ctx, got)
+			// Reports prove one direction only. Behind a link that carries
+			// nothing towards the agent it would look alive and get work.
+			if !p.overdue() {
+				onReport(r)
+			}
 		})
 		if ctx.Err() != nil {
 			return
@@ -97,15 +102,26 @@
 	client      *Client
 	addr        string
 	onRoundTrip func(time.Duration)
-	busy        atomic.Bool
+	sent        atomic.Pointer[time.Time] // of the ping on its way, or nil
+}
+
+// overdue reports whether a ping has no answer for so long that the agent is
+// suspect.
+func (p *pinger) overdue() bool {
+	sent := p.sent.Load()
+	return sent != nil && time.Since(*sent) >= SuspectAfter
 }
 
 func (p *pinger) after(ctx context.Context, reports int) {
-	if reports%pingEachReports != 1 || !p.busy.CompareAndSwap(false, true) {
+	if reports%pingEachReports != 1 {
+		return
+	}
+	now := time.Now()
+	if !p.sent.CompareAndSwap(nil, &now) {
 		return
 	}
 	go func() {
-		defer p.busy.Store(false)
+		defer p.sent.Store(nil)
 		s, err := p.client.pool.Session(ctx, p.addr)
 		if err != nil {
 			return
--- /dev/null
+++ b/pkg/agent/oneway_test.go
@@ -0,0 +1,58 @@
+package agent
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/plantainstair/plantainstair/pkg/local"
+	"github.com/plantainstair/plantainstair/pkg/wire"
+	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
+)
+
+// Guards against an agent that looks alive by its reports while nothing reaches
+// it, and against one that stays silent after the link is healed.
+func TestFollow_WithholdsReportsOfOneWayLink(t *testing.T) {
+	const interval = 20 * time.Millisecond
+	addr := serve(t, func(s *wire.Stream) {
+		if f, err := s.Read(); err != nil || f.GetLoadWatch() == nil {
+			return
+		}
+		report := &wirepb.Frame{Body: &wirepb.Frame_LoadReport{LoadReport: &wirepb.LoadReport{Sequence: 1}}}
+		for s.Write(report) == nil {
+			time.Sleep(interval) // interval of the reports
+		}
+	})
+	relay, err := local.NewRelay("127.0.0.1:0", addr)
+	assert.NilError(t, err)
+	t.Cleanup(relay.Close)
+	c := newClient(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	reports := make(chan struct{})
+	ended := make(chan struct{})
+	t.Cleanup(func() { cancel(); <-ended })
+	go func() {
+		defer close(ended)
+		c.Follow(ctx, relay.Address(), func(*wirepb.LoadReport) {
+			select {
+			case reports <- struct{}{}:
+			case <-ctx.Done():
+			}
+		}, func(time.Duration) {})
+	}()
+	<-reports
+	relay.Set(local.Condition{CutTo: true})
+	cut := time.Now()
+	for silent := false; !silent; {
+		select {
+		case <-reports:
+			assert.Assert(t, time.Since(cut) < pingEachReports*interval+SuspectAfter+time.Second, "reports go on")
+		case <-time.After(SuspectAfter):
+			silent = true
+		}
+	}
+	relay.Set(local.Condition{})
+	<-reports
+}
