role/agent: report a lost link as slow

Cause: after a failed ping the link to a next stage had no figure in the load report, and the route choice assumes 0.2 or 2 ms for a link without one, the best there is. Change: a link whose last ping failed counts as a round trip of 1 s; the average starts anew with the next answer. Conclusion: a head avoids a later stage that only it cannot reach.

--- a/pkg/role/agent/peerset.go
+++ b/pkg/role/agent/peerset.go
@@ -33,6 +33,7 @@
 	host      string
 	used      time.Time
 	roundTrip time.Duration
+	lost      bool // the last ping failed
 	pinging   bool
 }
 
@@ -56,14 +57,19 @@
 	known.used = p.now()
 }
 
-// links returns the measured round trips.
+// links returns the measured round trips. A lost link counts as slow as the
+// silence that gave it up: without a figure, entries would assume a good one.
 func (p *peerSet) links() []*wirepb.PeerLink {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var out []*wirepb.PeerLink
 	for _, known := range p.peers {
-		if known.roundTrip > 0 {
-			out = append(out, &wirepb.PeerLink{Host: known.host, RoundTripUs: uint32(known.roundTrip / time.Microsecond)})
+		roundTrip := known.roundTrip
+		if known.lost {
+			roundTrip = peerSilence
+		}
+		if roundTrip > 0 {
+			out = append(out, &wirepb.PeerLink{Host: known.host, RoundTripUs: uint32(roundTrip / time.Microsecond)})
 		}
 	}
 	return out
@@ -109,8 +115,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	known.pinging = false
+	known.lost = err != nil
 	if err != nil {
-		known.roundTrip = 0
+		known.roundTrip = 0 // the average starts anew with the next answer
 		return
 	}
 	known.roundTrip = smooth(known.roundTrip, roundTrip)
