experiment: add link-cut, link-slow and host-joins to the recovery faults

Cause: a link that fails or degrades and a host that joins were not measured. Change: the agents of the second stage stand behind relays in all recovery runs. link-cut is detected by the logs, as a killed engine is; link-slow (+25 ms each way) when the engine runs at most half of its sessions; host-joins when the new engine has run its first step. Conclusion: the recovery table covers these faults.

--- a/pkg/experiment/experiments.go
+++ b/pkg/experiment/experiments.go
@@ -70,13 +70,17 @@
 	if err != nil {
 		return nil, nil, fault.Wrap(err, fault.Internal, "read scenario")
 	}
-	if router, err = o.Runner.Run(ctx, TodayPlan(o.Reserve), string(data), o.Seed, injection); err != nil {
+	plan := TodayPlan(o.Reserve)
+	if scenario == nameRecovery {
+		plan = RelayedPlan(plan)
+	}
+	if router, err = o.Runner.Run(ctx, plan, string(data), o.Seed, injection); err != nil {
 		return nil, nil, err
 	}
 	if o.RouterOnly {
 		return router, router, nil
 	}
-	baseline, err = o.Runner.Run(ctx, Baseline(TodayPlan(o.Reserve)), string(data), o.Seed, injection)
+	baseline, err = o.Runner.Run(ctx, Baseline(plan), string(data), o.Seed, injection)
 	return router, baseline, err
 }
 
@@ -118,7 +122,7 @@
 			continue
 		}
 		fmt.Fprintf(o.Out, "\n%s\n", name)
-		a, b, err := o.both(ctx, nameRecovery, &Injection{At: faultAt, Inject: Faults[name]})
+		a, b, err := o.both(ctx, nameRecovery, &Injection{At: faultAt, Fault: Faults[name]})
 		if err != nil {
 			return err
 		}
@@ -155,6 +159,7 @@
 	for outcome := load.Answered; outcome <= load.NotSent; outcome++ {
 		out = append(out, figure{"outcome " + outcome.String(), float64(o.Count(outcome))})
 	}
+	out = append(out, figure{"truncated answers asked for again", float64(o.chatResends())})
 	out = append(out, figure{"keys run twice", float64(o.Twice)})
 	out = append(out, figure{"cores of all", o.Cores()})
 	return append(out, figure{"cores of other work on the machine", o.Busy.Seconds()/o.Seconds() - o.Cores()})
--- a/pkg/experiment/faults.go
+++ b/pkg/experiment/faults.go
@@ -15,32 +15,85 @@
 	"github.com/plantainstair/plantainstair/pkg/standin"
 )
 
+// Fault is a fault of the recovery experiment.
+type Fault struct {
+	Prepare func(*local.Deployment) error // before the run; may be nil
+	// Inject injects the fault and returns the hosts whose loss a log reports.
+	Inject func(*local.Deployment) (hosts []string, err error)
+	// Begin is called at the fault in place of Inject, for a fault that no log
+	// reports. It returns how to tell that the router has answered it.
+	Begin func(*local.Deployment) (answered func() bool, err error)
+}
+
 // Faults lists the faults of the recovery experiment by name.
-var Faults = map[string]func(*local.Deployment) ([]string, error){
-	"engine-killed": func(d *local.Deployment) ([]string, error) {
+var Faults = map[string]Fault{
+	"engine-killed": {Inject: func(d *local.Deployment) ([]string, error) {
 		u := victim(d)
 		return []string{u.Host}, u.Standin.Signal(syscall.SIGKILL)
-	},
-	"engine-frozen": func(d *local.Deployment) ([]string, error) {
+	}},
+	"engine-frozen": {Inject: func(d *local.Deployment) ([]string, error) {
 		u := victim(d)
 		return []string{u.Host}, setFault(u, standin.Faults{Freeze: true})
-	},
-	"agent-killed": func(d *local.Deployment) ([]string, error) {
+	}},
+	"agent-killed": {Inject: func(d *local.Deployment) ([]string, error) {
 		u := victim(d)
 		return []string{u.Host}, u.Agent.Signal(syscall.SIGKILL)
-	},
-	"agent-frozen": func(d *local.Deployment) ([]string, error) {
+	}},
+	"agent-frozen": {Inject: func(d *local.Deployment) ([]string, error) {
 		u := victim(d)
 		return []string{u.Host}, u.Agent.Signal(syscall.SIGSTOP)
-	},
-	"entry-killed": func(d *local.Deployment) ([]string, error) {
+	}},
+	"entry-killed": {Inject: func(d *local.Deployment) ([]string, error) {
 		return nil, d.Entries[1].Signal(syscall.SIGKILL)
-	},
-	"data-centre-killed": killDataCentre,
+	}},
+	"data-centre-killed": {Inject: killDataCentre},
+	"link-cut": {Inject: func(d *local.Deployment) ([]string, error) {
+		u := victim(d)
+		u.Link.Set(local.Condition{CutTo: true, CutFrom: true})
+		return []string{u.Host}, nil
+	}},
+	"link-slow":  {Begin: slowLink},
+	"host-joins": {Prepare: addHost, Begin: startHost},
 }
 
 // FaultNames lists the faults in the order of the table.
-var FaultNames = []string{"engine-killed", "engine-frozen", "agent-killed", "agent-frozen", "entry-killed", "data-centre-killed"}
+var FaultNames = []string{
+	"engine-killed", "engine-frozen", "agent-killed", "agent-frozen", "entry-killed", "data-centre-killed",
+	"link-cut", "link-slow", "host-joins",
+}
+
+// slowDelay is added in each direction of a slow link.
+const slowDelay = 25 * time.Millisecond
+
+// slowLink is answered when the engine behind the link runs at most half of the
+// sessions that it ran at the fault.
+func slowLink(d *local.Deployment) (func() bool, error) {
+	u := victim(d)
+	before, err := recordsOf(u)
+	if err != nil {
+		return nil, err
+	}
+	u.Link.Set(local.Condition{Delay: slowDelay})
+	return func() bool {
+		now, err := recordsOf(u)
+		return err == nil && 2*now.Sessions <= before.Sessions
+	}, nil
+}
+
+// addHost adds an engine of the last stage that is not started yet.
+func addHost(d *local.Deployment) error {
+	_, err := d.AddEngine(len(d.Plan.Stages) - 1)
+	return err
+}
+
+// startHost is answered when the new host runs a session.
+func startHost(d *local.Deployment) (func() bool, error) {
+	u := d.Upstreams[len(d.Upstreams)-1]
+	return func() bool {
+		now, err := recordsOf(u)
+		return err == nil && now.Steps > 0
+	}, u.Start()
+}
 
 // victim is the engine of the second stage that runs the most sessions.
 func victim(d *local.Deployment) *local.Upstream {
@@ -110,14 +163,21 @@
 func (o *Outcome) inject(d *local.Deployment, i *Injection, start time.Time) error {
 	time.Sleep(time.Until(start.Add(i.At)))
 	w := newLogWatch(d)
-	hosts, err := i.Inject(d)
+	var hosts []string
+	var err error
+	answered := func() bool { return w.reports(hosts) }
+	if i.Begin != nil {
+		answered, err = i.Begin(d)
+	} else {
+		hosts, err = i.Inject(d)
+	}
 	o.Injected = time.Since(start)
-	if err != nil || len(hosts) == 0 {
+	if err != nil || i.Begin == nil && len(hosts) == 0 {
 		return err
 	}
 	deadline := time.Now().Add(detectTimeout)
 	for time.Now().Before(deadline) {
-		if w.reports(hosts) {
+		if answered() {
 			o.Detected = time.Since(start)
 			return nil
 		}
--- a/pkg/experiment/plan.go
+++ b/pkg/experiment/plan.go
@@ -47,6 +47,15 @@
 	return local.Stage{First: first, Last: last, Engines: engines, Accelerator: accelerator, Args: []string{"--step", step.String()}}
 }
 
+// RelayedPlan returns the plan with a relay before each agent of a later stage,
+// so that its link can be cut or slowed.
+func RelayedPlan(p local.Plan) local.Plan {
+	for i := range p.Stages {
+		p.Stages[i].Relayed = p.Stages[i].First > 0
+	}
+	return p
+}
+
 // organisations returns 3 urgent, 3 standard and 4 batch organisations. Of the
 // standard and of the batch ones the scenarios make the first large.
 func organisations() []local.Organisation {
--- a/pkg/experiment/recovery.go
+++ b/pkg/experiment/recovery.go
@@ -81,6 +81,17 @@
 	return longest
 }
 
+// chatResends returns how often a truncated answer was asked for again.
+func (o *Outcome) chatResends() int {
+	n := 0
+	for _, r := range o.Results {
+		if r.Arrival.Mix.Kind == load.KindChat {
+			n += r.Resends
+		}
+	}
+	return n
+}
+
 // Count returns the requests that ended with an outcome.
 func (o *Outcome) Count(outcome load.Outcome) int {
 	n := 0
--- a/pkg/experiment/run.go
+++ b/pkg/experiment/run.go
@@ -20,8 +20,8 @@
 
 // Injection is a fault that is injected at a time of the run.
 type Injection struct {
-	At     time.Duration
-	Inject func(*local.Deployment) (hosts []string, err error)
+	At time.Duration
+	Fault
 }
 
 // Outcome is what one run gave.
@@ -32,7 +32,7 @@
 	Used     map[string]Usage // between the warm-up and the end of the arrivals
 	Busy     time.Duration    // CPU time of the whole machine in the same time
 	Injected time.Duration    // when the fault was injected, from the start of the run
-	Detected time.Duration    // when a process first reported it; zero if none did
+	Detected time.Duration    // when a process first reported or answered it; zero if none did
 	Waiting  [2]float64       // mean requests in the queues of the agents of both stages, of those that got a slot
 	Twice    int              // keyed calls that the services ran more than once
 }
@@ -66,6 +66,11 @@
 		return nil, err
 	}
 	defer d.Kill()
+	if injection != nil && injection.Prepare != nil {
+		if err := injection.Prepare(d); err != nil {
+			return nil, err
+		}
+	}
 	s, err := parseFor(d, scenario, seed)
 	if err != nil {
 		return nil, err
