experiment: show the noise between two runs and the last loss of throughput

Change: the fault none, a second run without a fault, and the end of the last window below 90%. Conclusion: a share near 90% can be judged.

--- a/pkg/experiment/experiments.go
+++ b/pkg/experiment/experiments.go
@@ -151,6 +151,7 @@
 	out := []figure{
 		{"detected after (ms)", detected},
 		{"throughput back at 90% after (ms)", recovered},
+		{"end of the last 500 ms below 90%, after (ms)", milliseconds(o.LastBelow(reference))},
 		{"lowest share in 500 ms (%)", 100 * o.LowestShare(reference)},
 		{"longest gap of an answer (ms)", milliseconds(o.LongestGap())},
 		{"longest gap without fault (ms)", milliseconds(reference.LongestGap())},
--- a/pkg/experiment/faults.go
+++ b/pkg/experiment/faults.go
@@ -27,6 +27,8 @@
 
 // Faults lists the faults of the recovery experiment by name.
 var Faults = map[string]Fault{
+	// A second run without a fault shows by how much two runs differ.
+	"none": {Inject: func(*local.Deployment) ([]string, error) { return nil, nil }},
 	"engine-killed": {Inject: func(d *local.Deployment) ([]string, error) {
 		u := victim(d)
 		return []string{u.Host}, u.Standin.Signal(syscall.SIGKILL)
@@ -58,7 +60,7 @@
 
 // FaultNames lists the faults in the order of the table.
 var FaultNames = []string{
-	"engine-killed", "engine-frozen", "agent-killed", "agent-frozen", "entry-killed", "data-centre-killed",
+	"none", "engine-killed", "engine-frozen", "agent-killed", "agent-frozen", "entry-killed", "data-centre-killed",
 	"link-cut", "link-slow", "host-joins",
 }
 
--- a/pkg/experiment/recovery.go
+++ b/pkg/experiment/recovery.go
@@ -49,6 +49,21 @@
 	return 0, false
 }
 
+// LastBelow is the time from the fault to the end of the last window below the
+// share, zero without any.
+func (o *Outcome) LastBelow(reference *Outcome) time.Duration {
+	have, want := o.tokenTimes(), reference.tokenTimes()
+	window := int(recoveryWindow / recoveryStep)
+	start := int(o.Injected / recoveryStep)
+	last := start
+	for i := start; i+window <= len(have); i++ {
+		if float64(sum(have[i:i+window])) < recoveryShare*float64(sum(want[i:i+window])) {
+			last = i + window
+		}
+	}
+	return time.Duration(last-start) * recoveryStep
+}
+
 // LowestShare is the lowest share of the reference in a window after the fault.
 func (o *Outcome) LowestShare(reference *Outcome) float64 {
 	have, want := o.tokenTimes(), reference.tokenTimes()
