--- a/pkg/core/state/snapshot.go
+++ b/pkg/core/state/snapshot.go
@@ -185,6 +185,14 @@
 	if len(m.Audit) > MaxAudit {
 		return fault.New(fault.Corrupt, "%d audit records", len(m.Audit)).WithField("audit")
 	}
+	if n := uint64(len(m.Audit)); n < MaxAudit && n != m.AuditSequence {
+		return fault.New(fault.Corrupt, "%d audit records up to %d", n, m.AuditSequence).WithField("audit")
+	}
+	for i, r := range m.Audit {
+		if want := m.AuditSequence - uint64(len(m.Audit)-1-i); r.Sequence != want {
+			return fault.New(fault.Corrupt, "audit record %d in place of %d", r.Sequence, want).WithField(indexed("audit", i, "sequence"))
+		}
+	}
 	s.audit.sequence = m.AuditSequence
 	if len(m.Audit) == MaxAudit {
 		s.audit.ring = make([]*wirepb.AuditRecord, MaxAudit)
