Count preempted work by what it used, and start with usable upstreams

Cause: a preempted request that had not reported its use counted with its whole estimate, which raised the mean cost; urgent work then had to save a batch request's credit before it could preempt. An entry became ready while agents still waited to learn whether their hosts are drained, and refused the first requests (no chain covers the layers); the test of preemption then waited for a stream that had failed. Change: agents report the exact use of an ended generation, preempted requests do not count towards the mean cost, and urgent work must have saved the cost of the request that waits. Entries wait for such agents within their warm-up, and count the upstreams that take work; a local deployment is up when every entry can use all of them. Conclusion: the test of preemption no longer hangs, whatever fails.

--- a/pkg/core/route/table.go
+++ b/pkg/core/route/table.go
@@ -107,6 +107,19 @@
 	return len(t.cells)
 }
 
+// Usable returns the number of hosts that take new work.
+func (t *Table) Usable() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	count := 0
+	for _, c := range t.cells {
+		if u := c.up.Load(); !u.Draining && !u.Stale {
+			count++
+		}
+	}
+	return count
+}
+
 // reindex moves c from the groups of old to the groups of u. Either may be nil.
 func (t *Table) reindex(c *cell, old, u *Upstream) {
 	cur := t.index.Load()
--- a/pkg/core/sched/preempt.go
+++ b/pkg/core/sched/preempt.go
@@ -86,7 +86,11 @@
 // requests of the other ranks each time.
 func (s *Scheduler) urgentOwed() bool {
 	q := &s.ranks[Urgent]
-	return q.credit > s.rate.meanCost && float64(q.running+s.promised[Urgent]) < q.share*float64(s.cfg.Slots)
+	cost := s.rate.meanCost
+	if q.queued > 0 {
+		cost = float64(q.backlogged.top().head.req.Cost)
+	}
+	return q.credit >= cost && float64(q.running+s.promised[Urgent]) < q.share*float64(s.cfg.Slots)
 }
 
 // unfairVictim returns a request of rank r whose organisation holds more than
--- a/pkg/core/sched/preempt_test.go
+++ b/pkg/core/sched/preempt_test.go
@@ -22,6 +22,7 @@
 		assert.Assert(t, v.Preemptible && v.Preemptions < MaxPreemptions)
 		assert.Assert(t, len(n.running) == n.slots, "preempted while a slot was free")
 		assert.Assert(t, n.yieldsToQueued(v), "nothing queued may take the slot of rank %s", v.Rank)
+		n.preempted[v.ID] = true
 		n.again = append(n.again, v)
 	}
 }
--- a/pkg/core/sched/sched.go
+++ b/pkg/core/sched/sched.go
@@ -151,7 +151,7 @@
 }
 
 // Finish frees the slot of a running request. A request that was never charged
-// counts with its estimate.
+// counts with its estimate, unless it was preempted.
 func (s *Scheduler) Finish(now time.Time, id uint64) {
 	it := s.items[id]
 	if it == nil || it.state != stateRunning {
@@ -159,14 +159,16 @@
 	}
 	s.noteUrgent(now)
 	s.rate.advance(now, s.running)
-	if it.used == 0 {
+	if it.used == 0 && !it.preempted {
 		it.used = it.req.Cost
 		s.rate.add(it.used)
 	}
 	if it.used < it.charged {
 		s.refund(it, it.charged-it.used)
 	}
-	s.rate.finished(it.used)
+	if !it.preempted {
+		s.rate.finished(it.used)
+	}
 	s.running--
 	s.deactivate(it)
 	s.settlePromise(it)
--- a/pkg/core/sched/sched_test.go
+++ b/pkg/core/sched/sched_test.go
@@ -30,7 +30,8 @@
 	served  map[string]int // tokens by rank and organisation
 	ranks   [Ranks]int     // tokens by rank
 
-	preemptible bool      // of all requests
+	preemptible bool // of all requests
+	preempted   map[uint64]bool
 	again       []Request // preempted, not yet submitted again
 }
 
@@ -44,6 +45,8 @@
 		used:    map[uint64]int{},
 		ended:   map[uint64]bool{},
 		served:  map[string]int{},
+
+		preempted: map[uint64]bool{},
 	}
 }
 
@@ -93,7 +96,9 @@
 func (n *naive) finish(id uint64) {
 	r := n.running[id]
 	n.s.Finish(n.now, id)
-	if used := n.used[id]; used > 0 && used < r.Cost {
+	// A request that was never charged counts with its estimate, unless it was
+	// preempted.
+	if used := n.used[id]; used < r.Cost && (used > 0 || n.preempted[id]) {
 		n.account(r, used-r.Cost)
 	}
 	delete(n.running, id)
--- a/pkg/local/deployment.go
+++ b/pkg/local/deployment.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"time"
 
@@ -142,13 +143,35 @@
 		}
 	}
 	for _, e := range d.Entries {
-		if err := Until(ctx, e.Name, func() error { return probe(e.Platform, "/readyz") }); err != nil {
+		if err := Until(ctx, e.Name, func() error { return d.checkEntry(e) }); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// checkEntry returns an error unless the entry is ready and can send work to
+// every upstream.
+func (d *Deployment) checkEntry(e *Entry) error {
+	if _, err := probe(e.Platform, "/readyz"); err != nil {
+		return err
+	}
+	text, err := probe(e.Platform, "/metrics")
+	if err != nil {
+		return err
+	}
+	usable := 0
+	for line := range strings.Lines(text) {
+		if value, ok := strings.CutPrefix(line, "plantain_entry_usable_upstreams "); ok {
+			usable, _ = strconv.Atoi(strings.TrimSpace(value))
+		}
+	}
+	if usable < len(d.Upstreams) {
+		return fault.New(fault.Unavailable, "%s can use %d of %d upstreams", e.Name, usable, len(d.Upstreams))
+	}
+	return nil
+}
+
 // checkAlive returns an error that names a process which has ended.
 func (d *Deployment) checkAlive() error {
 	for _, p := range d.Processes() {
@@ -161,18 +184,21 @@
 	return nil
 }
 
-func probe(addr, path string) error {
+// maxProbe bounds the answer of an endpoint of the platform.
+const maxProbe = 4 << 20
+
+func probe(addr, path string) (string, error) {
 	client := http.Client{Timeout: probeTimeout}
 	res, err := client.Get("http://" + addr + path)
 	if err != nil {
-		return fault.Wrap(err, fault.Unavailable, "probe %s", addr)
+		return "", fault.Wrap(err, fault.Unavailable, "probe %s", addr)
 	}
 	defer res.Body.Close()
-	body, _ := io.ReadAll(io.LimitReader(res.Body, 4096))
+	body, _ := io.ReadAll(io.LimitReader(res.Body, maxProbe))
 	if res.StatusCode != http.StatusOK {
-		return fault.New(fault.Unavailable, "%s answered %d: %s", addr, res.StatusCode, strings.TrimSpace(string(body)))
+		return "", fault.New(fault.Unavailable, "%s answered %d: %s", addr, res.StatusCode, strings.TrimSpace(string(body)))
 	}
-	return nil
+	return string(body), nil
 }
 
 // Processes lists all processes, those that callers talk to first.
--- a/pkg/role/agent/generate.go
+++ b/pkg/role/agent/generate.go
@@ -165,6 +165,7 @@
 	if g.begun || f.Outcome != fault.NotRun {
 		f.Outcome = fault.MayHaveRun
 	}
+	g.slot.charge(len(g.req.Prompt) + int(g.sent) - chargedBefore(g.req))
 	if f.Kind == fault.Preempted && g.preemptedHere() {
 		g.agent.freed.put(g.req.Stages[1:])
 	}
--- a/pkg/role/entry/metrics.go
+++ b/pkg/role/entry/metrics.go
@@ -8,6 +8,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/plantainstair/plantainstair/pkg/callers"
+	"github.com/plantainstair/plantainstair/pkg/core/route"
 	"github.com/plantainstair/plantainstair/pkg/core/sched"
 	"github.com/plantainstair/plantainstair/pkg/fault"
 	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
@@ -72,12 +73,18 @@
 	m.set.NewGauge("plantain_entry_config_age_seconds", func() float64 {
 		return e.opts.Now().Sub(e.opts.Control.Confirmed()).Seconds()
 	})
-	m.set.NewGauge("plantain_entry_upstreams", func() float64 {
-		if s := e.snapshot.Load(); s != nil {
-			return float64(s.table.Len())
+	m.set.NewGauge("plantain_entry_upstreams", e.countUpstreams((*route.Table).Len))
+	m.set.NewGauge("plantain_entry_usable_upstreams", e.countUpstreams((*route.Table).Usable))
+}
+
+func (e *Entry) countUpstreams(count func(*route.Table) int) func() float64 {
+	return func() float64 {
+		s := e.snapshot.Load()
+		if s == nil {
+			return 0
 		}
-		return 0
-	})
+		return float64(count(s.table))
+	}
 }
 
 // finished counts a finished request.
--- a/pkg/role/entry/owner.go
+++ b/pkg/role/entry/owner.go
@@ -227,10 +227,11 @@
 
 // allUsable reports whether each upstream has sent a report that lets it be
 // chosen. After a start of the whole system agents may confirm their
-// configuration a little later than the entry does.
+// configuration, and learn whether their host is drained, a little later than
+// the entry hears of them.
 func (o *owner) allUsable() bool {
 	for _, p := range o.peers {
-		if p.report == nil || p.report.StaleConfig {
+		if p.report == nil || p.report.StaleConfig || p.report.Draining && p.announcement.State != stateDraining {
 			return false
 		}
 	}
--- a/pkg/role/entry/speed_test.go
+++ b/pkg/role/entry/owner_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/plantainstair/plantainstair/pkg/core/route"
+	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
 )
 
 // Guards against a new host that counts as slower than its group, and so gets
@@ -21,3 +22,17 @@
 		assert.Equal(t, speed{u.FirstToken, u.InterToken}, want, "group %s", group)
 	}
 }
+
+// Guards against an entry that is ready while an agent still waits to learn
+// whether its host is drained, and against one that waits for a drained host.
+func TestOwner_WarmOnceAgentsTakeWork(t *testing.T) {
+	o := newOwner(t.Context(), nil)
+	p := &peer{announcement: &wirepb.Announcement{State: "serving"}, report: &wirepb.LoadReport{Draining: true}}
+	o.peers["host"] = p
+	assert.Assert(t, !o.allUsable())
+	p.announcement.State = stateDraining
+	assert.Assert(t, o.allUsable())
+	p.announcement.State = "serving"
+	p.report = &wirepb.LoadReport{}
+	assert.Assert(t, o.allUsable())
+}
--- a/test/e2e/preempt_test.go
+++ b/test/e2e/preempt_test.go
@@ -42,7 +42,14 @@
 			results <- r
 		}()
 	}
-	<-begun // one of them has the slot
+	waitBegun := func() {
+		select {
+		case <-begun:
+		case <-ctx.Done():
+			t.Fatal("no batch stream began")
+		}
+	}
+	waitBegun() // one of them has the slot
 	for i := range urgentChats {
 		content := "is this net safe"
 		text, err := chat(ctx, d, i%len(d.Entries), content, urgentTokens, nil)
@@ -50,7 +57,7 @@
 		assert.Equal(t, text, reference(d.Plan, content, urgentTokens))
 		assert.Equal(t, running.Load(), int32(batchChats), "urgent answer %d waited for a batch stream", i)
 	}
-	<-begun
+	waitBegun()
 	checkChats(t, d, results, batchChats, batchTokens)
 	checkLayers(t, d)
 }
