--- a/pkg/load/balancer_test.go
+++ b/pkg/load/balancer_test.go
@@ -10,12 +10,9 @@
 // Guards against requests that are lost because one entry is gone while others
 // could take them.
 func TestDialNextEntry(t *testing.T) {
-	gone, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
 	up, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	entries := []string{gone.Addr().String(), up.Addr().String()}
-	assert.NilError(t, gone.Close())
+	entries := []string{refusing, up.Addr().String()}
 	conn, err := dialNextEntry(entries)(t.Context(), "tcp", entries[0])
 	assert.NilError(t, err)
 	assert.Equal(t, conn.RemoteAddr().String(), entries[1])
--- a/pkg/load/load_test.go
+++ b/pkg/load/load_test.go
@@ -227,13 +227,14 @@
 	assert.NilError(t, report.WriteTimeline(&timeline))
 }
 
+// refusing is an address without a listener. The port of a closed listener may
+// be given to another test while this one runs.
+const refusing = "127.0.0.1:1"
+
 // Guards against a connection that was refused but counts as unknown, and
 // against requests that pile up in the tool without being reported.
 func TestNotSentAndRefusedConnection(t *testing.T) {
-	server := httptest.NewServer(http.NotFoundHandler())
-	address := strings.TrimPrefix(server.URL, "http://")
-	server.Close()
-	total := Execute(t.Context(), parse(t, address)).Total()
+	total := Execute(t.Context(), parse(t, refusing)).Total()
 	assert.Assert(t, total.Offered > 0)
 	assert.Equal(t, total.Outcomes[NotRun], total.Offered)
 
