core/sched: keep a promised slot for the rank that preempted

Cause: the slot of a preempted request was given out by credit, so that another rank with credit took it, and the rank that had preempted preempted again. Urgent credit that the refund of the victim takes back counted as saved. Change: a freed slot goes to the rank it was promised to, and the refund is subtracted before urgent work counts as owed. Conclusion: a preempted request makes way once for each promise.

--- a/pkg/core/sched/preempt.go
+++ b/pkg/core/sched/preempt.go
@@ -54,6 +54,7 @@
 		return
 	}
 	s.promised[it.promisedRank]--
+	s.due[it.promisedRank]++
 	it.flow.leaving--
 	if f := it.promisedFlow; f != nil {
 		f.promised--
@@ -77,20 +78,23 @@
 // otherwise only to urgent work that is owed a request. The rank of it then gets
 // the unused part of its credit back, and so keeps its own minimum.
 func (s *Scheduler) yields(it *item, r Rank) bool {
-	return it.req.Rank > r && it.preemptible() && (!it.entitled || r == Urgent && s.urgentOwed())
+	return it.req.Rank > r && it.preemptible() && (!it.entitled || r == Urgent && s.urgentOwed(it))
 }
 
 // urgentOwed reports whether urgent work has saved the credit of a whole request
 // and holds less than its share of the slots. Any credit is not enough: in a
 // flood urgent work has some again after every few tokens, and would end the few
-// requests of the other ranks each time.
-func (s *Scheduler) urgentOwed() bool {
+// requests of the other ranks each time. What it earned on the unused part of
+// the victim's estimate does not count, since Finish takes it back.
+func (s *Scheduler) urgentOwed(victim *item) bool {
 	q := &s.ranks[Urgent]
 	cost := s.rate.meanCost
 	if q.queued > 0 {
 		cost = float64(q.backlogged.top().head.req.Cost)
 	}
-	return q.credit >= cost && float64(q.running+s.promised[Urgent]) < q.share*float64(s.cfg.Slots)
+	unused := float64(max(victim.charged-victim.used, 0)) / float64(max(victim.charged, 1))
+	credit := q.credit - unused*victim.earned[Urgent]
+	return credit >= cost && float64(q.running+s.promised[Urgent]) < q.share*float64(s.cfg.Slots)
 }
 
 // unfairVictim returns a request of rank r whose organisation holds more than
--- a/pkg/core/sched/preempt_test.go
+++ b/pkg/core/sched/preempt_test.go
@@ -115,6 +115,25 @@
 	assert.Equal(t, r.ID, uint64(1))
 }
 
+// Guards against a promised slot that goes to another rank with credit: the rank
+// that preempted for it would preempt again. Two batch streams of one fleet with
+// one slot were preempted four times each for three urgent requests.
+func TestPreempt_PromisedSlotIsKept(t *testing.T) {
+	now := time.Unix(0, 0)
+	s := New(Config{Slots: 1, UrgentReserve: -1})
+	fill(t, s, now, 1, Request{Rank: Batch, Organisation: "b", Cost: 100, Preemptible: true})
+	s.active[0].entitled = false
+	assert.NilError(t, s.Submit(now, Request{ID: 1, Rank: Urgent, Organisation: "u", Cost: 10}))
+	assert.NilError(t, s.Submit(now, Request{ID: 2, Rank: Standard, Organisation: "s", Cost: 10}))
+	s.ranks[Urgent].credit, s.ranks[Standard].credit = -100, 100
+	v, ok := s.Preempt(now)
+	assert.Assert(t, ok)
+	s.Finish(now, v.ID)
+	r, ok := s.Next(now)
+	assert.Assert(t, ok)
+	assert.Equal(t, r.Rank, Urgent)
+}
+
 // Guards against preemption of service calls, of work that was preempted too
 // often, and of work of the same organisation.
 func TestPreempt_Spares(t *testing.T) {
--- a/pkg/core/sched/ranks.go
+++ b/pkg/core/sched/ranks.go
@@ -22,6 +22,22 @@
 	return lent, found
 }
 
+// dueRank returns the rank whose promised slot was freed. With the choice by
+// credit alone, another rank that has some took the slot, and the one that
+// preempted for it preempted again.
+func (s *Scheduler) dueRank() (Rank, bool) {
+	for r := range s.due {
+		if s.ranks[r].queued == 0 {
+			s.due[r] = 0
+		}
+		if s.due[r] > 0 && s.running < s.cfg.Slots {
+			s.due[r]--
+			return Rank(r), true
+		}
+	}
+	return 0, false
+}
+
 // slotFor reports whether a request of rank r may take a slot now.
 func (s *Scheduler) slotFor(r Rank, now time.Time) bool {
 	free := s.cfg.Slots - s.running
--- a/pkg/core/sched/sched.go
+++ b/pkg/core/sched/sched.go
@@ -71,6 +71,7 @@
 	expired   []*item
 	active    []*item    // running requests
 	promised  [Ranks]int // running requests preempted for each rank
+	due       [Ranks]int // promised slots that were freed and not yet taken
 	free      *item      // recycled items
 
 	queued      int
@@ -117,7 +118,10 @@
 func (s *Scheduler) Next(now time.Time) (Request, bool) {
 	s.expireQueued(now)
 	s.noteUrgent(now)
-	rank, ok := s.pickRank(now)
+	rank, ok := s.dueRank()
+	if !ok {
+		rank, ok = s.pickRank(now)
+	}
 	if !ok {
 		return Request{}, false
 	}
