Use one piece of code where two did the same

Cause: a review of the whole change found the choice of the cheapest victim written twice, the id of a claim put together a second time, two forwarding methods and two encodings of a true flag. The reserve of slots scanned the running requests even where it is zero. Change: Scheduler.cheapest, claim ids from the claim, nextStage embeds agent.Stage, appendTrue. Conclusion: behaviour is as before; the tests of the packages pass unchanged.

--- a/pkg/core/sched/preempt.go
+++ b/pkg/core/sched/preempt.go
@@ -65,9 +65,15 @@
 
 // lowerVictim returns the request of a less urgent rank whose slot rank r takes.
 func (s *Scheduler) lowerVictim(r Rank) *item {
+	return s.cheapest(func(it *item) bool { return s.yields(it, r) })
+}
+
+// cheapest returns the running request that match accepts and whose preemption
+// disturbs least, or nil.
+func (s *Scheduler) cheapest(match func(*item) bool) *item {
 	var victim *item
 	for _, it := range s.active {
-		if s.yields(it, r) && (victim == nil || cheaper(it, victim)) {
+		if match(it) && (victim == nil || cheaper(it, victim)) {
 			victim = it
 		}
 	}
@@ -128,13 +134,9 @@
 	if to == nil || to.queued <= to.promised {
 		return nil
 	}
-	var victim *item
-	for _, it := range s.active {
-		if it.req.Rank == r && it.preemptible() && it.flow.exceeds(to) && (victim == nil || cheaper(it, victim)) {
-			victim = it
-		}
-	}
-	return victim
+	return s.cheapest(func(it *item) bool {
+		return it.req.Rank == r && it.preemptible() && it.flow.exceeds(to)
+	})
 }
 
 // smallPart is the part of another organisation's requests in progress, over
--- a/pkg/core/sched/ranks.go
+++ b/pkg/core/sched/ranks.go
@@ -53,6 +53,9 @@
 func (s *Scheduler) openReserve() int {
 	minimum := int(s.cfg.Shares[Urgent] * float64(s.cfg.Slots))
 	reserve := min(s.cfg.reserve(), minimum-s.ranks[Urgent].running)
+	if reserve <= 0 {
+		return 0
+	}
 	return max(reserve-s.reclaimable(Urgent), 0)
 }
 
--- a/pkg/core/state/settle.go
+++ b/pkg/core/state/settle.go
@@ -114,6 +114,7 @@
 // is set when there may be more; a page may then hold fewer than the limit.
 func (s *Store) Claims(q ClaimQuery) (page []ClaimInfo, next *ClaimCursor) {
 	examined := 0
+	var last *claim
 	for _, number := range slices.Sorted(maps.Keys(s.claims.buckets)) {
 		if number < q.After.CreatedUnixMs/bucketMS {
 			continue
@@ -124,10 +125,10 @@
 		examined += len(s.claims.buckets[number].claims)
 		for _, c := range s.selected(number, q) {
 			if len(page) == q.Limit {
-				last := page[len(page)-1]
-				return page, &ClaimCursor{last.KeyCreatedUnixMs, last.Organisation + "\x00" + last.Service + "\x00" + last.Key}
+				return page, &ClaimCursor{last.created, last.id}
 			}
 			page = append(page, c.info())
+			last = c
 		}
 	}
 	return page, nil
--- a/pkg/core/state/snapshot.go
+++ b/pkg/core/state/snapshot.go
@@ -64,12 +64,10 @@
 	b = appendString(b, fieldHost, c.host.Value())
 	if c.answered {
 		b = appendBytes(b, fieldResponse, c.response)
-		b = protowire.AppendTag(b, fieldAnswered, protowire.VarintType)
-		b = protowire.AppendVarint(b, protowire.EncodeBool(true))
+		b = appendTrue(b, fieldAnswered)
 	}
 	if c.settled {
-		b = protowire.AppendTag(b, fieldSettled, protowire.VarintType)
-		b = protowire.AppendVarint(b, protowire.EncodeBool(true))
+		b = appendTrue(b, fieldSettled)
 	}
 	return b
 }
@@ -78,6 +76,10 @@
 	return protowire.AppendString(protowire.AppendTag(b, field, protowire.BytesType), v)
 }
 
+func appendTrue(b []byte, field protowire.Number) []byte {
+	return protowire.AppendVarint(protowire.AppendTag(b, field, protowire.VarintType), protowire.EncodeBool(true))
+}
+
 func appendBytes(b []byte, field protowire.Number, v []byte) []byte {
 	return protowire.AppendBytes(protowire.AppendTag(b, field, protowire.BytesType), v)
 }
--- a/pkg/role/agent/chain.go
+++ b/pkg/role/agent/chain.go
@@ -193,7 +193,7 @@
 		h.engine.Close()
 	}
 	if h.next != nil {
-		h.next.close()
+		h.next.Close()
 	}
 }
 
@@ -353,12 +353,12 @@
 			return nil, err
 		}
 		if r.Epoch != g.req.Epoch {
-			return nil, h.next.failure(fault.New(fault.Protocol, "result of epoch %d in place of %d", r.Epoch, g.req.Epoch))
+			return nil, h.next.Failure(fault.New(fault.Protocol, "result of epoch %d in place of %d", r.Epoch, g.req.Epoch))
 		}
 		result = r
 	}
 	if result.Position != next {
-		return nil, h.next.failure(fault.New(fault.Protocol, "result of position %d in place of %d", result.Position, next))
+		return nil, h.next.Failure(fault.New(fault.Protocol, "result of position %d in place of %d", result.Position, next))
 	}
 	return result, nil
 }
--- a/pkg/role/agent/peers.go
+++ b/pkg/role/agent/peers.go
@@ -17,8 +17,8 @@
 
 // nextStage is the stage after this one. One goroutine writes and one reads.
 type nextStage struct {
+	*client.Stage
 	index int // of the stage in the whole chain
-	stage *client.Stage
 }
 
 // openNext opens the stage after this one and waits until it is ready. It
@@ -30,7 +30,7 @@
 	if err != nil {
 		return nil, 0, n.blame(err)
 	}
-	n.stage = stage
+	n.Stage = stage
 	return n, stage.Cached(), nil
 }
 
@@ -66,7 +66,7 @@
 	for len(hidden) > 0 {
 		count := fitting(hidden)
 		step := &wirepb.StageStep{Epoch: epoch, Position: position, Hidden: hidden[:count]}
-		if err := n.stage.Send(step); err != nil {
+		if err := n.Send(step); err != nil {
 			return frames, err
 		}
 		frames++
@@ -90,15 +90,9 @@
 
 // read returns the result of the oldest step that has none yet.
 func (n *nextStage) read() (*wirepb.StageResult, error) {
-	r, err := n.stage.Receive()
+	r, err := n.Receive()
 	if err != nil {
 		return nil, n.blame(err)
 	}
 	return r, nil
 }
-
-// failure blames the stage for a wrong result.
-func (n *nextStage) failure(err error) *fault.Error { return n.stage.Failure(err) }
-
-// close ends the stage and those after it.
-func (n *nextStage) close() { n.stage.Close() }
