local: end a failed start without a crash

Cause: a start that failed, for instance without binaries, listed processes that were never made, and ending them dereferenced nil. The experiments read metrics with a copy of the code that a deployment has. Change: processes that were not reached are left out; local.Metric sums the series of one metric for both, by its exact name.

--- a/pkg/experiment/queues.go
+++ b/pkg/experiment/queues.go
@@ -1,20 +1,12 @@
 package experiment
 
 import (
-	"io"
-	"net/http"
-	"strconv"
-	"strings"
 	"time"
 
 	"github.com/plantainstair/plantainstair/pkg/local"
 )
 
-const (
-	queueWaitSum  = "plantain_agent_queue_wait_seconds_sum"
-	scrapeTimeout = 2 * time.Second
-	maxMetrics    = 4 << 20
-)
+const queueWaitSum = "plantain_agent_queue_wait_seconds_sum"
 
 // queueWait sums the time that requests have spent in the queues of the agents
 // of the first stage, and of those of the second. A session that waits at the
@@ -32,26 +24,11 @@
 	return first, second
 }
 
+// agentQueueWait is zero if the agent does not answer.
 func agentQueueWait(u *local.Upstream) time.Duration {
-	client := http.Client{Timeout: scrapeTimeout}
-	resp, err := client.Get("http://" + u.Platform + "/metrics")
-	if err != nil {
-		return 0
-	}
-	defer resp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxMetrics))
+	seconds, err := local.Metric(u.Platform, queueWaitSum)
 	if err != nil {
 		return 0
 	}
-	total := 0.0
-	for line := range strings.Lines(string(data)) {
-		if !strings.HasPrefix(line, queueWaitSum) {
-			continue
-		}
-		seconds, err := strconv.ParseFloat(strings.TrimSpace(line[strings.LastIndexByte(line, ' ')+1:]), 64)
-		if err == nil {
-			total += seconds
-		}
-	}
-	return time.Duration(total * float64(time.Second))
+	return time.Duration(seconds * float64(time.Second))
 }
--- a/pkg/local/deployment.go
+++ b/pkg/local/deployment.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -156,20 +157,35 @@
 	if _, err := probe(e.Platform, "/readyz"); err != nil {
 		return err
 	}
-	text, err := probe(e.Platform, "/metrics")
+	usable, err := Metric(e.Platform, "plantain_entry_usable_upstreams")
 	if err != nil {
 		return err
 	}
-	usable := 0
+	if int(usable) < len(d.Upstreams) {
+		return fault.New(fault.Unavailable, "%s can use %.0f of %d upstreams", e.Name, usable, len(d.Upstreams))
+	}
+	return nil
+}
+
+// Metric sums the series of a metric of the process whose platform endpoints
+// are at addr. It is zero if there are none.
+func Metric(addr, name string) (float64, error) {
+	text, err := probe(addr, "/metrics")
+	if err != nil {
+		return 0, err
+	}
+	total := 0.0
 	for line := range strings.Lines(text) {
-		if value, ok := strings.CutPrefix(line, "plantain_entry_usable_upstreams "); ok {
-			usable, _ = strconv.Atoi(strings.TrimSpace(value))
+		rest, found := strings.CutPrefix(line, name)
+		if !found || !strings.HasPrefix(rest, " ") && !strings.HasPrefix(rest, "{") {
+			continue
+		}
+		value, err := strconv.ParseFloat(strings.TrimSpace(line[strings.LastIndexByte(line, ' ')+1:]), 64)
+		if err == nil {
+			total += value
 		}
 	}
-	if usable < len(d.Upstreams) {
-		return fault.New(fault.Unavailable, "%s can use %d of %d upstreams", e.Name, usable, len(d.Upstreams))
-	}
-	return nil
+	return total, nil
 }
 
 // checkAlive returns an error that names a process which has ended.
@@ -201,7 +217,8 @@
 	return string(body), nil
 }
 
-// Processes lists all processes, those that callers talk to first.
+// Processes lists all processes, those that callers talk to first. After a start
+// that failed it leaves out those that were not reached.
 func (d *Deployment) Processes() []*Process {
 	var all []*Process
 	for _, e := range d.Entries {
@@ -216,7 +233,7 @@
 	for _, c := range d.Controls {
 		all = append(all, c.Process)
 	}
-	return all
+	return slices.DeleteFunc(all, func(p *Process) bool { return p == nil })
 }
 
 // Stop ends all processes gracefully, entries first, and returns the first
