Rename pkg/platform to pkg/lifecycle, after what it does

Cause: the top folder platform/ will hold the translation between the users' platform and the product; two things with one name would confuse readers. No behaviour changes.

--- a/cmd/plantain-agent/main.go
+++ b/cmd/plantain-agent/main.go
@@ -8,8 +8,8 @@
 
 	"github.com/integrii/flaggy"
 
+	"github.com/plantainstair/plantainstair/pkg/lifecycle"
 	"github.com/plantainstair/plantainstair/pkg/logs"
-	"github.com/plantainstair/plantainstair/pkg/platform"
 	"github.com/plantainstair/plantainstair/pkg/role/agent"
 )
 
@@ -34,7 +34,7 @@
 	if err != nil {
 		return err
 	}
-	ctx, stop := platform.SignalContext()
+	ctx, stop := lifecycle.SignalContext()
 	defer stop()
 	return agent.RunProcess(ctx, settings, log)
 }
--- a/cmd/plantain-control/main.go
+++ b/cmd/plantain-control/main.go
@@ -7,7 +7,7 @@
 
 	"github.com/integrii/flaggy"
 
-	"github.com/plantainstair/plantainstair/pkg/platform"
+	"github.com/plantainstair/plantainstair/pkg/lifecycle"
 	"github.com/plantainstair/plantainstair/pkg/role/control"
 )
 
@@ -17,7 +17,7 @@
 	flaggy.SetDescription("Keeps the replicated state of plantainstair and the registry of upstreams.")
 	flaggy.String(&path, "c", "config", "path of the settings file")
 	flaggy.Parse()
-	ctx, cancel := platform.SignalContext()
+	ctx, cancel := lifecycle.SignalContext()
 	defer cancel()
 	if err := control.Run(ctx, path); err != nil {
 		fmt.Fprintln(os.Stderr, "plantain-control:", err)
--- a/cmd/plantain-demo/main.go
+++ b/cmd/plantain-demo/main.go
@@ -11,8 +11,8 @@
 
 	"github.com/integrii/flaggy"
 
+	"github.com/plantainstair/plantainstair/pkg/lifecycle"
 	"github.com/plantainstair/plantainstair/pkg/local"
-	"github.com/plantainstair/plantainstair/pkg/platform"
 )
 
 const startTimeout = 30 * time.Second
@@ -37,7 +37,7 @@
 		return err
 	}
 	defer remove()
-	ctx, stop := platform.SignalContext()
+	ctx, stop := lifecycle.SignalContext()
 	defer stop()
 	startCtx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
--- a/cmd/plantain-experiment/main.go
+++ b/cmd/plantain-experiment/main.go
@@ -11,8 +11,8 @@
 	"github.com/integrii/flaggy"
 
 	"github.com/plantainstair/plantainstair/pkg/experiment"
+	"github.com/plantainstair/plantainstair/pkg/lifecycle"
 	"github.com/plantainstair/plantainstair/pkg/local"
-	"github.com/plantainstair/plantainstair/pkg/platform"
 )
 
 // threads bounds the threads that run the load.
@@ -44,7 +44,7 @@
 		return err
 	}
 	defer remove()
-	ctx, stop := platform.SignalContext()
+	ctx, stop := lifecycle.SignalContext()
 	defer stop()
 	o.Runner = &experiment.Runner{Bin: bin, Dir: dir}
 	return experiment.Run(ctx, o)
--- a/cmd/plantain-load/main.go
+++ b/cmd/plantain-load/main.go
@@ -11,8 +11,8 @@
 	"github.com/integrii/flaggy"
 
 	"github.com/plantainstair/plantainstair/pkg/fault"
+	"github.com/plantainstair/plantainstair/pkg/lifecycle"
 	"github.com/plantainstair/plantainstair/pkg/load"
-	"github.com/plantainstair/plantainstair/pkg/platform"
 )
 
 // exitWrong is the exit status after a wrong answer.
@@ -47,7 +47,7 @@
 		return 0, err
 	}
 	runtime.GOMAXPROCS(scenario.Run.Threads)
-	ctx, stop := platform.SignalContext()
+	ctx, stop := lifecycle.SignalContext()
 	defer stop()
 	report := load.Execute(ctx, scenario)
 	if err := report.WriteTable(os.Stdout); err != nil {
--- a/cmd/plantain-standin/main.go
+++ b/cmd/plantain-standin/main.go
@@ -13,7 +13,7 @@
 	"github.com/integrii/flaggy"
 
 	"github.com/plantainstair/plantainstair/pkg/fault"
-	"github.com/plantainstair/plantainstair/pkg/platform"
+	"github.com/plantainstair/plantainstair/pkg/lifecycle"
 	"github.com/plantainstair/plantainstair/pkg/standin"
 	"github.com/plantainstair/plantainstair/pkg/upstreams"
 )
@@ -122,7 +122,7 @@
 
 // serve runs the server until a signal, then withdraws the announcement.
 func (f *flags) serve(start func(net.Listener) *standin.Server) error {
-	ctx, stop := platform.SignalContext()
+	ctx, stop := lifecycle.SignalContext()
 	defer stop()
 	ln, err := net.Listen("tcp", f.listen)
 	if err != nil {
--- a/pkg/platform/lifecycle.go
+++ b/pkg/lifecycle/lifecycle.go
@@ -1,6 +1,6 @@
-// Package platform serves what the platform around a process needs: liveness,
+// Package lifecycle serves what the environment of a process needs: liveness,
 // readiness, metrics, signals and a graceful shutdown.
-package platform
+package lifecycle
 
 import (
 	"context"
--- a/pkg/role/agent/agent.go
+++ b/pkg/role/agent/agent.go
@@ -15,9 +15,9 @@
 	"github.com/plantainstair/plantainstair/pkg/core/sched"
 	"github.com/plantainstair/plantainstair/pkg/entry"
 	"github.com/plantainstair/plantainstair/pkg/fault"
+	"github.com/plantainstair/plantainstair/pkg/lifecycle"
 	"github.com/plantainstair/plantainstair/pkg/link"
 	"github.com/plantainstair/plantainstair/pkg/logs"
-	"github.com/plantainstair/plantainstair/pkg/platform"
 	"github.com/plantainstair/plantainstair/pkg/upstreams"
 	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
 )
@@ -62,7 +62,7 @@
 	log      logs.Logger
 	now      func() time.Time
 
-	lifecycle *platform.Lifecycle
+	lifecycle *lifecycle.Lifecycle
 	queue     *queue
 	freed     freedStages
 	sessions  *sessions
@@ -99,7 +99,7 @@
 		first:     opts.Incarnation,
 		log:       opts.Log.Part("agent"),
 		now:       opts.Now,
-		lifecycle: platform.NewLifecycle(),
+		lifecycle: lifecycle.NewLifecycle(),
 		sessions:  newSessions(opts.Now),
 		metrics:   newMetrics(),
 		pending:   make(chan struct{}, set.MaxPendingClaims),
--- a/pkg/role/agent/process.go
+++ b/pkg/role/agent/process.go
@@ -7,9 +7,9 @@
 
 	"github.com/plantainstair/plantainstair/pkg/config"
 	"github.com/plantainstair/plantainstair/pkg/control"
+	"github.com/plantainstair/plantainstair/pkg/lifecycle"
 	"github.com/plantainstair/plantainstair/pkg/link"
 	"github.com/plantainstair/plantainstair/pkg/logs"
-	"github.com/plantainstair/plantainstair/pkg/platform"
 )
 
 // Role is the name of the role in handshakes and logs.
@@ -65,7 +65,7 @@
 		return err
 	}
 	defer a.Close()
-	endpoints, err := platform.NewServer(set.PlatformListen, platform.Options{
+	endpoints, err := lifecycle.NewServer(set.PlatformListen, lifecycle.Options{
 		Lifecycle: a.lifecycle, Ready: a.Readiness, Metrics: a.metrics.set,
 	})
 	if err != nil {
--- a/pkg/role/agent/report.go
+++ b/pkg/role/agent/report.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/plantainstair/plantainstair/pkg/core/sched"
-	"github.com/plantainstair/plantainstair/pkg/platform"
+	"github.com/plantainstair/plantainstair/pkg/lifecycle"
 	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
 )
 
@@ -46,7 +46,7 @@
 		TokensPerSecond: load.TokensPerSecond,
 		FirstTokenMsP50: uint32(a.metrics.enginePrefill.median() / time.Millisecond),
 		InterTokenUsP50: uint32(a.metrics.engineStep.median() / time.Microsecond),
-		Draining:        a.lifecycle.State() != platform.Ready || a.upstream.view() == nil || !a.orders.known() || a.upstream.draining.Load(),
+		Draining:        a.lifecycle.State() != lifecycle.Ready || a.upstream.view() == nil || !a.orders.known() || a.upstream.draining.Load(),
 		StaleConfig:     a.stale(),
 		Links:           a.peers.links(),
 	}
--- a/pkg/role/control/process.go
+++ b/pkg/role/control/process.go
@@ -9,10 +9,10 @@
 
 	"github.com/plantainstair/plantainstair/pkg/config"
 	"github.com/plantainstair/plantainstair/pkg/fault"
+	"github.com/plantainstair/plantainstair/pkg/lifecycle"
 	"github.com/plantainstair/plantainstair/pkg/link"
 	"github.com/plantainstair/plantainstair/pkg/logs"
 	"github.com/plantainstair/plantainstair/pkg/operators"
-	"github.com/plantainstair/plantainstair/pkg/platform"
 )
 
 // Run runs the control process with the settings at path until ctx ends.
@@ -68,7 +68,7 @@
 	log       logs.Logger
 	control   *Control
 	admin     *http.Server
-	lifecycle *platform.Lifecycle
+	lifecycle *lifecycle.Lifecycle
 	failed    chan error
 }
 
@@ -88,13 +88,13 @@
 		settings:  settings,
 		log:       log.Part("process"),
 		control:   c,
-		lifecycle: platform.NewLifecycle(),
+		lifecycle: lifecycle.NewLifecycle(),
 		failed:    make(chan error, 1),
 	}
 	p.admin = operators.NewServer(operators.NewHandler(operators.Options{
 		Service:   c,
 		Operators: tokens,
-		Platform:  platform.Handler(platform.Options{Lifecycle: p.lifecycle, Ready: c.Ready, Metrics: c.metrics.set}),
+		Platform:  lifecycle.Handler(lifecycle.Options{Lifecycle: p.lifecycle, Ready: c.Ready, Metrics: c.metrics.set}),
 		Log:       log.Part("operators"),
 	}))
 	go p.serveAdmin(l.admin)
--- a/pkg/role/entry/entry.go
+++ b/pkg/role/entry/entry.go
@@ -9,8 +9,8 @@
 
 	"github.com/plantainstair/plantainstair/pkg/callers"
 	"github.com/plantainstair/plantainstair/pkg/core/route"
+	"github.com/plantainstair/plantainstair/pkg/lifecycle"
 	"github.com/plantainstair/plantainstair/pkg/logs"
-	"github.com/plantainstair/plantainstair/pkg/platform"
 )
 
 // Options configure an entry.
@@ -37,7 +37,7 @@
 	limits     *limiter
 	gate       *gate
 	metrics    *meters
-	lifecycle  *platform.Lifecycle
+	lifecycle  *lifecycle.Lifecycle
 	leaving    atomic.Bool
 	warm       atomic.Bool // the first load reports have arrived
 	owner      sync.WaitGroup
@@ -59,7 +59,7 @@
 		limits:     newLimiter(),
 		gate:       newGate(opts.Settings.MaxRequests),
 		metrics:    newMeters(),
-		lifecycle:  platform.NewLifecycle(),
+		lifecycle:  lifecycle.NewLifecycle(),
 	}
 	e.metrics.watch(e)
 	return e
@@ -92,6 +92,6 @@
 }
 
 // PlatformOptions returns the options of the platform endpoints.
-func (e *Entry) PlatformOptions() platform.Options {
-	return platform.Options{Lifecycle: e.lifecycle, Ready: e.Ready, Metrics: e.metrics.set}
+func (e *Entry) PlatformOptions() lifecycle.Options {
+	return lifecycle.Options{Lifecycle: e.lifecycle, Ready: e.Ready, Metrics: e.metrics.set}
 }
--- a/pkg/role/entry/process.go
+++ b/pkg/role/entry/process.go
@@ -9,9 +9,9 @@
 	"github.com/plantainstair/plantainstair/pkg/control"
 	"github.com/plantainstair/plantainstair/pkg/delay"
 	"github.com/plantainstair/plantainstair/pkg/fault"
+	"github.com/plantainstair/plantainstair/pkg/lifecycle"
 	"github.com/plantainstair/plantainstair/pkg/link"
 	"github.com/plantainstair/plantainstair/pkg/logs"
-	"github.com/plantainstair/plantainstair/pkg/platform"
 	"github.com/plantainstair/plantainstair/pkg/upstreams"
 )
 
@@ -62,7 +62,7 @@
 // after the drain. A value on failed ends the process early.
 func (e *Entry) Serve(ctx, work context.Context, failed <-chan error) error {
 	s := e.opts.Settings
-	plat, err := platform.NewServer(s.Platform, e.PlatformOptions())
+	plat, err := lifecycle.NewServer(s.Platform, e.PlatformOptions())
 	if err != nil {
 		return err
 	}
@@ -103,7 +103,7 @@
 	return e.lifecycle.Stop()
 }
 
-func closePlatform(p *platform.Server) {
+func closePlatform(p *lifecycle.Server) {
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
 	if err := p.Close(ctx); fault.KindOf(err) != "" {
--- a/pkg/role/entry/refusal_test.go
+++ b/pkg/role/entry/refusal_test.go
@@ -18,7 +18,7 @@
 	"github.com/plantainstair/plantainstair/pkg/control"
 	"github.com/plantainstair/plantainstair/pkg/core/sched"
 	"github.com/plantainstair/plantainstair/pkg/fault"
-	"github.com/plantainstair/plantainstair/pkg/platform"
+	"github.com/plantainstair/plantainstair/pkg/lifecycle"
 	"github.com/plantainstair/plantainstair/pkg/wire"
 	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
 )
@@ -341,7 +341,7 @@
 		}
 	}
 	s := newSystem(t, startAgents(t, 1, inTurn(slow)), nil, "[drain]\ndelay=300ms")
-	plat, err := platform.NewServer("127.0.0.1:0", s.entry.PlatformOptions())
+	plat, err := lifecycle.NewServer("127.0.0.1:0", s.entry.PlatformOptions())
 	assert.NilError(t, err)
 	defer plat.Close(context.Background())
 	server, err := callers.NewServer("127.0.0.1:0", s.entry.Handler())
@@ -373,5 +373,5 @@
 	}
 	assert.Equal(t, text, expected(6, 1))
 	assert.NilError(t, <-drained)
-	assert.Equal(t, s.entry.lifecycle.State(), platform.Stopped)
+	assert.Equal(t, s.entry.lifecycle.State(), lifecycle.Stopped)
 }
