--- /dev/null
+++ b/pkg/core/path/path_test.go
@@ -0,0 +1,98 @@
+package path
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/plantainstair/plantainstair/pkg/core/routing"
+	"github.com/plantainstair/plantainstair/pkg/fault"
+)
+
+func model() *routing.Model { return &routing.Model{Layers: 12, PipeMbps: 1000, ActivationBytes: 1000} }
+
+func engine(id, dc string, from, to int) Engine {
+	return Engine{ID: id, Address: id, DataCentre: dc, From: from, To: to, Step: time.Millisecond,
+		Read: time.Microsecond, FreeTokens: 10_000, FreeSlots: 10}
+}
+
+var usual = Request{Prompt: 100, Answer: 50, DataCentre: "a"}
+
+// Guards against a token that skips a layer, runs one twice, or passes an
+// engine twice, whatever ranges the engines hold.
+func TestChoose_RunsEveryLayerOnce(t *testing.T) {
+	m := model()
+	rapid.Check(t, func(t *rapid.T) {
+		var engines []Engine
+		for i := range rapid.IntRange(1, 12).Draw(t, "engines") {
+			from := rapid.IntRange(0, m.Layers-1).Draw(t, "from")
+			to := rapid.IntRange(from+1, m.Layers).Draw(t, "to")
+			e := engine(fmt.Sprint(i), rapid.SampledFrom([]string{"a", "b"}).Draw(t, "dc"), from, to)
+			e.Step = time.Duration(rapid.IntRange(1, 50).Draw(t, "step")) * time.Millisecond
+			engines = append(engines, e)
+		}
+		c, err := Choose(m, engines, usual)
+		if err == nil {
+			assert.Assert(t, Covers(m, c.Parts))
+			for _, p := range c.Parts {
+				e := engines[index(p.ID)]
+				assert.Assert(t, e.From <= p.From && p.To <= e.To)
+			}
+		}
+	})
+}
+
+func index(id string) int {
+	var i int
+	_, _ = fmt.Sscan(id, &i)
+	return i
+}
+
+// Guards against activations that cross between data centres although one of
+// them holds the whole model.
+func TestChoose_StaysInOneDataCentre(t *testing.T) {
+	c, err := Choose(model(), []Engine{engine("a1", "a", 0, 6), engine("b1", "b", 0, 6), engine("b2", "b", 6, 12)}, usual)
+	assert.NilError(t, err)
+	assert.Equal(t, len(c.Parts), 2)
+	assert.Equal(t, c.Parts[0].ID, "b1")
+}
+
+// Guards against a refusal while the layers are there, spread over two data
+// centres.
+func TestChoose_CrossesWhereItMust(t *testing.T) {
+	c, err := Choose(model(), []Engine{engine("a1", "a", 0, 6), engine("b2", "b", 6, 12)}, usual)
+	assert.NilError(t, err)
+	assert.Assert(t, Covers(model(), c.Parts))
+}
+
+// Guards against work for an engine that has no memory left while another has.
+func TestChoose_AvoidsFullEngines(t *testing.T) {
+	full := engine("full", "a", 0, 12)
+	full.FreeTokens = 10
+	c, err := Choose(model(), []Engine{full, engine("slow", "b", 0, 12)}, usual)
+	assert.NilError(t, err)
+	assert.Equal(t, c.Parts[0].ID, "slow")
+	assert.Assert(t, c.Roomy)
+}
+
+// Guards against a path over a missing layer.
+func TestChoose_RefusesIncompletePaths(t *testing.T) {
+	_, err := Choose(model(), []Engine{engine("a1", "a", 0, 6), engine("a2", "a", 7, 12)}, usual)
+	assert.Assert(t, fault.Is(err, fault.Unavailable))
+	assert.Equal(t, fault.As(err).Outcome, fault.NotRun)
+}
+
+// Guards against a repair that changes the first engine, which keeps the
+// connection of the stream.
+func TestChoose_KeepsTheHead(t *testing.T) {
+	r := usual
+	r.Head = &Part{ID: "a1", Address: "a1", From: 0, To: 6}
+	a1 := engine("a1", "a", 0, 6)
+	a1.Step = time.Second
+	c, err := Choose(model(), []Engine{a1, engine("a3", "a", 0, 6), engine("a4", "a", 3, 9), engine("a2", "a", 6, 12)}, r)
+	assert.NilError(t, err)
+	assert.Equal(t, c.Parts[0], *r.Head)
+}
--- /dev/null
+++ b/pkg/core/registry/registry.go
@@ -0,0 +1,239 @@
+// Package registry keeps the instances of upstreams as they announce
+// themselves. It is pure: the caller brings the time.
+package registry
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
+)
+
+// Registry holds the newest announcement of each instance. It is not safe for
+// concurrent use.
+type Registry struct {
+	records  map[string]*record
+	revision uint64
+	removed  []removal
+}
+
+type record struct {
+	instance *wirepb.Instance
+	heard    time.Time // last announcement or report
+	changed  uint64    // revision of the last change
+}
+
+type removal struct {
+	id       string
+	revision uint64
+}
+
+// maxRemovals bounds the removals remembered for deltas; a watcher that is
+// further behind gets everything.
+const maxRemovals = 1024
+
+// New returns an empty registry.
+func New() *Registry { return &Registry{records: make(map[string]*record)} }
+
+// Revision rises with every change.
+func (g *Registry) Revision() uint64 { return g.revision }
+
+// newer reports whether an announcement supersedes the one held. A process
+// that starts again under its id counts from one again, so its start decides
+// first.
+func newer(held, got *wirepb.Instance) bool {
+	if held.GetBornUnixMs() != got.GetBornUnixMs() {
+		return got.GetBornUnixMs() > held.GetBornUnixMs()
+	}
+	return got.GetSequence() > held.GetSequence()
+}
+
+// Announce takes an announcement. It returns false for one that is older than
+// what is held: a delayed message never brings an instance back.
+func (g *Registry) Announce(now time.Time, in *wirepb.Instance) bool {
+	r := g.records[in.GetId()]
+	if r != nil && !newer(r.instance, in) {
+		return false
+	}
+	if g.addressTaken(in) {
+		return false
+	}
+	next := proto.CloneOf(in)
+	if r != nil && r.instance.GetBornUnixMs() == in.GetBornUnixMs() {
+		next.Left = next.Left || r.instance.GetLeft()
+		next.Draining = next.Draining || r.instance.GetDraining()
+		next.Load = r.instance.GetLoad()
+		next.Loading = r.instance.GetLoading()
+		next.Orders = r.instance.GetOrders()
+		if r.instance.GetOrders() > 0 && r.instance.GetLayers() != nil && in.GetLayers() == nil {
+			next.Layers = r.instance.GetLayers()
+		}
+	}
+	g.put(now, next)
+	g.dropOthersAt(next)
+	return true
+}
+
+// addressTaken reports whether a later process is known at the address.
+func (g *Registry) addressTaken(in *wirepb.Instance) bool {
+	for id, r := range g.records {
+		if id != in.GetId() && r.instance.GetAddress() == in.GetAddress() && r.instance.GetBornUnixMs() > in.GetBornUnixMs() {
+			return true
+		}
+	}
+	return false
+}
+
+// dropOthersAt removes earlier processes at the address of an instance.
+func (g *Registry) dropOthersAt(in *wirepb.Instance) {
+	for id, r := range g.records {
+		if id != in.GetId() && r.instance.GetAddress() == in.GetAddress() {
+			g.remove(id)
+		}
+	}
+}
+
+func (g *Registry) put(now time.Time, in *wirepb.Instance) {
+	r := g.records[in.GetId()]
+	if r == nil {
+		r = &record{}
+		g.records[in.GetId()] = r
+	}
+	r.heard = now
+	if r.instance != nil && same(r.instance, in) {
+		r.instance = in
+		return
+	}
+	r.instance = in
+	g.revision++
+	r.changed = g.revision
+}
+
+// same ignores the counter of announcements, which changes with each.
+func same(a, b *wirepb.Instance) bool {
+	x := proto.CloneOf(a)
+	x.Sequence = b.GetSequence()
+	return proto.Equal(x, b)
+}
+
+// Leave marks an instance that said it is gone. It stays known until it
+// expires, so that a delayed announcement does not bring it back.
+func (g *Registry) Leave(now time.Time, id string) {
+	r := g.records[id]
+	if r == nil || r.instance.GetLeft() {
+		return
+	}
+	next := proto.CloneOf(r.instance)
+	next.Left = true
+	g.put(now, next)
+}
+
+// Report is what an engine answered when it was asked for its state.
+type Report struct {
+	BornUnixMs int64
+	Layers     *wirepb.LayerRange
+	Loading    bool
+	Orders     uint64
+	Load       *wirepb.InstanceLoad
+	Models     []string
+}
+
+// Report takes the answer of an instance to a poll.
+func (g *Registry) Report(now time.Time, id string, p Report) {
+	r := g.records[id]
+	if r == nil || (p.BornUnixMs != 0 && p.BornUnixMs != r.instance.GetBornUnixMs()) {
+		return
+	}
+	next := proto.CloneOf(r.instance)
+	next.Layers, next.Loading, next.Orders, next.Load, next.Suspect = p.Layers, p.Loading, p.Orders, p.Load, false
+	if len(p.Models) > 0 {
+		next.Models = p.Models
+	}
+	g.put(now, next)
+}
+
+// Suspect marks an instance that does not answer.
+func (g *Registry) Suspect(id string) {
+	r := g.records[id]
+	if r == nil || r.instance.GetSuspect() {
+		return
+	}
+	next := proto.CloneOf(r.instance)
+	next.Suspect = true
+	g.put(r.heard, next)
+}
+
+// Expire forgets the instances that were not heard from for ttl.
+func (g *Registry) Expire(now time.Time, ttl time.Duration) []string {
+	var out []string
+	for id, r := range g.records {
+		if now.Sub(r.heard) > ttl {
+			out = append(out, id)
+			g.remove(id)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+func (g *Registry) remove(id string) {
+	delete(g.records, id)
+	g.revision++
+	g.removed = append(g.removed, removal{id, g.revision})
+	if extra := len(g.removed) - maxRemovals; extra > 0 {
+		g.removed = g.removed[extra:]
+	}
+}
+
+// Merge takes what another process knew. now counts as the time at which the
+// instances were heard, so that they get a full term to announce themselves.
+func (g *Registry) Merge(now time.Time, instances []*wirepb.Instance) {
+	for _, in := range instances {
+		g.Announce(now, in)
+	}
+}
+
+// Get returns an instance, or nil.
+func (g *Registry) Get(id string) *wirepb.Instance {
+	if r := g.records[id]; r != nil {
+		return r.instance
+	}
+	return nil
+}
+
+// All returns the instances in order of their ids. They are not changed later.
+func (g *Registry) All() []*wirepb.Instance {
+	out := make([]*wirepb.Instance, 0, len(g.records))
+	for _, r := range g.records {
+		out = append(out, r.instance)
+	}
+	slices.SortFunc(out, func(a, b *wirepb.Instance) int { return cmp.Compare(a.GetId(), b.GetId()) })
+	return out
+}
+
+// Since returns what changed after a revision. full means that instances
+// replaces everything.
+func (g *Registry) Since(revision uint64) (full bool, instances []*wirepb.Instance, removed []string) {
+	if revision == 0 || revision > g.revision || (len(g.removed) == maxRemovals && g.removed[0].revision > revision) {
+		return true, g.All(), nil
+	}
+	for _, r := range g.records {
+		if r.changed > revision {
+			instances = append(instances, r.instance)
+		}
+	}
+	for _, r := range g.removed {
+		if r.revision > revision && g.records[r.id] == nil {
+			removed = append(removed, r.id)
+		}
+	}
+	return false, instances, removed
+}
+
+// Usable reports whether new work may be sent to an instance.
+func Usable(in *wirepb.Instance) bool {
+	return !in.GetLeft() && !in.GetDraining() && !in.GetSuspect()
+}
--- /dev/null
+++ b/pkg/instances/dialect.go
@@ -0,0 +1,92 @@
+// Package instances talks to upstreams that announce themselves and to which
+// requests are sent without an agent in between.
+package instances
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/plantainstair/plantainstair/pkg/core/path"
+	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
+)
+
+// Dialect translates between this package and what a deployment speaks.
+type Dialect interface {
+	// ReadCaller reads what the router needs from a caller's header.
+	ReadCaller(h http.Header) (Caller, error)
+	// WriteDispatch turns a caller's header into the one for an upstream.
+	WriteDispatch(h http.Header, d Dispatch)
+	// ReadAnswer reads what an upstream says beside its answer.
+	ReadAnswer(status int, h http.Header) Answer
+	// ReportCall asks an engine for its state, which DecodeReport reads.
+	ReportCall() Call
+	DecodeReport(body []byte) (State, error)
+	PlaceCall(p Placement) (Call, error)
+	RepathCall(r Repath) (Call, error)
+	// CallerHost returns the host name that selects the route.
+	CallerHost(host string) string
+}
+
+// Caller is what a caller says of its request.
+type Caller struct {
+	RequestID string
+	Patience  time.Duration // time that the caller waits; zero when not said
+	Key       string        // API key, empty when there is none
+	Prompt    int           // tokens
+	MaxAnswer int           // tokens
+	// LikelyAnswer is the caller's guess in tokens, zero when not said.
+	LikelyAnswer int
+	LastEvent    string // event after which a stream is resumed
+}
+
+// Dispatch is what the router says to an upstream.
+type Dispatch struct {
+	Instance     string // the only process that may run the request
+	Organisation string // empty on public routes
+	Left         time.Duration
+	Path         []path.Part // engines that the request passes through
+	Rank         int
+	LastEvent    string // event after which the stream goes on
+}
+
+// Answer is what an upstream says beside the body.
+type Answer struct {
+	RequestID string
+	// NotRun is set by an upstream that did not run the request and never will.
+	NotRun bool
+	// At is the address of the engine of the path that refused.
+	At string
+	// Encoded marks a body that is not as the upstream wrote it.
+	Encoded bool
+}
+
+// State is the answer of an engine to a report call.
+type State struct {
+	BornUnixMs int64
+	Layers     *wirepb.LayerRange // nil when it holds none
+	Loading    bool
+	Orders     uint64 // orders that it accepted
+	Load       *wirepb.InstanceLoad
+	Models     []string
+	// Stalled are requests that wait for a lost engine.
+	Stalled []Stalled
+}
+
+// Stalled is a request that waits at the first engine of its path for another
+// one that does not answer.
+type Stalled struct{ RequestID, Address string }
+
+// Placement orders an engine to hold a range of layers.
+type Placement struct {
+	From, To int
+	// Orders is the count of accepted orders on which this one is based. An
+	// engine that has accepted another since refuses it, so that an order that
+	// is carried out late cannot undo a newer one.
+	Orders uint64
+}
+
+// Repath moves a running request to another path with the same first engine.
+type Repath struct {
+	RequestID string
+	Path      []path.Part
+}
--- /dev/null
+++ b/pkg/instances/engine.go
@@ -0,0 +1,75 @@
+package instances
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/plantainstair/plantainstair/pkg/fault"
+)
+
+// maxEngineAnswer bounds the answer to a report or an order, in bytes.
+const maxEngineAnswer = 256 << 10
+
+// Engines asks engines for their state and gives them orders.
+type Engines struct {
+	pool    *Pool
+	dialect Dialect
+}
+
+// NewEngines returns a client that uses the connections of pool.
+func NewEngines(pool *Pool, d Dialect) *Engines { return &Engines{pool, d} }
+
+// Report returns the state of the engine at address.
+func (e *Engines) Report(ctx context.Context, address string, timeout time.Duration) (State, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	status, body, err := e.call(ctx, address, e.dialect.ReportCall())
+	if err != nil {
+		return State{}, err
+	}
+	if status != http.StatusOK {
+		return State{}, fault.New(fault.Upstream, "%s answered a report call with status %d", address, status)
+	}
+	return e.dialect.DecodeReport(body)
+}
+
+// Place orders the engine at address to hold a range of layers.
+func (e *Engines) Place(ctx context.Context, address string, p Placement) error {
+	call, err := e.dialect.PlaceCall(p)
+	if err != nil {
+		return err
+	}
+	return e.order(ctx, address, call)
+}
+
+// Repath orders the first engine of a request to use another path.
+func (e *Engines) Repath(ctx context.Context, address string, r Repath) error {
+	call, err := e.dialect.RepathCall(r)
+	if err != nil {
+		return err
+	}
+	return e.order(ctx, address, call)
+}
+
+func (e *Engines) order(ctx context.Context, address string, call Call) error {
+	status, body, err := e.call(ctx, address, call)
+	if err != nil {
+		return err
+	}
+	if status != http.StatusOK && status != http.StatusAccepted {
+		return fault.New(fault.Conflict, "%s refused the order with status %d: %s", address, status, body)
+	}
+	return nil
+}
+
+func (e *Engines) call(ctx context.Context, address string, call Call) (int, []byte, error) {
+	call.Host = address
+	reply, err := e.pool.Do(ctx, address, call)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer reply.Close()
+	body, err := reply.ReadAll(maxEngineAnswer)
+	return reply.Status, body, err
+}
--- a/pkg/replica/recover.go
+++ b/pkg/replica/recover.go
@@ -233,3 +233,17 @@
 	r.forming = false
 	return r.openNode(&wal.State{HardState: r.wal.HardState()})
 }
+
+// StoredID returns the id of the replica that the data in dir belongs to, and
+// false for a folder without data.
+func StoredID(dir string) (uint64, bool, error) {
+	exists, err := wal.Exists(wal.OS{}, dir)
+	if err != nil || !exists {
+		return 0, false, err
+	}
+	l, state, err := wal.Open(wal.Options{Dir: dir, FS: wal.OS{}, SegmentSize: wal.DefaultSegmentSize})
+	if err != nil {
+		return 0, false, err
+	}
+	return state.HardState.ID, true, l.Close()
+}
--- a/pkg/role/control/transport.go
+++ b/pkg/replicalink/transport.go
@@ -1,4 +1,6 @@
-package control
+// Package replicalink carries consensus messages and snapshots between control
+// replicas.
+package replicalink
 
 import (
 	"context"
@@ -20,27 +22,30 @@
 	peerWrite    = 2 * time.Second
 	peerRetry    = 50 * time.Millisecond
 	peerRetryMax = 500 * time.Millisecond
-	// controlMaxFrame lets a raft message carry several commands of the
+	// MaxFrame lets a raft message carry several commands of the
 	// largest size.
-	controlMaxFrame = 4 << 20
+	MaxFrame = 4 << 20
 )
 
 // Transport carries messages to the other replicas. It implements
 // replica.Transport.
 type Transport struct {
-	ctx      context.Context
-	cancel   context.CancelFunc
-	wg       sync.WaitGroup
-	self     uint64
-	pool     *link.Pool
-	log      logs.Logger
-	dropped  func()
-	onVoters func([]*wirepb.Voter)
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+	self   uint64
+	pool   *link.Pool
+	log    logs.Logger
+	// Dropped is called for each message that was not queued, OnVoters after a
+	// change of the voters. Both are set before the first message.
+	Dropped  func()
+	OnVoters func([]*wirepb.Voter)
 	// leaderTerm returns the term in which this replica leads.
 	leaderTerm func() (uint64, bool)
 
 	mu       sync.Mutex
 	seeds    []*wirepb.Voter
+	followed []*wirepb.Voter
 	peers    map[uint64]*peerSender
 	sending  map[uint64]bool // replicas that a snapshot is being sent to
 	isClosed bool
@@ -63,8 +68,8 @@
 		self:       self,
 		pool:       pool,
 		log:        log,
-		dropped:    func() {},
-		onVoters:   func([]*wirepb.Voter) {},
+		Dropped:    func() {},
+		OnVoters:   func([]*wirepb.Voter) {},
 		leaderTerm: func() (uint64, bool) { return 0, false },
 		seeds:      seeds,
 		peers:      make(map[uint64]*peerSender),
@@ -74,8 +79,8 @@
 	return t
 }
 
-// setLeaderTerm is called once the node runs.
-func (t *Transport) setLeaderTerm(f func() (uint64, bool)) {
+// SetLeaderTerm is called once the node runs.
+func (t *Transport) SetLeaderTerm(f func() (uint64, bool)) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.leaderTerm = f
@@ -88,8 +93,8 @@
 	}
 }
 
-// broadcast queues a frame for every other replica.
-func (t *Transport) broadcast(f *wirepb.Frame) {
+// Broadcast queues a frame for every other replica.
+func (t *Transport) Broadcast(f *wirepb.Frame) {
 	t.mu.Lock()
 	ids := make([]uint64, 0, len(t.peers))
 	for id := range t.peers {
@@ -106,20 +111,30 @@
 	p := t.peers[to]
 	t.mu.Unlock()
 	if p == nil {
-		t.dropped()
+		t.Dropped()
 		return
 	}
 	select {
 	case p.queue <- f:
 	default:
-		t.dropped()
+		t.Dropped()
 	}
 }
 
 // SetVoters follows a change of the voters and learners.
 func (t *Transport) SetVoters(voters []*wirepb.Voter) {
 	t.follow(voters)
-	t.onVoters(voters)
+	t.OnVoters(voters)
+}
+
+// Know adds replicas that messages may go to before the log names them, as for
+// a replica that joins.
+func (t *Transport) Know(replicas []*wirepb.Voter) {
+	t.mu.Lock()
+	t.seeds = append(t.seeds, replicas...)
+	followed := t.followed
+	t.mu.Unlock()
+	t.follow(followed)
 }
 
 // follow starts and stops senders. Seeds stay known, because a replica that
@@ -133,6 +148,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.followed = voters
 	for id, p := range t.peers {
 		if wanted[id] != p.addr {
 			p.cancel()
--- a/pkg/role/control/cluster_test.go
+++ b/pkg/role/control/cluster_test.go
@@ -16,6 +16,7 @@
 	"github.com/plantainstair/plantainstair/pkg/logs"
 	"github.com/plantainstair/plantainstair/pkg/operators"
 	"github.com/plantainstair/plantainstair/pkg/replica"
+	"github.com/plantainstair/plantainstair/pkg/replicalink"
 	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
 )
 
@@ -33,7 +34,7 @@
 
 // cutTransport drops messages from and to replicas that are cut off.
 type cutTransport struct {
-	*Transport
+	*replicalink.Transport
 	from    uint64
 	cluster *cluster
 }
@@ -105,7 +106,7 @@
 		Link:     link.Options{Identity: link.Identity{Role: roleControl, Host: c.voters[i].Host}},
 		Seeds:    c.voters,
 		Log:      logs.Nop(),
-		Open: func(m *Machine, t *Transport) (Node, error) {
+		Open: func(m *Machine, t *replicalink.Transport) (Node, error) {
 			r, err := replica.Open(replica.Options{
 				ID: id, Dir: c.dirs[i], Bootstrap: c.voters, StateMachine: m,
 				Transport: cutTransport{t, id, c}, Log: logs.Nop(), SnapshotEntries: 200,
--- a/pkg/role/control/confirm.go
+++ b/pkg/role/control/confirm.go
@@ -65,7 +65,7 @@
 	status.TimeUnixMs = c.opts.Now().UnixMilli()
 	status.Entries = c.watchers.entries()
 	c.peers.sawEntries(c.opts.Now(), status.Entries)
-	c.transport.broadcast(&wirepb.Frame{Body: &wirepb.Frame_PeerStatus{PeerStatus: status}})
+	c.transport.Broadcast(&wirepb.Frame{Body: &wirepb.Frame_PeerStatus{PeerStatus: status}})
 	c.advanced.raise()
 }
 
--- a/pkg/role/control/control.go
+++ b/pkg/role/control/control.go
@@ -11,6 +11,7 @@
 	"github.com/plantainstair/plantainstair/pkg/fault"
 	"github.com/plantainstair/plantainstair/pkg/link"
 	"github.com/plantainstair/plantainstair/pkg/logs"
+	"github.com/plantainstair/plantainstair/pkg/replicalink"
 	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
 )
 
@@ -23,7 +24,7 @@
 	// Seeds are the replicas known before the log names the voters.
 	Seeds []*wirepb.Voter
 	// Open starts the node with the state machine and the transport.
-	Open func(*Machine, *Transport) (Node, error)
+	Open func(*Machine, *replicalink.Transport) (Node, error)
 	Log  logs.Logger
 	Now  func() time.Time
 	// LoadTime is the longest time from the record of an order to the answer
@@ -43,7 +44,7 @@
 	cancel    context.CancelFunc
 	wg        sync.WaitGroup
 	machine   *Machine
-	transport *Transport
+	transport *replicalink.Transport
 	pool      *link.Pool
 	node      Node
 	proposer  *proposer
@@ -70,7 +71,7 @@
 	if opts.LoadTime == 0 {
 		opts.LoadTime = defaultLoadTime
 	}
-	opts.Link.MaxFrame = controlMaxFrame
+	opts.Link.MaxFrame = replicalink.MaxFrame
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &Control{
 		opts:     opts,
@@ -98,9 +99,9 @@
 }
 
 func (c *Control) open() error {
-	c.transport = NewTransport(c.opts.ID, c.opts.Seeds, c.pool, c.opts.Log.Part("transport"))
-	c.transport.dropped = c.metrics.dropped.Inc
-	c.transport.onVoters = c.votersChanged
+	c.transport = replicalink.NewTransport(c.opts.ID, c.opts.Seeds, c.pool, c.opts.Log.Part("transport"))
+	c.transport.Dropped = c.metrics.dropped.Inc
+	c.transport.OnVoters = c.votersChanged
 	c.machine.onRevision = c.watchers.notify
 	node, err := c.opts.Open(c.machine, c.transport)
 	if err != nil {
@@ -108,7 +109,7 @@
 		return err
 	}
 	c.node = node
-	c.transport.setLeaderTerm(func() (uint64, bool) {
+	c.transport.SetLeaderTerm(func() (uint64, bool) {
 		s := node.Status()
 		return s.Term, s.Leader == s.ID
 	})
--- a/pkg/role/control/replica_node.go
+++ b/pkg/role/control/replica_node.go
@@ -7,6 +7,7 @@
 	"github.com/plantainstair/plantainstair/pkg/fault"
 	"github.com/plantainstair/plantainstair/pkg/logs"
 	"github.com/plantainstair/plantainstair/pkg/replica"
+	"github.com/plantainstair/plantainstair/pkg/replicalink"
 	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
 )
 
@@ -23,8 +24,8 @@
 }
 
 // OpenReplica returns the function that opens the replica, for Options.Open.
-func OpenReplica(o ReplicaOptions) func(*Machine, *Transport) (Node, error) {
-	return func(m *Machine, t *Transport) (Node, error) {
+func OpenReplica(o ReplicaOptions) func(*Machine, *replicalink.Transport) (Node, error) {
+	return func(m *Machine, t *replicalink.Transport) (Node, error) {
 		r, err := replica.Open(replica.Options{
 			ID:              o.ID,
 			Dir:             o.Dir,
--- /dev/null
+++ b/pkg/role/coordinator/metrics.go
@@ -0,0 +1,32 @@
+package coordinator
+
+import "github.com/VictoriaMetrics/metrics"
+
+// metricSet holds the counters of one coordinator.
+type metricSet struct {
+	set         *metrics.Set
+	connections *metrics.Counter
+	dropped     *metrics.Counter
+	polls       *metrics.Counter
+	pollTime    *metrics.Histogram
+	orders      *metrics.Counter
+	changes     *metrics.Counter
+	refused     *metrics.Counter
+}
+
+func newMetrics() *metricSet {
+	s := metrics.NewSet()
+	return &metricSet{
+		set:         s,
+		connections: s.NewCounter("plantainstair_coordinator_engine_connections_total"),
+		dropped:     s.NewCounter("plantainstair_coordinator_messages_dropped_total"),
+		polls:       s.NewCounter("plantainstair_coordinator_polls_total"),
+		pollTime:    s.NewHistogram("plantainstair_coordinator_poll_seconds"),
+		orders:      s.NewCounter("plantainstair_coordinator_orders_total"),
+		changes:     s.NewCounter("plantainstair_coordinator_configurations_acknowledged_total"),
+		refused:     s.NewCounter("plantainstair_coordinator_configurations_refused_total"),
+	}
+}
+
+// Metrics returns the counters of this process.
+func (c *Coordinator) Metrics() *metrics.Set { return c.metrics.set }
--- /dev/null
+++ b/pkg/role/coordinator/placement.go
@@ -0,0 +1,162 @@
+package coordinator
+
+import (
+	"context"
+	"time"
+
+	"github.com/plantainstair/plantainstair/pkg/core/layout"
+	"github.com/plantainstair/plantainstair/pkg/core/registry"
+	"github.com/plantainstair/plantainstair/pkg/core/routing"
+	"github.com/plantainstair/plantainstair/pkg/instances"
+	"github.com/plantainstair/plantainstair/pkg/logs"
+	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
+)
+
+const (
+	// settleTime is the time without a new engine after which the first layout
+	// is planned, and settleLimit the longest wait for that: engines announce
+	// themselves within about one interval of their announcements.
+	settleTime  = 700 * time.Millisecond
+	settleLimit = 3 * time.Second
+	// planInterval is the time between two plans while nothing is known to have
+	// changed.
+	planInterval = 200 * time.Millisecond
+	orderTimeout = 800 * time.Millisecond
+	// orderPatience is the time after which an order whose effect is not
+	// reported is given again.
+	orderPatience = 2 * time.Second
+	// pathRequests is the number of requests of the usual size for which a path
+	// through a data centre should have room: a busy data centre of the planned
+	// size has that many in progress.
+	pathRequests = 64
+)
+
+// placement gives engines their layers. The owner of the coordinator owns it,
+// and only a leader runs it.
+type placement struct {
+	c        *Coordinator
+	planned  time.Time
+	grewAt   time.Time // last time a new engine appeared
+	firstAt  time.Time
+	known    map[string]bool
+	ordered  map[string]order
+	settled  bool
+	hadPlans bool
+}
+
+type order struct {
+	wanted layout.Range
+	orders uint64
+	at     time.Time
+	failed bool
+}
+
+func newPlacement(c *Coordinator) *placement {
+	return &placement{c: c, known: make(map[string]bool), ordered: make(map[string]order)}
+}
+
+func (p *placement) step(now time.Time) {
+	conf := p.c.config.Load()
+	if conf == nil || now.Sub(p.planned) < planInterval {
+		return
+	}
+	p.planned = now
+	for _, service := range conf.Services {
+		if service.Model != nil && service.Model.Layers > 0 {
+			p.place(now, service)
+		}
+	}
+}
+
+// place plans one service and orders what differs from the plan.
+func (p *placement) place(now time.Time, service *routing.Service) {
+	byID := make(map[string]*wirepb.Instance)
+	var engines []layout.Engine
+	for _, in := range p.c.registry.All() {
+		if in.GetService() != service.Name || !registry.Usable(in) {
+			continue
+		}
+		byID[in.GetId()] = in
+		p.note(now, in)
+		engines = append(engines, layout.Engine{
+			ID: in.GetId(), DataCentre: in.GetDataCentre(), Accelerator: in.GetAccelerator(), Held: p.held(now, in),
+		})
+	}
+	if len(engines) == 0 || !p.ready(now) {
+		return
+	}
+	m := service.Model
+	plan := layout.Plan(m, engines, layout.Demand{PathTokens: pathRequests * (m.UsualPrompt + m.UsualAnswer)})
+	for _, e := range engines {
+		if wanted, ok := plan[e.ID]; ok && wanted != e.Held {
+			p.order(now, byID[e.ID], wanted)
+		}
+	}
+}
+
+func (p *placement) note(now time.Time, in *wirepb.Instance) {
+	if p.known[in.GetId()] {
+		return
+	}
+	p.known[in.GetId()] = true
+	p.grewAt = now
+	if p.firstAt.IsZero() {
+		p.firstAt = now
+	}
+	if in.GetLayers() != nil {
+		p.settled = true // an earlier leader has planned
+	}
+}
+
+// ready reports whether the engines are complete enough for a first plan.
+func (p *placement) ready(now time.Time) bool {
+	if !p.settled && (now.Sub(p.grewAt) >= settleTime || now.Sub(p.firstAt) >= settleLimit) {
+		p.settled = true
+	}
+	return p.settled
+}
+
+// held returns the range that an engine will hold: the one that it was last
+// ordered to, until its report shows another one for too long.
+func (p *placement) held(now time.Time, in *wirepb.Instance) layout.Range {
+	reported := layout.Range{From: int(in.GetLayers().GetFrom()), To: int(in.GetLayers().GetTo())}
+	o, ok := p.ordered[in.GetId()]
+	if !ok {
+		return reported
+	}
+	done := in.GetOrders() > o.orders && !in.GetLoading() && now.Sub(o.at) > orderPatience
+	if reported == o.wanted || done || (now.Sub(o.at) > orderPatience && !in.GetLoading()) || o.failed {
+		delete(p.ordered, in.GetId())
+		return reported
+	}
+	return o.wanted
+}
+
+func (p *placement) order(now time.Time, in *wirepb.Instance, wanted layout.Range) {
+	o := order{wanted: wanted, orders: in.GetOrders(), at: now}
+	p.ordered[in.GetId()] = o
+	p.c.log.Info("Layers ordered.", logs.Str("instance", in.GetId()), logs.Str("address", in.GetAddress()),
+		logs.Int("from", wanted.From), logs.Int("to", wanted.To),
+		logs.Int("held_from", int(in.GetLayers().GetFrom())), logs.Int("held_to", int(in.GetLayers().GetTo())), logs.Uint("orders", o.orders))
+	p.c.metrics.orders.Inc()
+	go func() {
+		ctx, cancel := context.WithTimeout(p.c.ctx, orderTimeout)
+		defer cancel()
+		err := p.c.engines.Place(ctx, in.GetAddress(), instances.Placement{From: wanted.From, To: wanted.To, Orders: o.orders})
+		if err == nil {
+			return
+		}
+		p.c.log.Warn("Order not confirmed.", logs.Str("instance", in.GetId()), logs.Str("address", in.GetAddress()), logs.Err(err))
+		p.c.post(func() { p.failed(in.GetId(), o) })
+	}()
+}
+
+// failed lets a refused order be given again with the next report. An order
+// without an answer may be carried out later; the next one names the same count
+// of orders, so that only one of them takes effect.
+func (p *placement) failed(id string, o order) {
+	if p.ordered[id] == o {
+		o.failed = true
+		p.ordered[id] = o
+	}
+}
--- /dev/null
+++ b/pkg/role/coordinator/poll.go
@@ -0,0 +1,105 @@
+package coordinator
+
+import (
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/plantainstair/plantainstair/pkg/core/registry"
+	"github.com/plantainstair/plantainstair/pkg/instances"
+	"github.com/plantainstair/plantainstair/pkg/logs"
+	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
+)
+
+const (
+	// pollInterval is a little over the age of an engine's report, so that each
+	// poll tells something new.
+	pollInterval = 300 * time.Millisecond
+	pollTimeout  = 350 * time.Millisecond
+	// pollMisses is the number of polls without an answer after which an engine
+	// gets no new work. One alone may be a lost packet.
+	pollMisses = 2
+)
+
+// pollState is the state of the polls of one engine.
+type pollState struct {
+	running bool
+	next    time.Time
+	misses  int
+}
+
+// poll asks the engines for their state. An engine that refuses connections is
+// down; one that does not answer in time is suspect after some polls.
+func (c *Coordinator) poll(now time.Time) {
+	conf := c.config.Load()
+	if conf == nil {
+		return
+	}
+	for _, in := range c.registry.All() {
+		service := conf.Services[in.GetService()]
+		if service == nil || service.Model == nil || in.GetLeft() {
+			continue
+		}
+		p := c.polls[in.GetId()]
+		if p == nil {
+			p = &pollState{}
+			c.polls[in.GetId()] = p
+		}
+		if p.running || now.Before(p.next) {
+			continue
+		}
+		p.running = true
+		p.next = now.Add(pollInterval)
+		c.metrics.polls.Inc()
+		go c.pollOne(in)
+	}
+	for id := range c.polls {
+		if c.registry.Get(id) == nil {
+			delete(c.polls, id)
+		}
+	}
+}
+
+func (c *Coordinator) pollOne(in *wirepb.Instance) {
+	started := time.Now()
+	state, err := c.engines.Report(c.ctx, in.GetAddress(), pollTimeout)
+	c.metrics.pollTime.Update(time.Since(started).Seconds())
+	c.post(func() { c.polled(in, state, err) })
+}
+
+func (c *Coordinator) polled(in *wirepb.Instance, state instances.State, err error) {
+	p := c.polls[in.GetId()]
+	if p == nil {
+		return
+	}
+	p.running = false
+	held := c.registry.Get(in.GetId())
+	if held == nil || held.GetBornUnixMs() != in.GetBornUnixMs() {
+		return
+	}
+	if err != nil {
+		p.misses++
+		if errors.Is(err, syscall.ECONNREFUSED) || p.misses >= pollMisses {
+			if !held.GetSuspect() {
+				c.log.Warn("Engine does not answer.", logs.Str("instance", in.GetId()), logs.Str("address", in.GetAddress()), logs.Int("misses", p.misses), logs.Err(err))
+				c.registry.Suspect(in.GetId())
+				c.watchers.wake()
+				c.wakeOwner()
+			}
+		}
+		return
+	}
+	p.misses = 0
+	if held.GetSuspect() {
+		c.log.Info("Engine answers again.", logs.Str("instance", in.GetId()), logs.Str("address", in.GetAddress()))
+	}
+	before := c.registry.Revision()
+	c.registry.Report(time.Now(), in.GetId(), registry.Report{
+		BornUnixMs: state.BornUnixMs, Layers: state.Layers, Loading: state.Loading,
+		Orders: state.Orders, Load: state.Load, Models: state.Models,
+	})
+	if c.registry.Revision() != before {
+		c.watchers.wake()
+	}
+}
--- /dev/null
+++ b/pkg/role/coordinator/replica.go
@@ -0,0 +1,233 @@
+package coordinator
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/plantainstair/plantainstair/pkg/delay"
+	"github.com/plantainstair/plantainstair/pkg/fault"
+	"github.com/plantainstair/plantainstair/pkg/logs"
+	"github.com/plantainstair/plantainstair/pkg/replica"
+	"github.com/plantainstair/plantainstair/pkg/replicalink"
+	"github.com/plantainstair/plantainstair/pkg/wire"
+	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
+)
+
+const (
+	joinInterval = 500 * time.Millisecond
+	joinTimeout  = 2 * time.Second
+	// changeTimeout covers the transfer of a snapshot.
+	changeTimeout = 10 * time.Second
+	// silentVoter is the time without a message after which a voter may be
+	// replaced by one that joins.
+	silentVoter = 1500 * time.Millisecond
+	// snapshotEntries keeps the log within a small disk: an entry holds a whole
+	// compressed configuration.
+	snapshotEntries = 200
+	segmentSize     = 4 << 20
+)
+
+// openReplica continues from the disk, founds a cluster with the other
+// founders, or waits to be added to one.
+func (c *Coordinator) openReplica() error {
+	o := c.opts
+	if o.Dir == "" {
+		c.log.Info("Without a disk: forwards to the leader and never votes.")
+		return nil
+	}
+	id, exists, err := replica.StoredID(o.Dir)
+	if err != nil {
+		return err
+	}
+	founder := false
+	for _, v := range o.Founders {
+		founder = founder || (o.Bootstrap && v.GetPeerAddress() == o.Self.GetPeerAddress())
+	}
+	switch {
+	case exists:
+		o.Self.Id = id
+	case founder:
+		o.Self.Id = founderID(o.Founders, o.Self)
+	default:
+		if o.Self.Id, err = newID(); err != nil {
+			return err
+		}
+	}
+	c.transport = replicalink.NewTransport(o.Self.GetId(), nil, c.pool, o.Log.Part("transport"))
+	c.transport.Dropped = c.metrics.dropped.Inc
+	options := replica.Options{
+		ID: o.Self.GetId(), Dir: o.Dir, Join: !exists && !founder,
+		StateMachine: c.machine, Transport: c.transport, Log: o.Log,
+		ElectionTimeout: o.ElectionTimeout, Heartbeat: o.Heartbeat,
+		SnapshotEntries: snapshotEntries, SegmentSize: segmentSize, TrailingEntries: snapshotEntries,
+		MaxProposalBytes: maxPacked,
+	}
+	if founder {
+		options.Bootstrap = o.Founders
+	}
+	node, err := replica.Open(options)
+	if err != nil {
+		return err
+	}
+	c.node = node
+	c.transport.SetLeaderTerm(func() (uint64, bool) {
+		s := node.Status()
+		return s.Term, s.Leader == s.ID
+	})
+	c.log.Info("Replica opened.", logs.Uint("id", o.Self.GetId()), logs.Int("founder", bit(founder)), logs.Int("from_disk", bit(exists)))
+	return nil
+}
+
+func bit(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// founderID returns the id of a founder, which all founders work out alike.
+func founderID(founders []*wirepb.Voter, self *wirepb.Voter) uint64 {
+	for _, v := range founders {
+		if v.GetPeerAddress() == self.GetPeerAddress() {
+			return v.GetId()
+		}
+	}
+	return 0
+}
+
+// newID returns an id that was never used before. The upper bit keeps it apart
+// from the ids of founders.
+func newID() (uint64, error) {
+	var b [8]byte
+	if _, err := rand.Read(b[:]); err != nil {
+		return 0, fault.Wrap(err, fault.Internal, "draw a replica id")
+	}
+	return binary.BigEndian.Uint64(b[:]) | 1<<63, nil
+}
+
+// joinLoop asks to be added while this replica is no voter.
+func (c *Coordinator) joinLoop() {
+	if c.node == nil {
+		return
+	}
+	for delay.Wait(c.ctx, joinInterval) {
+		s := c.node.Status()
+		if s.Forming || s.Failed != nil || votes(s.Voters, s.ID) {
+			continue
+		}
+		for _, address := range c.otherReplicas() {
+			if err := c.askToJoin(address); err != nil {
+				c.log.Info("Not yet a voter.", logs.Str("asked", address), logs.Err(err))
+				continue
+			}
+			break
+		}
+	}
+}
+
+func votes(voters []*wirepb.Voter, id uint64) bool {
+	for _, v := range voters {
+		if v.GetId() == id {
+			return !v.GetLearner()
+		}
+	}
+	return false
+}
+
+func (c *Coordinator) askToJoin(address string) error {
+	ctx, cancel := context.WithTimeout(c.ctx, joinTimeout)
+	defer cancel()
+	frame := &wirepb.Frame{Body: &wirepb.Frame_Join{Join: &wirepb.JoinRequest{Voter: c.opts.Self}}}
+	reply, err := c.pool.Exchange(ctx, address, frame)
+	if leader := fault.As(err); leader != nil && leader.Leader != "" {
+		reply, err = c.pool.Exchange(ctx, leader.Leader, frame)
+	}
+	if err != nil {
+		return err
+	}
+	c.transport.Know(reply.GetJoinReply().GetVoters())
+	return nil
+}
+
+// serveJoin names the voters, so that the joining replica can answer them, and
+// then adds it.
+func (c *Coordinator) serveJoin(s *wire.Stream, request *wirepb.JoinRequest) {
+	if !c.Leads() {
+		_ = s.WriteError(c.notLeader())
+		return
+	}
+	reply := &wirepb.JoinReply{Voters: c.node.Status().Voters}
+	if err := s.Write(&wirepb.Frame{Body: &wirepb.Frame_JoinReply{JoinReply: reply}}); err != nil {
+		c.log.Debug("Join not answered.", logs.Err(err))
+		return
+	}
+	if !c.joining.TryLock() {
+		return // another replica is being added
+	}
+	defer c.joining.Unlock()
+	ctx, cancel := context.WithTimeout(c.ctx, changeTimeout)
+	defer cancel()
+	joining := proto.CloneOf(request.GetVoter())
+	if err := c.replaceVoter(ctx, joining); err != nil {
+		c.log.Info("Voter not added.", logs.Uint("id", joining.GetId()), logs.Str("address", joining.GetPeerAddress()), logs.Err(err))
+	}
+}
+
+func (c *Coordinator) replaceVoter(ctx context.Context, joining *wirepb.Voter) error {
+	if !c.Leads() {
+		return c.notLeader()
+	}
+	status := c.node.Status()
+	if len(status.Voters) >= len(c.opts.Founders) {
+		gone, err := c.replaceable(ctx, status.Voters, joining)
+		if err != nil {
+			return err
+		}
+		if gone == nil {
+			return fault.New(fault.Conflict, "all %d voters answer", len(status.Voters)).WithOutcome(fault.NotRun)
+		}
+		defer func() {
+			if err := c.node.ChangeVoter(c.ctx, gone, true); err != nil {
+				c.log.Warn("Replaced voter not removed.", logs.Uint("id", gone.GetId()), logs.Err(err))
+				return
+			}
+			c.log.Info("Voter removed.", logs.Uint("id", gone.GetId()), logs.Str("address", gone.GetPeerAddress()))
+		}()
+	}
+	if err := c.node.ChangeVoter(ctx, joining, false); err != nil {
+		return err
+	}
+	c.log.Info("Voter added.", logs.Uint("id", joining.GetId()), logs.Str("address", joining.GetPeerAddress()))
+	return nil
+}
+
+// replaceable returns the voter that a joining replica replaces: the one whose
+// address it has, or the one that has been silent for longest.
+func (c *Coordinator) replaceable(ctx context.Context, voters []*wirepb.Voter, joining *wirepb.Voter) (*wirepb.Voter, error) {
+	var gone *wirepb.Voter
+	err := c.call(ctx, func() {
+		oldest := time.Now().Add(-silentVoter)
+		for _, v := range voters {
+			switch {
+			case v.GetId() == joining.GetId() || v.GetId() == c.opts.Self.GetId():
+			case v.GetPeerAddress() == joining.GetPeerAddress():
+				gone, oldest = v, time.Time{}
+			case c.heard[v.GetId()].Before(oldest) && !v.GetLearner():
+				gone, oldest = v, c.heard[v.GetId()]
+			}
+		}
+	})
+	return gone, err
+}
+
+func (c *Coordinator) notLeader() error {
+	err := fault.New(fault.NotLeader, "this replica does not lead").WithOutcome(fault.NotRun)
+	if v := c.leader(); v != nil && v.GetId() != c.opts.Self.GetId() {
+		err.Leader = v.GetPeerAddress()
+	}
+	return err
+}
--- /dev/null
+++ b/pkg/role/coordinator/serve.go
@@ -0,0 +1,224 @@
+package coordinator
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/plantainstair/plantainstair/pkg/fault"
+	"github.com/plantainstair/plantainstair/pkg/link"
+	"github.com/plantainstair/plantainstair/pkg/logs"
+	"github.com/plantainstair/plantainstair/pkg/replicalink"
+	"github.com/plantainstair/plantainstair/pkg/wire"
+	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
+)
+
+const (
+	// updateInterval is the longest time between two updates to a watcher,
+	// several to the time after which it gives up.
+	updateInterval = 200 * time.Millisecond
+	updateTimeout  = time.Second
+	firstFrame     = 2 * time.Second
+)
+
+// serveStream serves one stream of a peer, by its first frame.
+func (c *Coordinator) serveStream(peer link.Identity, s *wire.Stream) {
+	defer s.Close()
+	_ = s.SetReadDeadline(time.Now().Add(firstFrame))
+	f, err := s.Read()
+	if err != nil {
+		return
+	}
+	_ = s.SetReadDeadline(time.Time{})
+	switch body := f.GetBody().(type) {
+	case *wirepb.Frame_Raft:
+		c.serveRaft(s, body.Raft)
+	case *wirepb.Frame_SnapshotChunk:
+		c.receiveSnapshot(s, body.SnapshotChunk)
+	case *wirepb.Frame_FleetWatch:
+		c.serveWatch(s, peer, body.FleetWatch)
+	case *wirepb.Frame_InstanceBeat:
+		c.serveBeat(s, body.InstanceBeat)
+	case *wirepb.Frame_Join:
+		c.serveJoin(s, body.Join)
+	default:
+		_ = s.WriteError(fault.New(fault.Protocol, "unexpected message of %s", peer.Host))
+	}
+}
+
+func (c *Coordinator) serveRaft(s *wire.Stream, m *wirepb.RaftMessage) {
+	for {
+		if c.node != nil && m.GetTo() == c.opts.Self.GetId() {
+			c.node.Step(m)
+			from := m.GetFrom()
+			select { // an older time does no harm where the owner is busy
+			case c.calls <- func() { c.heard[from] = time.Now() }:
+			default:
+			}
+		}
+		f, err := s.Read()
+		if err != nil {
+			return
+		}
+		if m = f.GetRaft(); m == nil {
+			return
+		}
+	}
+}
+
+func (c *Coordinator) receiveSnapshot(s *wire.Stream, first *wirepb.SnapshotChunk) {
+	data, err := replicalink.CollectSnapshot(s, first)
+	if err == nil && c.node != nil {
+		err = c.node.InstallSnapshot(first.GetMeta(), first.GetFrom(), first.GetTerm(), data)
+	}
+	if err != nil {
+		c.log.Warn("Snapshot not installed.", logs.Uint("from", first.GetFrom()), logs.Err(err))
+	}
+}
+
+// serveBeat takes an announcement that another replica forwarded.
+func (c *Coordinator) serveBeat(s *wire.Stream, beat *wirepb.InstanceBeat) {
+	ctx, cancel := context.WithTimeout(c.ctx, forwardTimeout)
+	defer cancel()
+	reply, err := c.takeBeat(ctx, beat.GetInstance())
+	if err != nil {
+		_ = s.WriteError(err)
+		return
+	}
+	_ = s.Write(&wirepb.Frame{Body: &wirepb.Frame_InstanceBeatReply{InstanceBeatReply: reply}})
+}
+
+// watchers wakes the streams to the entries.
+type watchers struct {
+	mu      sync.Mutex
+	changed chan struct{}
+	entries int
+}
+
+func (w *watchers) init() { w.changed = make(chan struct{}) }
+
+func (w *watchers) wake() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	close(w.changed)
+	w.changed = make(chan struct{})
+}
+
+func (w *watchers) wait() <-chan struct{} {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.changed
+}
+
+func (w *watchers) add(n int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.entries += n
+}
+
+func (w *watchers) count() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.entries
+}
+
+// serveWatch sends updates for as long as this replica leads.
+func (c *Coordinator) serveWatch(s *wire.Stream, peer link.Identity, w *wirepb.FleetWatch) {
+	if !w.GetReplica() {
+		c.watchers.add(1)
+		defer c.watchers.add(-1)
+	}
+	if err := c.feed(s, w); err != nil {
+		c.log.Debug("Watch ended.", logs.Str("watcher", peer.Host), logs.Err(err))
+		_ = s.SetDeadline(time.Now().Add(updateTimeout))
+		_ = s.WriteError(err)
+	}
+}
+
+// spacing keeps a burst of changes from becoming as many updates.
+const spacing = 40 * time.Millisecond
+
+func (c *Coordinator) feed(s *wire.Stream, w *wirepb.FleetWatch) error {
+	version := w.GetVersion()
+	revision := uint64(0)
+	first := true
+	for {
+		wake := c.watchers.wait()
+		update, next, err := c.nextUpdate(w, first, version, revision)
+		if err != nil {
+			return err
+		}
+		_ = s.SetDeadline(time.Now().Add(updateTimeout))
+		if err := s.Write(&wirepb.Frame{Body: &wirepb.Frame_FleetUpdate{FleetUpdate: update}}); err != nil {
+			return err
+		}
+		version, revision, first = max(version, update.GetVersion()), next, false
+		if !c.pause(wake) {
+			return fault.New(fault.Draining, "coordinator stops")
+		}
+	}
+}
+
+// pause waits until there is something to send. It returns false at the end of
+// the process.
+func (c *Coordinator) pause(wake <-chan struct{}) bool {
+	timer := time.NewTimer(updateInterval)
+	defer timer.Stop()
+	select {
+	case <-c.ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	case <-wake:
+	}
+	timer.Reset(spacing)
+	select {
+	case <-c.ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// nextUpdate collects what a watcher lacks.
+func (c *Coordinator) nextUpdate(w *wirepb.FleetWatch, first bool, version, revision uint64) (*wirepb.FleetUpdate, uint64, error) {
+	ctx, cancel := context.WithTimeout(c.ctx, updateTimeout)
+	defer cancel()
+	u := &wirepb.FleetUpdate{Entries: uint32(c.watchers.count())}
+	var leading bool
+	err := c.call(ctx, func() {
+		now := time.Now()
+		if leading = c.leading && c.Leads(); !leading {
+			return
+		}
+		if first && now.Sub(c.ledSince) < takeOverTime {
+			c.registry.Merge(now, w.GetInstances())
+		}
+		u.Full, u.Instances, u.Removed = c.registry.Since(revision)
+		if now.Sub(c.ledSince) < takeOverTime {
+			u.Full = false // what was not announced again yet is not gone
+		}
+		revision = c.registry.Revision()
+	})
+	if err != nil {
+		return nil, 0, err
+	}
+	if !leading {
+		return nil, 0, c.notLeader()
+	}
+	status := c.node.Status()
+	u.Term = status.Term
+	for _, v := range status.Voters {
+		u.Control = append(u.Control, v.GetPeerAddress())
+	}
+	current, packed := c.machine.current()
+	u.Version = current
+	if current > version {
+		u.Document = packed
+	}
+	return u, revision, nil
+}
+
+// takeOverTime is the time in which a new leader hears of all instances from
+// its watchers and from the instances themselves.
+const takeOverTime = 3 * time.Second
--- /dev/null
+++ b/pkg/role/gateway/handler.go
@@ -0,0 +1,237 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/plantainstair/plantainstair/pkg/core/routing"
+	"github.com/plantainstair/plantainstair/pkg/fault"
+	"github.com/plantainstair/plantainstair/pkg/instances"
+	"github.com/plantainstair/plantainstair/pkg/logs"
+)
+
+// request is one request of a caller.
+type request struct {
+	caller   instances.Caller
+	route    *routing.Route
+	service  *routing.Service
+	owner    string // organisation, empty on public routes
+	rank     int
+	arrived  time.Time
+	deadline time.Time // the caller leaves, or the route's time limit
+	call     instances.Call
+	view     *view // with which the request was admitted
+	attempts int   // upstreams that it was sent to
+	upstream string
+	note     string // what decided its end
+}
+
+// defaultPatience holds for a caller that does not say how long it waits.
+const defaultPatience = 30 * time.Second
+
+// serve handles a request of a caller.
+func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
+	q := &request{arrived: time.Now(), view: g.view.Load()}
+	recorder := &statusRecorder{ResponseWriter: w}
+	defer func() {
+		g.record(q, recorder)
+		if p := recover(); p != nil {
+			panic(p) // http.ErrAbortHandler, which ends the connection
+		}
+	}()
+	if err := g.admit(q, r); err != nil {
+		refuse(recorder, q, err)
+		return
+	}
+	body, err := readBody(r, q.view.conf.Limits.BodyBytes)
+	if err != nil {
+		refuse(recorder, q, err)
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
+	defer cancel()
+	q.call = instances.Call{
+		Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: r.Header, Body: body,
+		RequestID: q.caller.RequestID, Once: !q.route.Idempotent(),
+	}
+	if q.route.Kind == routing.Stream && q.service.Model != nil {
+		g.serveStream(ctx, recorder, q)
+		return
+	}
+	g.servePlain(ctx, recorder, q)
+}
+
+// admit finds the route and the owner of a request.
+func (g *Gateway) admit(q *request, r *http.Request) error {
+	caller, err := g.opts.Dialect.ReadCaller(r.Header)
+	q.caller = caller
+	if err != nil {
+		return err
+	}
+	conf := q.view.conf
+	if conf == nil {
+		return notRun(fault.StaleConfig, "no configuration is known yet").WithRetryAfter(time.Second)
+	}
+	if q.route = conf.Match(g.opts.Dialect.CallerHost(r.Host), r.URL.Path); q.route == nil {
+		return notRun(fault.NotFound, "no route for this host and path")
+	}
+	if err := q.authenticate(conf); err != nil {
+		return err
+	}
+	q.service = conf.Services[q.route.Pick(rand.Float64())]
+	patience := caller.Patience
+	if patience <= 0 {
+		patience = defaultPatience
+	}
+	q.deadline = q.arrived.Add(min(patience, q.route.Timeout))
+	return nil
+}
+
+func (q *request) authenticate(conf *routing.Configuration) error {
+	q.rank = q.route.Rank
+	if q.route.Public || len(conf.Organisations) == 0 {
+		return nil
+	}
+	owner := conf.Owner(q.caller.Key)
+	if q.caller.Key == "" || owner == nil {
+		return notRun(fault.Unauthenticated, "the API key is not known")
+	}
+	q.owner = owner.Name
+	if owner.RankSet {
+		q.rank = owner.Rank
+	}
+	return nil
+}
+
+func notRun(kind fault.Kind, format string, args ...any) *fault.Error {
+	return fault.New(kind, format, args...).WithOutcome(fault.NotRun)
+}
+
+// readBody reads the whole body, which is sent again where a request may be
+// repeated.
+func readBody(r *http.Request, limit int64) ([]byte, error) {
+	if r.Body == nil || r.Body == http.NoBody {
+		return nil, nil
+	}
+	if limit > 0 && r.ContentLength > limit {
+		return nil, notRun(fault.Invalid, "body is over %d bytes", limit).WithField("body")
+	}
+	if limit <= 0 {
+		limit = defaultBody
+	}
+	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Cancelled, "body was not received").WithOutcome(fault.NotRun)
+	}
+	if int64(len(body)) > limit {
+		return nil, notRun(fault.Invalid, "body is over %d bytes", limit).WithField("body")
+	}
+	return body, nil
+}
+
+const defaultBody = 4 << 20
+
+// left returns the time that remains for a request.
+func (q *request) left() time.Duration { return time.Until(q.deadline) }
+
+func (q *request) dispatch(in string) instances.Dispatch {
+	return instances.Dispatch{Instance: in, Organisation: q.owner, Left: q.left(), Rank: q.rank}
+}
+
+// header returns the caller's header as an upstream gets it.
+func (g *Gateway) header(q *request, d instances.Dispatch) http.Header {
+	h := q.call.Header.Clone()
+	g.opts.Dialect.WriteDispatch(h, d)
+	return h
+}
+
+// refuse answers a request that no upstream has answered. Only an error whose
+// outcome is proved promises that the request has not run.
+func refuse(w http.ResponseWriter, q *request, err error) {
+	e := fault.As(err)
+	q.note = e.Error()
+	if e.Kind == fault.Cancelled {
+		panic(http.ErrAbortHandler)
+	}
+	status := statusOf(e)
+	if e.RetryAfter > 0 && status == http.StatusServiceUnavailable {
+		w.Header().Set("Retry-After", strconv.FormatFloat(e.RetryAfter.Seconds(), 'f', 2, 64))
+	}
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.WriteHeader(status)
+	_, _ = io.WriteString(w, e.Message+"\n")
+}
+
+func statusOf(e *fault.Error) int {
+	if e.Outcome != fault.NotRun {
+		if e.Kind == fault.Deadline {
+			return http.StatusGatewayTimeout
+		}
+		return http.StatusBadGateway
+	}
+	switch e.Kind {
+	case fault.Invalid:
+		if e.Field == "body" {
+			return http.StatusRequestEntityTooLarge
+		}
+		return http.StatusBadRequest
+	case fault.Unauthenticated:
+		return http.StatusUnauthorized
+	case fault.NotFound:
+		return http.StatusNotFound
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
+
+// statusRecorder remembers what was answered.
+type statusRecorder struct {
+	http.ResponseWriter
+	status int
+	first  time.Time // first byte of the body
+}
+
+func (s *statusRecorder) WriteHeader(status int) {
+	if s.status == 0 {
+		s.status = status
+	}
+	s.ResponseWriter.WriteHeader(status)
+}
+
+func (s *statusRecorder) Write(b []byte) (int, error) {
+	if s.first.IsZero() {
+		s.first = time.Now()
+	}
+	return s.ResponseWriter.Write(b)
+}
+
+// Unwrap lets http.ResponseController flush.
+func (s *statusRecorder) Unwrap() http.ResponseWriter { return s.ResponseWriter }
+
+// record writes the line and the metrics of a finished request.
+func (g *Gateway) record(q *request, w *statusRecorder) {
+	took := time.Since(q.arrived)
+	g.metrics.answered(w.status, took)
+	fields := []logs.Field{
+		logs.Str("request", q.caller.RequestID), logs.Int("status", w.status),
+		logs.Dur("took", took), logs.Int("attempts", q.attempts), logs.Str("upstream", q.upstream),
+	}
+	if !w.first.IsZero() {
+		fields = append(fields, logs.Dur("first", w.first.Sub(q.arrived)))
+		g.metrics.firstByte.Update(w.first.Sub(q.arrived).Seconds())
+	}
+	if q.route != nil {
+		fields = append(fields, logs.Str("route", q.route.Name), logs.Str("organisation", q.owner), logs.Int("rank", q.rank))
+	}
+	if q.view.conf != nil {
+		fields = append(fields, logs.Uint("version", q.view.conf.Version), logs.Dur("view_age", q.view.age()), logs.Uint("term", q.view.term))
+	}
+	if q.note != "" {
+		fields = append(fields, logs.Str("reason", q.note))
+	}
+	g.log.Info("Request ended.", fields...)
+}
--- /dev/null
+++ b/pkg/role/gateway/metrics.go
@@ -0,0 +1,39 @@
+package gateway
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// metricSet holds the counters of one gateway.
+type metricSet struct {
+	set           *metrics.Set
+	connections   *metrics.Counter
+	repaths       *metrics.Counter
+	brokenStreams *metrics.Counter
+	inProgress    *metrics.Counter
+	firstByte     *metrics.Histogram
+}
+
+func newMetrics() *metricSet {
+	s := metrics.NewSet()
+	return &metricSet{
+		set:           s,
+		connections:   s.NewCounter("plantainstair_gateway_upstream_connections_total"),
+		repaths:       s.NewCounter("plantainstair_gateway_repaths_total"),
+		brokenStreams: s.NewCounter("plantainstair_gateway_broken_streams_total"),
+		inProgress:    s.NewCounter("plantainstair_gateway_requests_in_progress"),
+		firstByte:     s.NewHistogram("plantainstair_gateway_first_byte_seconds"),
+	}
+}
+
+// answered counts an answer by its status.
+func (m *metricSet) answered(status int, took time.Duration) {
+	m.set.GetOrCreateCounter(`plantainstair_gateway_answers_total{status="` + strconv.Itoa(status) + `"}`).Inc()
+	m.set.GetOrCreateHistogram("plantainstair_gateway_request_seconds").Update(took.Seconds())
+}
+
+// Metrics returns the counters of this process.
+func (g *Gateway) Metrics() *metrics.Set { return g.metrics.set }
--- /dev/null
+++ b/pkg/role/gateway/stream.go
@@ -0,0 +1,287 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/plantainstair/plantainstair/pkg/core/events"
+	"github.com/plantainstair/plantainstair/pkg/core/path"
+	"github.com/plantainstair/plantainstair/pkg/fault"
+	"github.com/plantainstair/plantainstair/pkg/instances"
+	"github.com/plantainstair/plantainstair/pkg/logs"
+	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
+)
+
+// stream is a stream in progress.
+type stream struct {
+	q        *request
+	splitter events.Splitter
+	started  bool // the header went to the caller
+
+	mu     sync.Mutex
+	parts  []path.Part
+	cancel context.CancelCauseFunc // ends the present attempt
+	moved  time.Time               // last repair
+}
+
+const (
+	// maxRefusals is the number of refusals by engines after which a request
+	// that has not run is given up.
+	maxRefusals = 4
+	// choiceRetry is the pause before a path is looked for again.
+	choiceRetry = 40 * time.Millisecond
+	// streamBuffer holds some events.
+	streamBuffer = 8 << 10
+	// gapPatience is the pause after which callers abandon a stream.
+	gapPatience = 2 * time.Second
+	// waitShare of the target is the time for which a request waits for a path
+	// with room, before it is refused.
+	waitShare = 0.5
+)
+
+// serveStream passes a stream on and resumes it on another path when its path
+// breaks.
+func (g *Gateway) serveStream(ctx context.Context, w http.ResponseWriter, q *request) {
+	s := &stream{q: q}
+	exclude := make(map[string]bool)
+	refusals := 0
+	var last error
+	for ctx.Err() == nil {
+		choice, err := g.choosePath(ctx, q, exclude, s.started)
+		if err != nil {
+			last = err
+			break
+		}
+		err = g.runAttempt(ctx, w, s, choice)
+		if err == nil {
+			return
+		}
+		last = err
+		e := fault.As(err)
+		g.log.Info("Attempt failed.", logs.Str("request", q.caller.RequestID), logs.Str("upstream", q.upstream),
+			logs.Int("attempt", q.attempts), logs.Str("after_event", s.splitter.LastID()), logs.Err(err))
+		if e.Outcome == fault.NotRun {
+			refusals++
+		}
+		exhausted := q.attempts >= max(1, q.route.MaxAttempts) || (e.Outcome != fault.NotRun && !q.route.Idempotent())
+		if exhausted || refusals > maxRefusals {
+			break
+		}
+	}
+	err := g.finalError(ctx, q, last)
+	if s.started {
+		q.note = err.Error()
+		g.metrics.brokenStreams.Inc()
+		panic(http.ErrAbortHandler) // an incomplete stream must not look complete
+	}
+	refuse(w, q, err)
+}
+
+// choosePath returns a path with room, waiting a little for one.
+func (g *Gateway) choosePath(ctx context.Context, q *request, exclude map[string]bool, started bool) (path.Choice, error) {
+	limit := time.Now().Add(time.Duration(waitShare * float64(q.route.Target)))
+	if started {
+		limit = time.Now().Add(gapPatience)
+	}
+	for {
+		v := g.view.Load()
+		choice, err := path.Choose(q.service.Model, g.enginesOf(v, q.service, exclude), path.Request{
+			Prompt: q.caller.Prompt, Answer: q.answerTokens(), DataCentre: g.opts.DataCentre, Spread: spread(q.caller.RequestID),
+		})
+		if err == nil && choice.Roomy {
+			return choice, nil
+		}
+		if err == nil {
+			err = notRun(fault.Overloaded, "no path has room for %d tokens", q.caller.Prompt+q.answerTokens())
+		}
+		if time.Now().After(limit) || !wait(ctx, choiceRetry) {
+			return path.Choice{}, fault.As(err).WithRetryAfter(refusedRetry)
+		}
+	}
+}
+
+// answerTokens is the expected length of the answer.
+func (q *request) answerTokens() int {
+	switch {
+	case q.caller.LikelyAnswer > 0:
+		return min(q.caller.LikelyAnswer, max(q.caller.MaxAnswer, 1))
+	case q.service.Model.UsualAnswer > 0:
+		return q.service.Model.UsualAnswer
+	}
+	return q.caller.MaxAnswer
+}
+
+func wait(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+// runAttempt sends the request along a path and passes its events on. It
+// returns nil once the stream is complete.
+func (g *Gateway) runAttempt(ctx context.Context, w http.ResponseWriter, s *stream, choice path.Choice) error {
+	q := s.q
+	if !path.Covers(q.service.Model, choice.Parts) {
+		return fault.New(fault.Internal, "path does not run every layer once").WithOutcome(fault.NotRun)
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	head := choice.Parts[0]
+	s.begin(choice.Parts, cancel)
+	g.streams.add(s)
+	defer g.streams.remove(s)
+	defer g.load.begin(head.ID)()
+	g.load.reserve(choice.Parts, q.caller.Prompt+q.answerTokens())
+	q.attempts++
+	q.upstream = head.ID
+	d := q.dispatch(head.ID)
+	d.Path = choice.Parts
+	d.LastEvent = s.splitter.LastID()
+	if d.LastEvent == "" {
+		d.LastEvent = q.caller.LastEvent
+	}
+	call := q.call
+	call.Header = g.header(q, d)
+	reply, err := g.pool.Do(ctx, head.Address, call)
+	if err != nil {
+		g.attemptFailed(ctx, q, head.ID, err)
+		return causeOf(ctx, err)
+	}
+	defer reply.Close()
+	if reply.Status >= http.StatusMultipleChoices {
+		return g.refused(w, s, reply, head)
+	}
+	err = g.copyEvents(ctx, w, s, reply)
+	if err == nil {
+		g.load.succeeded(head.ID)
+	}
+	return causeOf(ctx, err)
+}
+
+// causeOf prefers the reason for which an attempt was ended here.
+func causeOf(ctx context.Context, err error) error {
+	if cause, ok := context.Cause(ctx).(*fault.Error); ok && err != nil {
+		return cause
+	}
+	return err
+}
+
+// refused handles an answer that is no stream: a refusal by an engine of the
+// path, or an answer that belongs to the caller.
+func (g *Gateway) refused(w http.ResponseWriter, s *stream, reply *instances.Reply, head path.Part) error {
+	body, err := reply.ReadAll(maxAnswer)
+	if err != nil {
+		return err
+	}
+	if reply.Answer.NotRun {
+		s.q.attempts--
+		at := head.ID
+		for _, p := range s.q.view.byService[s.q.service.Name] {
+			if reply.Answer.At != "" && p.GetAddress() == reply.Answer.At {
+				at = p.GetId()
+			}
+		}
+		g.load.failed(at)
+		return notRun(fault.Overloaded, "engine %s refused with status %d", at, reply.Status)
+	}
+	if s.started {
+		return fault.New(fault.Upstream, "engine answered a resumed stream with status %d", reply.Status).WithOutcome(fault.MayHaveRun)
+	}
+	if reply.Status >= http.StatusInternalServerError && s.q.route.Idempotent() && s.q.attempts < s.q.route.MaxAttempts {
+		g.load.failed(head.ID)
+		return fault.New(fault.Upstream, "engine answered with status %d", reply.Status).WithOutcome(fault.MayHaveRun)
+	}
+	g.pass(w, reply, body)
+	return nil
+}
+
+// copyEvents passes whole events on as they come.
+func (g *Gateway) copyEvents(ctx context.Context, w http.ResponseWriter, s *stream, reply *instances.Reply) error {
+	out := http.NewResponseController(w)
+	if !s.started {
+		copyHeader(w.Header(), reply.Header)
+		w.Header().Del("Content-Length")
+		w.WriteHeader(reply.Status)
+		s.started = true
+	}
+	s.splitter.Reset()
+	buffer := make([]byte, streamBuffer)
+	for {
+		n, err := reply.Body.Read(buffer)
+		if n > 0 {
+			whole, e := s.splitter.Add(buffer[:n])
+			if e != nil {
+				return e
+			}
+			if len(whole) > 0 {
+				if _, e := w.Write(whole); e != nil {
+					return fault.Wrap(e, fault.Cancelled, "caller left")
+				}
+				if e := out.Flush(); e != nil {
+					return fault.Wrap(e, fault.Cancelled, "caller left")
+				}
+			}
+		}
+		switch {
+		case err == io.EOF && len(s.splitter.Rest()) == 0:
+			reply.Ended()
+			return nil
+		case err == io.EOF:
+			return fault.New(fault.Upstream, "stream ended within an event").WithOutcome(fault.MayHaveRun)
+		case err != nil:
+			return fault.Wrap(err, fault.Upstream, "stream was cut off").WithOutcome(fault.MayHaveRun)
+		}
+		if ctx.Err() != nil {
+			return fault.Wrap(ctx.Err(), fault.Deadline, "stream was ended").WithOutcome(fault.MayHaveRun)
+		}
+	}
+}
+
+func (s *stream) begin(parts []path.Part, cancel context.CancelCauseFunc) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.parts, s.cancel, s.moved = parts, cancel, time.Time{}
+}
+
+// streams are the streams in progress.
+type streams struct {
+	mu  sync.Mutex
+	all map[*stream]bool
+}
+
+func (l *streams) init() { l.all = make(map[*stream]bool) }
+
+func (l *streams) add(s *stream) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.all[s] = true
+}
+
+func (l *streams) remove(s *stream) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.all, s)
+}
+
+func (l *streams) list() []*stream {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := make([]*stream, 0, len(l.all))
+	for s := range l.all {
+		out = append(out, s)
+	}
+	return out
+}
+
+// holds reports whether an instance still runs its part of a path.
+func holds(in *wirepb.Instance, p path.Part) bool {
+	return in != nil && in.GetAddress() == p.Address && !in.GetSuspect() && in.GetLayers() != nil
+}
--- /dev/null
+++ b/pkg/role/gateway/view.go
@@ -0,0 +1,202 @@
+package gateway
+
+import (
+	"hash/fnv"
+	"math"
+	"sync"
+	"time"
+
+	"github.com/plantainstair/plantainstair/pkg/coordinators"
+	"github.com/plantainstair/plantainstair/pkg/core/path"
+	"github.com/plantainstair/plantainstair/pkg/core/registry"
+	"github.com/plantainstair/plantainstair/pkg/core/routing"
+	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
+)
+
+// view is what requests read. It is immutable.
+type view struct {
+	conf      *routing.Configuration
+	byID      map[string]*wirepb.Instance
+	byService map[string][]*wirepb.Instance // usable ones
+	entries   int
+	term      uint64
+	received  time.Time
+}
+
+func newView(v *coordinators.View) *view {
+	out := &view{
+		conf: v.Configuration, byID: v.Instances, byService: make(map[string][]*wirepb.Instance),
+		entries: max(1, v.Entries), term: v.Term, received: v.Received,
+	}
+	for _, in := range v.Instances {
+		if registry.Usable(in) {
+			out.byService[in.GetService()] = append(out.byService[in.GetService()], in)
+		}
+	}
+	return out
+}
+
+// age returns the time since the leader last confirmed the view.
+func (v *view) age() time.Duration {
+	if v.received.IsZero() {
+		return math.MaxInt64
+	}
+	return time.Since(v.received)
+}
+
+// loadBook knows what this gateway has sent lately and what failed lately,
+// which the reports of the instances do not show yet.
+type loadBook struct {
+	mu      sync.Mutex
+	tokens  map[string]int // engine -> tokens of requests not yet reported
+	active  map[string]int // instance -> requests in progress from here
+	trouble map[string]trouble
+}
+
+type trouble struct {
+	until time.Time
+	times int
+}
+
+const (
+	// reportLag is the time until a request shows in the reports: the age of a
+	// report, the interval of the polls and the way to the entry.
+	reportLag = 600 * time.Millisecond
+	// troubleTime is the time for which an instance that failed a request is
+	// avoided. It doubles with each failure in a row up to troubleLimit.
+	troubleTime  = 400 * time.Millisecond
+	troubleLimit = 3 * time.Second
+	// troublePenalty is the cost of an engine in trouble: it is used where
+	// nothing else is left.
+	troublePenalty = 20 * time.Second
+)
+
+func (b *loadBook) init() {
+	b.tokens = make(map[string]int)
+	b.active = make(map[string]int)
+	b.trouble = make(map[string]trouble)
+}
+
+// reserve counts a request on each engine of its path until reports show it.
+func (b *loadBook) reserve(parts []path.Part, tokens int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, p := range parts {
+		b.tokens[p.ID] += tokens
+	}
+	time.AfterFunc(reportLag, func() {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		for _, p := range parts {
+			if b.tokens[p.ID] -= tokens; b.tokens[p.ID] <= 0 {
+				delete(b.tokens, p.ID)
+			}
+		}
+	})
+}
+
+// begin counts a request in progress at an instance.
+func (b *loadBook) begin(id string) (end func()) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.active[id]++
+	return func() {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		if b.active[id]--; b.active[id] <= 0 {
+			delete(b.active, id)
+		}
+	}
+}
+
+func (b *loadBook) inProgress(id string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.active[id]
+}
+
+// failed notes that an instance failed a request.
+func (b *loadBook) failed(id string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	t := b.trouble[id]
+	d := min(troubleTime<<min(t.times, 4), troubleLimit)
+	b.trouble[id] = trouble{until: time.Now().Add(d), times: t.times + 1}
+}
+
+// succeeded forgets the failures of an instance.
+func (b *loadBook) succeeded(id string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delete(b.trouble, id)
+}
+
+func (b *loadBook) inTrouble(id string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return time.Now().Before(b.trouble[id].until)
+}
+
+// engines returns the engines of a service as a path may use them. Work in
+// progress slows an engine down by what the model says of its batch.
+func (g *Gateway) enginesOf(v *view, s *routing.Service, exclude map[string]bool) []path.Engine {
+	m := s.Model
+	var out []path.Engine
+	for _, in := range v.byService[s.Name] {
+		a := m.Accelerators[in.GetAccelerator()]
+		layers := int(in.GetLayers().GetTo()) - int(in.GetLayers().GetFrom())
+		if a == nil || layers <= 0 || exclude[in.GetId()] {
+			continue
+		}
+		out = append(out, g.engine(m, a, in, layers))
+	}
+	return out
+}
+
+func (g *Gateway) engine(m *routing.Model, a *routing.Accelerator, in *wirepb.Instance, layers int) path.Engine {
+	load := in.GetLoad()
+	slowdown := max(1, load.GetSlowdown())
+	pending := g.load.pendingTokens(in.GetId())
+	used := float64(load.GetKvUsed()) / float64(layers)
+	total := float64(load.GetKvTotal()) / float64(layers)
+	if total == 0 {
+		total = float64(m.KVTokens(a, layers))
+	}
+	usual := float64(max(1, m.UsualPrompt+m.UsualAnswer))
+	batch := (used + float64(pending)) / usual
+	step := float64(m.Step) + batch*(float64(m.PerSequence)+float64(m.PerContext)*usual/1000)
+	e := path.Engine{
+		ID: in.GetId(), Address: in.GetAddress(), DataCentre: in.GetDataCentre(),
+		From: int(in.GetLayers().GetFrom()), To: int(in.GetLayers().GetTo()),
+		Step:       time.Duration(step * a.StepFactor * slowdown / float64(m.Layers)),
+		FreeTokens: int(total-used) - pending,
+		FreeSlots:  m.Slots - int(load.GetActive()) - int(load.GetQueued()),
+	}
+	if m.ReadRate > 0 {
+		e.Read = time.Duration(float64(time.Second) / m.ReadRate * a.ReadFactor * slowdown / float64(m.Layers))
+	}
+	if g.load.inTrouble(in.GetId()) {
+		e.Penalty = troublePenalty
+	}
+	return e
+}
+
+func (b *loadBook) pendingTokens(id string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.tokens[id]
+}
+
+// spreadWidth is the range of the factors that make requests with equal reports
+// choose differently.
+const spreadWidth = 0.3
+
+// spread returns the factors for a request.
+func spread(requestID string) func(string) float64 {
+	return func(id string) float64 {
+		h := fnv.New32a()
+		_, _ = h.Write([]byte(requestID))
+		_, _ = h.Write([]byte(id))
+		return 1 + spreadWidth*(float64(h.Sum32())/math.MaxUint32-0.5)
+	}
+}
