core/layout: size layers for the most room at the tightest layer

Change: the sizes are searched for the most KV cache at the tightest layer; a lost engine's layers go to the engines beside it, or all are planned afresh.

--- a/pkg/core/layout/layout.go
+++ b/pkg/core/layout/layout.go
@@ -4,6 +4,8 @@
 
 import (
 	"cmp"
+	"maps"
+	"math"
 	"slices"
 
 	"github.com/plantainstair/plantainstair/pkg/core/routing"
@@ -27,23 +29,12 @@
 // Empty reports whether the range has no layer.
 func (r Range) Empty() bool { return r.To <= r.From }
 
-// Demand says how much work a layout is made for.
-type Demand struct {
-	// PathTokens is the KV cache that one path through a data centre should
-	// have room for at each layer.
-	PathTokens int
-}
-
-// minPathTokens is the least room per engine for which a layout is still
-// useful: four requests of the usual size.
-func minPathTokens(m *routing.Model) int { return 4 * (m.UsualPrompt + m.UsualAnswer) }
-
 // Plan returns the range that each engine should hold. Engines keep what they
 // hold unless they can close a gap: a layer that no engine of the data centre
 // holds. Each data centre gets a full copy of the model first, so that no
 // activations cross between data centres; what is left goes to the layers with
 // the least room, which are also those whose loss costs most.
-func Plan(m *routing.Model, engines []Engine, d Demand) map[string]Range {
+func Plan(m *routing.Model, engines []Engine) map[string]Range {
 	plan := make(map[string]Range, len(engines))
 	byDataCentre := make(map[string][]Engine)
 	for _, e := range engines {
@@ -52,17 +43,127 @@
 		}
 	}
 	for _, group := range byDataCentre {
-		p := newPlanner(m, group, d)
-		p.keepHeld()
-		p.closeGaps()
-		p.spreadRest()
-		for id, r := range p.assigned {
+		for id, r := range planDataCentre(m, group) {
 			plan[id] = r
 		}
 	}
 	return plan
 }
 
+// rooms are the amounts of KV cache per engine, in requests of the usual size,
+// among which the sizes of a layout are chosen.
+var rooms = []int{4, 8, 16, 24, 32, 48, 64, 96, 128, 192, 256}
+
+// planDataCentre looks for the sizes with which the tightest layer has most
+// room. It varies one kind of accelerator at a time, from the best size that is
+// the same for all.
+func planDataCentre(m *routing.Model, engines []Engine) map[string]Range {
+	kinds := make(map[string]int)
+	for _, e := range engines {
+		kinds[e.Accelerator] = rooms[0]
+	}
+	best := try(m, engines, kinds)
+	consider := func(candidate map[string]int) {
+		if p := try(m, engines, candidate); p.score() > best.score() {
+			best, kinds = p, candidate
+		}
+	}
+	if best.unchanged() {
+		return best.assigned
+	}
+	for _, room := range rooms[1:] {
+		same := make(map[string]int)
+		for kind := range kinds {
+			same[kind] = room
+		}
+		consider(same)
+	}
+	names := slices.Sorted(maps.Keys(kinds))
+	for range names {
+		for _, name := range names {
+			for _, room := range rooms {
+				varied := maps.Clone(kinds)
+				varied[name] = room
+				consider(varied)
+			}
+		}
+	}
+	if best.score() >= 0 {
+		return best.assigned
+	}
+	return afresh(m, engines, best)
+}
+
+// afresh plans without regard to what the engines hold, where a gap could not
+// be closed otherwise. It returns the better of both plans.
+func afresh(m *routing.Model, engines []Engine, repaired *planner) map[string]Range {
+	empty := slices.Clone(engines)
+	held := false
+	for i := range empty {
+		held = held || !empty[i].Held.Empty()
+		empty[i].Held = Range{}
+	}
+	if !held {
+		return repaired.assigned
+	}
+	fresh := planDataCentre(m, empty)
+	p := newPlanner(m, empty, nil)
+	for _, e := range empty {
+		if r, ok := fresh[e.ID]; ok {
+			p.assign(e, r)
+		}
+	}
+	if p.score() < 0 {
+		return repaired.assigned
+	}
+	return fresh
+}
+
+// try plans with the given room for each kind of accelerator.
+func try(m *routing.Model, engines []Engine, kinds map[string]int) *planner {
+	p := newPlanner(m, engines, kinds)
+	p.keepHeld()
+	p.closeGaps()
+	p.spreadRest()
+	p.stretch()
+	return p
+}
+
+// unchanged reports whether every engine keeps what it holds and no layer lacks
+// a holder.
+func (p *planner) unchanged() bool {
+	for _, e := range p.engines {
+		if p.assigned[e.ID] != e.Held {
+			return false
+		}
+	}
+	return slices.Min(p.copies) > 0
+}
+
+// spareWeight is the worth of a second holder for all layers, as a share of the
+// room: without it the loss of any engine interrupts every request of the data
+// centre.
+const spareWeight = 0.5
+
+// score rates a layout: the room at the tightest layer, more where layers have
+// a second holder, and less than any other where a layer has none.
+func (p *planner) score() float64 {
+	least, held, twice := math.MaxInt, 0, 0
+	for l, n := range p.copies {
+		if n > 0 {
+			held++
+			least = min(least, p.tokens[l])
+		}
+		if n > 1 {
+			twice++
+		}
+	}
+	if held < p.model.Layers {
+		return float64(held-p.model.Layers) - 1
+	}
+	return float64(least) * (1 + spareWeight*float64(twice)/float64(p.model.Layers))
+}
+
 // planner plans one data centre.
 type planner struct {
 	model    *routing.Model
@@ -74,7 +175,7 @@
 	tokens   []int // KV tokens over all engines that hold the layer
 }
 
-func newPlanner(m *routing.Model, engines []Engine, d Demand) *planner {
+func newPlanner(m *routing.Model, engines []Engine, kinds map[string]int) *planner {
 	p := &planner{
 		model:    m,
 		engines:  slices.Clone(engines),
@@ -89,26 +190,10 @@
 			cmp.Compare(m.Accelerators[a.Accelerator].StepFactor, m.Accelerators[b.Accelerator].StepFactor),
 			cmp.Compare(a.ID, b.ID))
 	})
-	p.chooseSizes(d.PathTokens)
-	return p
-}
-
-// chooseSizes gives each engine the layers beside which the wanted KV cache
-// fits, and more where the data centre could not hold the model otherwise.
-func (p *planner) chooseSizes(tokens int) {
-	least := minPathTokens(p.model)
-	for {
-		total := 0
-		for _, e := range p.engines {
-			n := p.model.MaxLayers(p.model.Accelerators[e.Accelerator], tokens)
-			p.size[e.ID] = n
-			total += n
-		}
-		if total >= p.model.Layers || tokens <= least {
-			return
-		}
-		tokens = max(least, tokens*3/4)
+	for _, e := range p.engines {
+		p.size[e.ID] = m.MaxLayers(m.Accelerators[e.Accelerator], kinds[e.Accelerator]*(m.UsualPrompt+m.UsualAnswer))
 	}
+	return p
 }
 
 func (p *planner) assign(e Engine, r Range) {
@@ -173,10 +258,10 @@
 	return Range{from, to}, true
 }
 
-// windowAt returns the range of n layers that begins with the gap, moved down
-// where it would pass the last layer.
+// windowAt returns a range of at most n layers that begins with the gap. Layers
+// beyond a gap have holders, and would only take memory from the KV cache.
 func (p *planner) windowAt(gap Range, n int) Range {
-	n = min(n, p.model.Layers)
+	n = min(n, gap.Len())
 	from := min(gap.From, p.model.Layers-n)
 	return Range{from, from + n}
 }
@@ -211,6 +296,44 @@
 	return !r.Empty()
 }
 
+// stretch closes gaps that are left by the engines beside them. They take one
+// layer at a time, the one with more room first, so that the load of new layers
+// is short and nothing that they hold is given up.
+func (p *planner) stretch() {
+	for {
+		gap, ok := p.firstGap()
+		if !ok || !p.stretchInto(gap) {
+			return
+		}
+	}
+}
+
+func (p *planner) stretchInto(gap Range) bool {
+	best, wanted, most := Engine{}, Range{}, 0
+	for _, e := range p.engines {
+		r, ok := p.assigned[e.ID]
+		switch {
+		case !ok:
+			continue
+		case r.To == gap.From:
+			r.To++
+		case r.From == gap.To:
+			r.From--
+		default:
+			continue
+		}
+		a := p.model.Accelerators[e.Accelerator]
+		if room := p.model.KVTokens(a, r.Len()); room > most && room >= rooms[0]*(p.model.UsualPrompt+p.model.UsualAnswer) {
+			best, wanted, most = e, r, room
+		}
+	}
+	if most == 0 {
+		return false
+	}
+	p.assign(best, wanted)
+	return true
+}
+
 // spreadRest places the engines without layers where there is least room.
 func (p *planner) spreadRest() {
 	for _, e := range p.engines {
--- a/pkg/role/coordinator/placement.go
+++ b/pkg/role/coordinator/placement.go
@@ -25,10 +25,6 @@
 	// orderPatience is the time after which an order whose effect is not
 	// reported is given again.
 	orderPatience = 2 * time.Second
-	// pathRequests is the number of requests of the usual size for which a path
-	// through a data centre should have room: a busy data centre of the planned
-	// size has that many in progress.
-	pathRequests = 64
 )
 
 // placement gives engines their layers. The owner of the coordinator owns it,
@@ -86,7 +82,7 @@
 		return
 	}
 	m := service.Model
-	plan := layout.Plan(m, engines, layout.Demand{PathTokens: pathRequests * (m.UsualPrompt + m.UsualAnswer)})
+	plan := layout.Plan(m, engines)
 	for _, e := range engines {
 		if wanted, ok := plan[e.ID]; ok && wanted != e.Held {
 			p.order(now, byID[e.ID], wanted)
