Keep the fleet's retry budget, elect after a silence, wait before a new leader moves layers

Change: each entry has a share of the budget and avoids an engine that refused; replica streams open with the first message; a new leader waits for two announcements; only the newest configuration is decoded.

--- a/pkg/core/route/budget.go
+++ b/pkg/core/route/budget.go
@@ -16,24 +16,68 @@
 	retryFloor = 0.1
 )
 
-// Budget is a token bucket for retries and repairs. Each request earns a tenth
-// of a retry, so retries add at most 10% to the load, besides the burst and
-// the floor of one retry in 10 s.
+// BudgetLimits bound the retries of one entry.
+type BudgetLimits struct {
+	Part  float64 // retries earned by each request
+	Burst float64 // largest balance
+	Floor float64 // retries earned per second without any request
+}
+
+// FleetBudget bounds the retries of all entries together in any window.
+type FleetBudget struct {
+	Part      float64 // retries for each request
+	Allowance float64 // retries in a window besides
+	Window    time.Duration
+}
+
+// fleetMargin of the fleet's budget stays unused: the entries' shares follow
+// the number of entries late.
+const fleetMargin = 0.2
+
+// Share returns the limits of one of so many entries. Half of its allowance may
+// be used at once, and half is earned over the window, so that no window holds
+// more than the allowance.
+func (f FleetBudget) Share(entries int) BudgetLimits {
+	share := (1 - fleetMargin) * f.Allowance / float64(max(1, entries))
+	return BudgetLimits{
+		Part:  (1 - fleetMargin) * f.Part,
+		Burst: share / 2,
+		Floor: share / 2 / f.Window.Seconds(),
+	}
+}
+
+// Budget is a token bucket for retries and repairs. With the default limits
+// each request earns a tenth of a retry, so retries add at most 10% to the
+// load, besides the burst and the floor of one retry in 10 s.
 type Budget struct {
 	mu      sync.Mutex
+	limits  BudgetLimits
 	balance float64
 	last    time.Time
 }
 
-// NewBudget returns a budget with a full balance.
-func NewBudget() *Budget { return &Budget{balance: retryBurst} }
+// NewBudget returns a budget with the default limits and a full balance.
+func NewBudget() *Budget {
+	return NewLimitedBudget(BudgetLimits{Part: retryPart, Burst: retryBurst, Floor: retryFloor})
+}
+
+// NewLimitedBudget returns a budget with a full balance.
+func NewLimitedBudget(l BudgetLimits) *Budget { return &Budget{limits: l, balance: l.Burst} }
+
+// SetLimits changes the limits. The balance does not rise by that.
+func (b *Budget) SetLimits(l BudgetLimits) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.limits = l
+	b.earn(0)
+}
 
 // Request records a first attempt.
 func (b *Budget) Request(now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance(now)
-	b.earn(retryPart)
+	b.earn(b.limits.Part)
 }
 
 // Retry takes one retry; it reports false when none is left.
@@ -50,11 +94,11 @@
 
 func (b *Budget) advance(now time.Time) {
 	if !b.last.IsZero() && now.After(b.last) {
-		b.earn(now.Sub(b.last).Seconds() * retryFloor)
+		b.earn(now.Sub(b.last).Seconds() * b.limits.Floor)
 	}
 	if now.After(b.last) {
 		b.last = now
 	}
 }
 
-func (b *Budget) earn(part float64) { b.balance = min(b.balance+part, retryBurst) }
+func (b *Budget) earn(part float64) { b.balance = min(b.balance+part, b.limits.Burst) }
--- a/pkg/core/route/tracker_test.go
+++ b/pkg/core/route/tracker_test.go
@@ -176,3 +176,38 @@
 	assert.Equal(t, tr.AdmitAll([]string{"due", "healthy"}, now), "")
 	assert.Equal(t, tr.AdmitAll([]string{"due"}, now), "due")
 }
+
+// Guards against entries that each keep their own limit and together retry more
+// in a window than the fleet may.
+func TestFleetBudget_HoldsInEveryWindow(t *testing.T) {
+	fleet := FleetBudget{Part: 0.2, Allowance: 400, Window: 10 * time.Second}
+	const entries, perSecond, steps = 13, 10, 400
+	budgets := make([]*Budget, entries)
+	for i := range budgets {
+		budgets[i] = NewLimitedBudget(fleet.Share(entries))
+	}
+	var retries, requests []int
+	now := testStart
+	for range steps {
+		now = now.Add(100 * time.Millisecond)
+		used, sent := 0, 0
+		for _, b := range budgets {
+			for range perSecond / 10 {
+				b.Request(now)
+				sent++
+			}
+			for b.Retry(now) {
+				used++
+			}
+		}
+		retries, requests = append(retries, used), append(requests, sent)
+	}
+	const window = 100
+	for i := range steps - window {
+		used, sent := 0, 0
+		for j := i; j < i+window; j++ {
+			used, sent = used+retries[j], sent+requests[j]
+		}
+		assert.Assert(t, float64(used) <= fleet.Part*float64(sent)+fleet.Allowance)
+	}
+}
--- a/pkg/replicalink/transport.go
+++ b/pkg/replicalink/transport.go
@@ -204,17 +204,28 @@
 	}
 }
 
+// stream opens a stream with the first message: a replica that hears nothing on
+// a new stream closes it, and writes to a stream that the peer closed are lost
+// without an error.
 func (t *Transport) stream(ctx context.Context, p *peerSender) error {
-	s, err := t.pool.Open(ctx, p.addr)
-	if err != nil {
-		return err
-	}
-	defer s.Close()
+	var s *wire.Stream
+	defer func() {
+		if s != nil {
+			_ = s.Close()
+		}
+	}()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case f := <-p.queue:
+			if s == nil {
+				opened, err := t.pool.Open(ctx, p.addr)
+				if err != nil {
+					return err
+				}
+				s = opened
+			}
 			_ = s.SetDeadline(time.Now().Add(peerWrite))
 			if err := s.Write(f); err != nil {
 				return err
--- a/pkg/role/coordinator/coordinator.go
+++ b/pkg/role/coordinator/coordinator.go
@@ -63,6 +63,7 @@
 	watchers  watchers
 	joining   sync.Mutex // held while a replica is being added
 	calls     chan func()
+	changed   chan struct{} // the configuration changed
 	urgent    chan struct{} // asks the owner for a step without a tick
 
 	// Owned by the goroutine run.
@@ -81,7 +82,7 @@
 	c := &Coordinator{
 		opts: o, log: o.Log.Part("coordinator"), ctx: ctx, cancel: cancel,
 		pool: link.NewPool(o.Link), metrics: newMetrics(),
-		registry: registry.New(), calls: make(chan func(), callQueue), urgent: make(chan struct{}, 1),
+		registry: registry.New(), calls: make(chan func(), callQueue), urgent: make(chan struct{}, 1), changed: make(chan struct{}, 1),
 		heard: make(map[uint64]time.Time), polls: make(map[string]*pollState),
 	}
 	c.watchers.init()
@@ -101,7 +102,7 @@
 	c.server = link.NewServer(o.Listener, o.Link, c.serveStream, func(err error) {
 		c.log.Debug("Session refused.", logs.Err(err))
 	})
-	for _, loop := range []func(){c.run, c.joinLoop, func() { c.mirror.Run(ctx) }} {
+	for _, loop := range []func(){c.run, c.joinLoop, c.decodeLoop, func() { c.mirror.Run(ctx) }} {
 		c.wg.Add(1)
 		go func() {
 			defer c.wg.Done()
@@ -148,6 +149,27 @@
 
 // configurationChanged runs on the goroutine that applies the log.
 func (c *Coordinator) configurationChanged() {
+	select {
+	case c.changed <- struct{}{}:
+	default:
+	}
+	c.watchers.wake()
+}
+
+// decodeLoop decodes the newest configuration. A replica that replays its log
+// skips those that were replaced meanwhile.
+func (c *Coordinator) decodeLoop() {
+	for {
+		select {
+		case <-c.ctx.Done():
+			return
+		case <-c.changed:
+			c.decodeNewest()
+		}
+	}
+}
+
+func (c *Coordinator) decodeNewest() {
 	version, packed := c.machine.current()
 	conf, err := c.unpack(packed)
 	if err != nil {
@@ -156,7 +178,6 @@
 	}
 	c.config.Store(conf)
 	c.log.Info("Configuration in force.", logs.Uint("version", version), logs.Int("routes", len(conf.Routes)))
-	c.watchers.wake()
 }
 
 // wakeOwner asks for a step of the owner without waiting for its tick.
--- a/pkg/role/coordinator/placement.go
+++ b/pkg/role/coordinator/placement.go
@@ -18,6 +18,9 @@
 	// themselves within about one interval of their announcements.
 	settleTime  = 700 * time.Millisecond
 	settleLimit = 3 * time.Second
+	// takeOverBeats is the number of announcements that every engine had the
+	// time for before a new leader changes the layout.
+	takeOverBeats = 2
 	// planInterval is the time between two plans while nothing is known to have
 	// changed.
 	planInterval = 200 * time.Millisecond
@@ -30,14 +33,14 @@
 // placement gives engines their layers. The owner of the coordinator owns it,
 // and only a leader runs it.
 type placement struct {
-	c        *Coordinator
-	planned  time.Time
-	grewAt   time.Time // last time a new engine appeared
-	firstAt  time.Time
-	known    map[string]bool
-	ordered  map[string]order
-	settled  bool
-	hadPlans bool
+	c       *Coordinator
+	planned time.Time
+	grewAt  time.Time // last time a new engine appeared
+	firstAt time.Time
+	known   map[string]bool
+	ordered map[string]order
+	settled bool
+	placed  bool // an earlier leader has placed layers
 }
 
 type order struct {
@@ -99,15 +102,21 @@
 	if p.firstAt.IsZero() {
 		p.firstAt = now
 	}
-	if in.GetLayers() != nil {
-		p.settled = true // an earlier leader has planned
-	}
+	p.placed = p.placed || in.GetLayers() != nil
 }
 
-// ready reports whether the engines are complete enough for a first plan.
+// ready reports whether the engines are complete enough for a plan. A new
+// leader whose engines hold layers waits until all had the time to announce
+// themselves: those that it does not know yet would look like gaps.
 func (p *placement) ready(now time.Time) bool {
-	if !p.settled && (now.Sub(p.grewAt) >= settleTime || now.Sub(p.firstAt) >= settleLimit) {
-		p.settled = true
+	if p.settled {
+		return true
+	}
+	quiet := now.Sub(p.grewAt) >= settleTime
+	if p.placed {
+		p.settled = quiet && now.Sub(p.c.ledSince) >= takeOverBeats*p.c.opts.BeatInterval
+	} else {
+		p.settled = quiet || now.Sub(p.firstAt) >= settleLimit
 	}
 	return p.settled
 }
--- a/pkg/role/gateway/gateway.go
+++ b/pkg/role/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/justinas/alice"
 
 	"github.com/plantainstair/plantainstair/pkg/coordinators"
+	"github.com/plantainstair/plantainstair/pkg/core/route"
 	"github.com/plantainstair/plantainstair/pkg/fault"
 	"github.com/plantainstair/plantainstair/pkg/instances"
 	"github.com/plantainstair/plantainstair/pkg/lifecycle"
@@ -28,7 +29,9 @@
 	Link         link.Options
 	Dialect      instances.Dialect
 	Decode       coordinators.Decoder
-	Log          logs.Logger
+	// Retries bounds the requests that all entries send once more.
+	Retries route.FleetBudget
+	Log     logs.Logger
 }
 
 // Gateway is a running entry without its listeners.
@@ -43,6 +46,7 @@
 	view      atomic.Pointer[view]
 	streams   streams
 	load      loadBook
+	budgets   budgets
 	repair    chan struct{}
 	wg        sync.WaitGroup
 	cancel    context.CancelFunc
@@ -57,6 +61,7 @@
 	}
 	g.load.init()
 	g.streams.init()
+	g.budgets.init(o.Retries)
 	g.view.Store(&view{})
 	g.pool = instances.NewPool(o.Dialect, g.metrics.connections.Inc)
 	g.engines = instances.NewEngines(g.pool, o.Dialect)
@@ -77,6 +82,7 @@
 // viewChanged runs on the goroutine of the watch.
 func (g *Gateway) viewChanged(v *coordinators.View) {
 	g.view.Store(newView(v))
+	g.budgets.resize(v.Entries)
 	select {
 	case g.repair <- struct{}{}:
 	default:
--- a/pkg/role/gateway/handler.go
+++ b/pkg/role/gateway/handler.go
@@ -25,7 +25,8 @@
 	deadline time.Time // the caller leaves, or the route's time limit
 	call     instances.Call
 	view     *view // with which the request was admitted
-	attempts int   // upstreams that it was sent to
+	attempts int   // upstreams that may have run it
+	sends    int   // times that it was sent
 	upstream string
 	note     string // what decided its end
 }
@@ -138,6 +139,18 @@
 // left returns the time that remains for a request.
 func (q *request) left() time.Duration { return time.Until(q.deadline) }
 
+// maySend reports whether a request may be sent, again where it was before.
+func (g *Gateway) maySend(q *request) bool {
+	if q.sends == 0 {
+		g.budgets.request(q.service.Name)
+	} else if !g.budgets.retry(q.service.Name) {
+		g.metrics.budgetSpent.Inc()
+		return false
+	}
+	q.sends++
+	return true
+}
+
 func (q *request) dispatch(in string) instances.Dispatch {
 	return instances.Dispatch{Instance: in, Organisation: q.owner, Left: q.left(), Rank: q.rank}
 }
--- a/pkg/role/gateway/metrics.go
+++ b/pkg/role/gateway/metrics.go
@@ -13,6 +13,7 @@
 	connections   *metrics.Counter
 	repaths       *metrics.Counter
 	brokenStreams *metrics.Counter
+	budgetSpent   *metrics.Counter
 	inProgress    *metrics.Counter
 	firstByte     *metrics.Histogram
 }
@@ -24,6 +25,7 @@
 		connections:   s.NewCounter("plantainstair_gateway_upstream_connections_total"),
 		repaths:       s.NewCounter("plantainstair_gateway_repaths_total"),
 		brokenStreams: s.NewCounter("plantainstair_gateway_broken_streams_total"),
+		budgetSpent:   s.NewCounter("plantainstair_gateway_retry_budget_spent_total"),
 		inProgress:    s.NewCounter("plantainstair_gateway_requests_in_progress"),
 		firstByte:     s.NewHistogram("plantainstair_gateway_first_byte_seconds"),
 	}
--- a/pkg/role/gateway/plain.go
+++ b/pkg/role/gateway/plain.go
@@ -31,7 +31,7 @@
 	unsent := 0
 	for unsent < maxUnsent && q.left() > 0 {
 		in := g.pickUpstream(q, tried)
-		if in == nil {
+		if in == nil || !g.maySend(q) {
 			break
 		}
 		tried[in.GetId()] = true
@@ -130,6 +130,7 @@
 func (g *Gateway) attemptFailed(ctx context.Context, q *request, id string, err error) {
 	if fault.As(err).Outcome == fault.NotRun {
 		q.attempts-- // it was not sent
+		q.sends--
 	}
 	if ctx.Err() == nil {
 		g.load.failed(id)
--- a/pkg/role/gateway/stream.go
+++ b/pkg/role/gateway/stream.go
@@ -55,7 +55,10 @@
 			last = err
 			break
 		}
-		err = g.runAttempt(ctx, w, s, choice)
+		if !g.maySend(q) {
+			break
+		}
+		err = g.runAttempt(ctx, w, s, choice, exclude)
 		if err == nil {
 			return
 		}
@@ -127,7 +130,7 @@
 
 // runAttempt sends the request along a path and passes its events on. It
 // returns nil once the stream is complete.
-func (g *Gateway) runAttempt(ctx context.Context, w http.ResponseWriter, s *stream, choice path.Choice) error {
+func (g *Gateway) runAttempt(ctx context.Context, w http.ResponseWriter, s *stream, choice path.Choice, exclude map[string]bool) error {
 	q := s.q
 	if !path.Covers(q.service.Model, choice.Parts) {
 		return fault.New(fault.Internal, "path does not run every layer once").WithOutcome(fault.NotRun)
@@ -157,7 +160,7 @@
 	}
 	defer reply.Close()
 	if reply.Status >= http.StatusMultipleChoices {
-		return g.refused(w, s, reply, head)
+		return g.refused(w, s, reply, head, exclude)
 	}
 	err = g.copyEvents(ctx, w, s, reply)
 	if err == nil {
@@ -175,8 +178,8 @@
 }
 
 // refused handles an answer that is no stream: a refusal by an engine of the
-// path, or an answer that belongs to the caller.
-func (g *Gateway) refused(w http.ResponseWriter, s *stream, reply *instances.Reply, head path.Part) error {
+// path, which the request then avoids, or an answer that belongs to the caller.
+func (g *Gateway) refused(w http.ResponseWriter, s *stream, reply *instances.Reply, head path.Part, exclude map[string]bool) error {
 	body, err := reply.ReadAll(maxAnswer)
 	if err != nil {
 		return err
@@ -184,11 +187,12 @@
 	if reply.Answer.NotRun {
 		s.q.attempts--
 		at := head.ID
-		for _, p := range s.q.view.byService[s.q.service.Name] {
-			if reply.Answer.At != "" && p.GetAddress() == reply.Answer.At {
-				at = p.GetId()
+		for _, p := range s.path() {
+			if p.Address == reply.Answer.At {
+				at = p.ID
 			}
 		}
+		exclude[at] = true
 		g.load.failed(at)
 		return notRun(fault.Overloaded, "engine %s refused with status %d", at, reply.Status)
 	}
@@ -245,6 +249,12 @@
 	}
 }
 
+func (s *stream) path() []path.Part {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.parts
+}
+
 func (s *stream) begin(parts []path.Part, cancel context.CancelCauseFunc) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
