--- a/pkg/coordinators/client.go
+++ b/pkg/coordinators/client.go
@@ -69,7 +69,8 @@
 	view atomic.Pointer[View]
 
 	mu    sync.Mutex
-	known []string
+	seeds []string
+	known []string // replicas that the leader named
 }
 
 // NewClient returns a client that knows nothing yet.
@@ -82,7 +83,7 @@
 	if o.Paused == nil {
 		o.Paused = func() bool { return false }
 	}
-	c := &Client{opts: o, log: o.Log.Part("coordinators")}
+	c := &Client{opts: o, log: o.Log.Part("coordinators"), seeds: o.Seeds}
 	c.view.Store(&View{})
 	return c
 }
@@ -116,10 +117,17 @@
 	}
 }
 
+// SetSeeds replaces the addresses from the settings.
+func (c *Client) SetSeeds(seeds []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.seeds = seeds
+}
+
 func (c *Client) anyReplica() string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	all := slices.Concat(c.opts.Seeds, c.known)
+	all := slices.Concat(c.seeds, c.known)
 	if len(all) == 0 {
 		return ""
 	}
--- a/pkg/role/coordinator/coordinator.go
+++ b/pkg/role/coordinator/coordinator.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -60,6 +61,7 @@
 	conns     *instances.Pool
 	metrics   *metricSet
 	config    atomic.Pointer[routing.Configuration]
+	seeds     atomic.Pointer[[]string]
 	watchers  watchers
 	joining   sync.Mutex // held while a replica is being added
 	calls     chan func()
@@ -86,6 +88,12 @@
 		heard: make(map[uint64]time.Time), polls: make(map[string]*pollState),
 	}
 	c.watchers.init()
+	var founders []string
+	for _, v := range o.Founders {
+		founders = append(founders, v.GetPeerAddress())
+	}
+	seeds := without(founders, o.Self.GetPeerAddress())
+	c.seeds.Store(&seeds)
 	c.machine = newMachine(c.configurationChanged)
 	c.conns = instances.NewPool(o.Dialect, c.metrics.connections.Inc)
 	c.engines = instances.NewEngines(c.conns, o.Dialect)
@@ -96,7 +104,7 @@
 		return nil, err
 	}
 	c.mirror = coordinators.NewClient(coordinators.Options{
-		Seeds: c.otherReplicas(), Host: o.Self.GetHost(), DataCentre: o.DataCentre, Replica: true,
+		Seeds: seeds, Host: o.Self.GetHost(), DataCentre: o.DataCentre, Replica: true,
 		Link: o.Link, Decode: o.Decode, Log: o.Log, Paused: c.Leads,
 	})
 	c.server = link.NewServer(o.Listener, o.Link, c.serveStream, func(err error) {
@@ -115,16 +123,28 @@
 // callQueue bounds the calls that wait for the owner.
 const callQueue = 1024
 
-func (c *Coordinator) otherReplicas() []string {
+// SetSeeds replaces the addresses of replicas that are asked for the leader.
+func (c *Coordinator) SetSeeds(addresses []string) {
+	others := without(addresses, c.opts.Self.GetPeerAddress())
+	c.seeds.Store(&others)
+	c.mirror.SetSeeds(others)
+}
+
+func without(addresses []string, self string) []string {
 	var out []string
-	for _, v := range c.opts.Founders {
-		if v.GetPeerAddress() != c.opts.Self.GetPeerAddress() {
-			out = append(out, v.GetPeerAddress())
+	for _, a := range addresses {
+		if a != self {
+			out = append(out, a)
 		}
 	}
 	return out
 }
 
+// otherReplicas returns the replicas that may know the leader.
+func (c *Coordinator) otherReplicas() []string {
+	return append(slices.Clone(*c.seeds.Load()), without(c.mirror.View().Control, c.opts.Self.GetPeerAddress())...)
+}
+
 // Leads reports whether this replica is the leader.
 func (c *Coordinator) Leads() bool {
 	return c.node != nil && c.node.Status().Role == raft.Leader
--- a/pkg/role/coordinator/service.go
+++ b/pkg/role/coordinator/service.go
@@ -115,7 +115,7 @@
 		return []string{address}
 	}
 	if c.node == nil {
-		return append(c.mirror.View().Control, c.otherReplicas()...)
+		return c.otherReplicas()
 	}
 	return nil
 }
--- a/pkg/role/gateway/gateway.go
+++ b/pkg/role/gateway/gateway.go
@@ -100,6 +100,9 @@
 	return nil
 }
 
+// SetCoordinators replaces the addresses of the control replicas.
+func (g *Gateway) SetCoordinators(addresses []string) { g.client.SetSeeds(addresses) }
+
 // Close stops the gateway. Requests in progress end with the listeners.
 func (g *Gateway) Close() {
 	g.cancel()
