Bound the work that crosses between data centres

A new leader repeated an order every 300 ms to an engine that was loading. Change: each entry has a share of the link for paths that cross; broken streams wait 1.2 s for a repair beside them first; streams are moved off engines that drain; an engine gets no new order while it carries one out; the line of a request tells its longest pause.

--- a/pkg/core/path/path.go
+++ b/pkg/core/path/path.go
@@ -38,6 +38,8 @@
 	DataCentre     string // of the entry
 	// Head, if set, is the part that the path has to begin with.
 	Head *Part
+	// Inside admits only paths that stay in one data centre.
+	Inside bool
 	// Spread multiplies the time of an engine by a factor near one that
 	// depends on the draw, so that entries with equal reports choose
 	// differently.
@@ -61,6 +63,8 @@
 	Cost  time.Duration
 	// Roomy reports whether every engine has room for the request.
 	Roomy bool
+	// Crossings is the number of times that the path changes the data centre.
+	Crossings int
 }
 
 // Choose returns the cheapest path. Paths inside one data centre are compared
@@ -90,18 +94,37 @@
 			best, found = c, true
 		}
 	}
-	if found && best.Roomy {
-		return best, nil
+	if found && best.Roomy || r.Inside {
+		return settle(best, found)
 	}
 	if c, ok := cheapest(m, usable, r); ok && (!found || c.Cost < best.Cost) {
 		best, found = c, true
+		best.Crossings = crossings(usable, c.Parts)
 	}
+	return settle(best, found)
+}
+
+func settle(best Choice, found bool) (Choice, error) {
 	if !found {
 		return Choice{}, fault.New(fault.Unavailable, "no path holds every layer").WithOutcome(fault.NotRun)
 	}
 	return best, nil
 }
 
+func crossings(engines []Engine, parts []Part) int {
+	where := make(map[string]string, len(engines))
+	for _, e := range engines {
+		where[e.ID] = e.DataCentre
+	}
+	n := 0
+	for i := 1; i < len(parts); i++ {
+		if where[parts[i].ID] != where[parts[i-1].ID] {
+			n++
+		}
+	}
+	return n
+}
+
 // cheapest returns the cheapest path over the engines.
 func cheapest(m *routing.Model, engines []Engine, r Request) (Choice, bool) {
 	for range engines {
--- a/pkg/core/path/path_test.go
+++ b/pkg/core/path/path_test.go
@@ -66,6 +66,11 @@
 	c, err := Choose(model(), []Engine{engine("a1", "a", 0, 6), engine("b2", "b", 6, 12)}, usual)
 	assert.NilError(t, err)
 	assert.Assert(t, Covers(model(), c.Parts))
+	assert.Equal(t, c.Crossings, 1)
+	inside := usual
+	inside.Inside = true
+	_, err = Choose(model(), []Engine{engine("a1", "a", 0, 6), engine("b2", "b", 6, 12)}, inside)
+	assert.Assert(t, fault.Is(err, fault.Unavailable))
 }
 
 // Guards against work for an engine that has no memory left while another has.
--- a/pkg/role/coordinator/placement.go
+++ b/pkg/role/coordinator/placement.go
@@ -31,6 +31,8 @@
 	// orderPatience is the time after which an order whose effect is not
 	// reported is given again.
 	orderPatience = 2 * time.Second
+	// loadMargin is on the time to load layers: loads slow each other down.
+	loadMargin = 2.0
 )
 
 // placement gives engines their layers. The owner of the coordinator owns it,
@@ -48,9 +50,8 @@
 
 type order struct {
 	wanted layout.Range
-	orders uint64
+	orders uint64 // orders that the engine had accepted before
 	at     time.Time
-	failed bool
 }
 
 func newPlacement(c *Coordinator) *placement {
@@ -73,18 +74,21 @@
 // place plans one service and orders what differs from the plan.
 func (p *placement) place(now time.Time, service *routing.Service) {
 	byID := make(map[string]*wirepb.Instance)
+	busy := make(map[string]bool)
 	var engines []layout.Engine
 	for _, in := range p.c.registry.All() {
 		if in.GetService() != service.Name || !registry.Usable(in) {
 			continue
 		}
 		p.note(now, in)
-		if _, known := p.ordered[in.GetId()]; in.GetLoading() && !known {
+		held, free := p.held(now, in, service.Model)
+		if !free && held.Empty() {
 			continue // it carries out an order of an earlier leader
 		}
 		byID[in.GetId()] = in
+		busy[in.GetId()] = !free
 		engines = append(engines, layout.Engine{
-			ID: in.GetId(), DataCentre: in.GetDataCentre(), Accelerator: in.GetAccelerator(), Held: p.held(now, in),
+			ID: in.GetId(), DataCentre: in.GetDataCentre(), Accelerator: in.GetAccelerator(), Held: held,
 			Slow: in.GetLoad().GetSlowdown() >= slowFactor,
 		})
 	}
@@ -94,7 +98,7 @@
 	m := service.Model
 	plan := layout.Plan(m, engines)
 	for _, e := range engines {
-		if wanted, ok := plan[e.ID]; ok && wanted != e.Held {
+		if wanted, ok := plan[e.ID]; ok && wanted != e.Held && !busy[e.ID] {
 			p.order(now, byID[e.ID], wanted)
 		}
 	}
@@ -128,20 +132,23 @@
 	return p.settled
 }
 
-// held returns the range that an engine will hold: the one that it was last
-// ordered to, until its report shows another one for too long.
-func (p *placement) held(now time.Time, in *wirepb.Instance) layout.Range {
+// held returns the range that an engine will hold, and whether it may be given
+// another order. It is the range of the last order until the engine reports it,
+// or had the time to carry it out and reports another.
+func (p *placement) held(now time.Time, in *wirepb.Instance, m *routing.Model) (layout.Range, bool) {
 	reported := layout.Range{From: int(in.GetLayers().GetFrom()), To: int(in.GetLayers().GetTo())}
 	o, ok := p.ordered[in.GetId()]
 	if !ok {
-		return reported
+		return reported, !in.GetLoading()
 	}
-	done := in.GetOrders() > o.orders && !in.GetLoading() && now.Sub(o.at) > orderPatience
-	if reported == o.wanted || done || (now.Sub(o.at) > orderPatience && !in.GetLoading()) || o.failed {
+	share := float64(o.wanted.Len()) / float64(max(1, m.Layers))
+	patience := orderPatience + time.Duration(loadMargin*share*float64(m.LoadTime))
+	late := now.Sub(o.at) > patience && !in.GetLoading()
+	if reported == o.wanted || late {
 		delete(p.ordered, in.GetId())
-		return reported
+		return reported, true
 	}
-	return o.wanted
+	return o.wanted, false
 }
 
 func (p *placement) order(now time.Time, in *wirepb.Instance, wanted layout.Range) {
@@ -163,12 +170,11 @@
 	}()
 }
 
-// failed lets a refused order be given again with the next report. An order
-// without an answer may be carried out later; the next one names the same count
-// of orders, so that only one of them takes effect.
+// failed lets an order be given again with the next report. One without an
+// answer may be carried out later; the next one names the same count of orders,
+// so that only one of them takes effect.
 func (p *placement) failed(id string, o order) {
 	if p.ordered[id] == o {
-		o.failed = true
-		p.ordered[id] = o
+		delete(p.ordered, id)
 	}
 }
--- a/pkg/role/gateway/gateway.go
+++ b/pkg/role/gateway/gateway.go
@@ -47,6 +47,7 @@
 	streams   streams
 	load      loadBook
 	budgets   budgets
+	pipes     pipes
 	repair    chan struct{}
 	wg        sync.WaitGroup
 	cancel    context.CancelFunc
--- a/pkg/role/gateway/handler.go
+++ b/pkg/role/gateway/handler.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/plantainstair/plantainstair/pkg/core/routing"
@@ -29,6 +30,19 @@
 	sends    int   // times that it was sent
 	upstream string
 	note     string // what decided its end
+	// lastEvent and longestGap describe the pauses of a stream.
+	lastEvent  time.Time
+	longestGap time.Duration
+	repaths    atomic.Int32
+	engines    int // of the last path
+}
+
+// noteEvent records the time of an event of a stream.
+func (q *request) noteEvent(now time.Time) {
+	if !q.lastEvent.IsZero() {
+		q.longestGap = max(q.longestGap, now.Sub(q.lastEvent))
+	}
+	q.lastEvent = now
 }
 
 // defaultPatience holds for a caller that does not say how long it waits.
@@ -237,6 +251,9 @@
 		fields = append(fields, logs.Dur("first", w.first.Sub(q.arrived)))
 		g.metrics.firstByte.Update(w.first.Sub(q.arrived).Seconds())
 	}
+	if !q.lastEvent.IsZero() {
+		fields = append(fields, logs.Dur("longest_gap", q.longestGap), logs.Int("repaths", int(q.repaths.Load())), logs.Int("engines", q.engines))
+	}
 	if q.route != nil {
 		fields = append(fields, logs.Str("route", q.route.Name), logs.Str("organisation", q.owner), logs.Int("rank", q.rank))
 	}
--- a/pkg/role/gateway/repair.go
+++ b/pkg/role/gateway/repair.go
@@ -12,6 +12,10 @@
 
 const (
 	repathTimeout = 500 * time.Millisecond
+	// crossAfter is the time after which a stream with a broken path is moved to
+	// one that crosses between data centres. Before that the lost layers are
+	// usually loaded beside it, and many streams at once would jam the link.
+	crossAfter = 1200 * time.Millisecond
 	// repathAgain is the time after which a repaired stream may be repaired
 	// again.
 	repathAgain = time.Second
@@ -46,44 +50,82 @@
 func (g *Gateway) repairStreams(ctx context.Context) {
 	v := g.view.Load()
 	for _, s := range g.streams.list() {
-		s.mu.Lock()
-		parts, cancel, moved := s.parts, s.cancel, s.moved
-		s.mu.Unlock()
-		lost := ""
-		for i, p := range parts {
-			if holds(v.byID[p.ID], p) {
-				continue
-			}
-			if lost = p.ID; i == 0 {
-				g.log.Info("First engine lost.", logs.Str("request", s.q.caller.RequestID), logs.Str("upstream", p.ID), logs.Dur("view_age", v.age()))
-				s.lost()
-				cancel(fault.New(fault.Upstream, "first engine %s was lost", p.ID).WithOutcome(fault.MayHaveRun))
-				break
-			}
+		parts, broken, due := s.state()
+		lost, leaving := v.broken(parts)
+		switch {
+		case lost == parts[0].ID:
+			g.log.Info("First engine lost.", logs.Str("request", s.q.caller.RequestID), logs.Str("upstream", lost), logs.Dur("view_age", v.age()))
+			s.endAttempt(fault.New(fault.Upstream, "first engine %s was lost", lost).WithOutcome(fault.MayHaveRun))
+		case lost != "" && due:
+			g.repath(ctx, v, s, parts, lost, broken > crossAfter)
+		case lost == "" && leaving != "" && due:
+			g.repath(ctx, v, s, parts, leaving, false)
 		}
-		if lost != "" && lost != parts[0].ID && time.Since(moved) > repathAgain {
-			g.repath(ctx, v, s, parts, lost)
+	}
+}
+
+// broken returns an engine of a path that was lost, and one that is about to
+// leave.
+func (v *view) broken(parts []path.Part) (lost, leaving string) {
+	for i, p := range parts {
+		in := v.byID[p.ID]
+		switch {
+		case !holds(in, p):
+			return p.ID, ""
+		case i > 0 && (in.GetDraining() || in.GetLeft()):
+			leaving = p.ID
 		}
 	}
+	return "", leaving
+}
+
+// state returns the path, for how long it has been known to be broken, and
+// whether it may be repaired now.
+func (s *stream) state() (parts []path.Part, broken time.Duration, due bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.broken.IsZero() {
+		broken = time.Since(s.broken)
+	}
+	return s.parts, broken, time.Since(s.moved) > repathAgain
+}
+
+// endAttempt ends the present attempt because its first engine was lost.
+func (s *stream) endAttempt(cause error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.gone = true
+	s.cancel(cause)
+}
+
+// noteBroken notes that a path was found broken and could not be repaired yet.
+func (s *stream) noteBroken() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.broken.IsZero() {
+		s.broken = time.Now()
+	}
 }
 
 // repath moves a stream to a path with the same first engine, so that its
 // connection and what the other engines have read are kept.
-func (g *Gateway) repath(ctx context.Context, v *view, s *stream, parts []path.Part, lost string) {
+func (g *Gateway) repath(ctx context.Context, v *view, s *stream, parts []path.Part, lost string, cross bool) {
 	q := s.q
+	tokens := q.caller.Prompt + q.answerTokens()
 	choice, err := path.Choose(q.service.Model, g.enginesOf(v, q, nil), path.Request{
 		Prompt: q.caller.Prompt, Answer: q.answerTokens(), DataCentre: g.opts.DataCentre,
-		Head: &parts[0], Spread: preferKept(parts, q.caller.RequestID),
+		Head: &parts[0], Inside: !cross, Spread: preferKept(parts, q.caller.RequestID),
 	})
-	if err != nil {
-		g.log.Info("No other path yet.", logs.Str("request", q.caller.RequestID), logs.Str("lost", lost), logs.Dur("view_age", v.age()))
-		return // the next view may know one
+	if err != nil || !g.pipes.admit(q.service.Model, v.entries, tokens, choice) {
+		s.noteBroken()
+		return // the next view may know another path
 	}
 	s.mu.Lock()
-	s.parts, s.moved = choice.Parts, time.Now()
+	s.parts, s.moved, s.broken = choice.Parts, time.Now(), time.Time{}
 	s.mu.Unlock()
-	g.load.reserve(choice.Parts, q.caller.Prompt+q.answerTokens())
+	g.load.reserve(choice.Parts, tokens)
 	g.metrics.repaths.Inc()
+	q.repaths.Add(1)
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, repathTimeout)
 		defer cancel()
--- a/pkg/role/gateway/stream.go
+++ b/pkg/role/gateway/stream.go
@@ -25,17 +25,12 @@
 	parts  []path.Part
 	cancel context.CancelCauseFunc // ends the present attempt
 	moved  time.Time               // last repair
+	broken time.Time               // when the path was first seen broken
 	gone   bool                    // the first engine was lost
 }
 
-// lost notes that the first engine of the path was lost, so that the attempt
-// does not count against the route's limit.
-func (s *stream) lost() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.gone = true
-}
-
+// takeLost reports whether the first engine was lost. Such an attempt does not
+// count against the limit of the route.
 func (s *stream) takeLost() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -118,11 +113,12 @@
 		choice, err := path.Choose(q.service.Model, g.enginesOf(v, q, exclude), path.Request{
 			Prompt: q.caller.Prompt, Answer: q.answerTokens(), DataCentre: g.opts.DataCentre, Spread: spread(q.caller.RequestID),
 		})
-		if err == nil && choice.Roomy {
+		tokens := q.caller.Prompt + q.answerTokens()
+		if err == nil && choice.Roomy && g.pipes.admit(q.service.Model, v.entries, tokens, choice) {
 			return choice, nil
 		}
 		if err == nil {
-			err = notRun(fault.Overloaded, "no path has room for %d tokens", q.caller.Prompt+q.answerTokens())
+			err = notRun(fault.Overloaded, "no path has room for %d tokens", tokens)
 		}
 		if time.Now().After(limit) || !wait(ctx, choiceRetry) {
 			return path.Choice{}, err
@@ -162,6 +158,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	head := choice.Parts[0]
+	q.engines = len(choice.Parts)
 	s.begin(choice.Parts, cancel)
 	g.streams.add(s)
 	defer g.streams.remove(s)
@@ -253,6 +250,7 @@
 			}
 			if len(whole) > 0 {
 				g.load.awaited(head, s)
+				s.q.noteEvent(time.Now())
 				if _, e := w.Write(whole); e != nil {
 					return fault.Wrap(e, fault.Cancelled, "caller left")
 				}
@@ -285,7 +283,7 @@
 func (s *stream) begin(parts []path.Part, cancel context.CancelCauseFunc) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.parts, s.cancel, s.moved = parts, cancel, time.Time{}
+	s.parts, s.cancel, s.moved, s.broken = parts, cancel, time.Time{}, time.Time{}
 }
 
 // streams are the streams in progress.
