Hold requests while starting, resume broken streams for longer, close gaps at the ends

Change: requests wait up to 1.5 s in the first 4 s of a process; a broken stream is resumed until 1.8 s after its last event; a gap at an end is closed in two steps, the neighbour passing layers on first; less of an engine is kept free.

--- a/pkg/core/layout/layout.go
+++ b/pkg/core/layout/layout.go
@@ -319,8 +319,9 @@
 // stretch closes gaps that are left by the engines beside them, where each
 // keeps room for so many requests. They take one layer at a time, the one with
 // more room first, so that the load of new layers is short and nothing that they
-// hold is given up. A gap that cannot be closed whole is left: a part of it
-// would only cost room.
+// hold is given up. Part of a gap is never closed: it would only cost room. Where
+// the engines beside a gap have too little room, one of them first passes layers
+// on to its other neighbour.
 func (p *planner) stretch(room int) {
 	tokens := room * (p.model.UsualPrompt + p.model.UsualAnswer)
 	left := make(map[Range]bool)
@@ -335,6 +336,7 @@
 		}
 		if !rest.Empty() {
 			p.restore(before)
+			p.pass(gap, tokens)
 			left[gap] = true
 		}
 	}
--- a/pkg/core/layout/layout_test.go
+++ b/pkg/core/layout/layout_test.go
@@ -253,3 +253,28 @@
 func (p *planner) leastRoom() int { return slices.Min(p.tokens) }
 
 func sameRanges(a, b map[string]Range) bool { return maps.Equal(a, b) }
+
+// Guards against a data centre that stays without the layers of a lost engine at
+// the end of the model, whose only neighbour has no room for them.
+func TestPlan_ClosesAGapAtTheEnd(t *testing.T) {
+	m := model()
+	all := append(engines("a", 1, 6, 6), engines("b", 1, 10, 4)...)
+	plan := Plan(m, all)
+	var rest []Engine
+	for _, e := range all {
+		if r := plan[e.ID]; e.DataCentre == "b" || r.From > 0 {
+			e.Held = r
+			rest = append(rest, e)
+		}
+	}
+	for range 4 {
+		for i := range rest {
+			rest[i].Held = plan[rest[i].ID]
+		}
+		plan = Plan(m, rest)
+	}
+	assert.Equal(t, gaps(m, rest, plan, "a"), 0)
+	for _, e := range rest {
+		assert.Assert(t, m.KVTokens(m.Accelerators[e.Accelerator], plan[e.ID].Len()) >= stretchRoom*(m.UsualPrompt+m.UsualAnswer))
+	}
+}
--- a/pkg/role/gateway/gateway.go
+++ b/pkg/role/gateway/gateway.go
@@ -49,6 +49,7 @@
 	budgets   budgets
 	pipes     pipes
 	repair    chan struct{}
+	began     time.Time
 	wg        sync.WaitGroup
 	cancel    context.CancelFunc
 }
@@ -58,7 +59,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	g := &Gateway{
 		opts: o, log: o.Log.Part("gateway"), metrics: newMetrics(), lifecycle: lifecycle.NewLifecycle(),
-		repair: make(chan struct{}, 1), cancel: cancel,
+		repair: make(chan struct{}, 1), cancel: cancel, began: time.Now(),
 	}
 	g.load.init()
 	g.streams.init()
--- a/pkg/role/gateway/handler.go
+++ b/pkg/role/gateway/handler.go
@@ -50,7 +50,8 @@
 
 // serve handles a request of a caller.
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
-	q := &request{arrived: time.Now(), view: g.view.Load()}
+	q := &request{arrived: time.Now()}
+	g.awaitView(r.Context(), q)
 	recorder := &statusRecorder{ResponseWriter: w}
 	defer func() {
 		g.record(q, recorder)
@@ -80,6 +81,34 @@
 	g.servePlain(ctx, recorder, q)
 }
 
+const (
+	// startTime is the time after a start in which a process may not know the
+	// configuration or all upstreams yet.
+	startTime = 4 * time.Second
+	// startWait is the time for which requests wait meanwhile: after all
+	// processes were lost, the first announcements come within it.
+	startWait = 1500 * time.Millisecond
+	viewRetry = 20 * time.Millisecond
+)
+
+// startHold returns how long a request waits for what this process does not
+// know yet: nothing once it has run for a while.
+func (g *Gateway) startHold() time.Duration {
+	if time.Since(g.began) > startTime {
+		return 0
+	}
+	return startWait
+}
+
+// awaitView waits for the configuration while the process starts.
+func (g *Gateway) awaitView(ctx context.Context, q *request) {
+	for q.view = g.view.Load(); q.view.conf == nil; q.view = g.view.Load() {
+		if time.Since(q.arrived) > g.startHold() || !wait(ctx, viewRetry) {
+			return
+		}
+	}
+}
+
 // admit finds the route and the owner of a request.
 func (g *Gateway) admit(q *request, r *http.Request) error {
 	caller, err := g.opts.Dialect.ReadCaller(r.Header)
--- a/pkg/role/gateway/plain.go
+++ b/pkg/role/gateway/plain.go
@@ -31,7 +31,7 @@
 	var last error
 	unsent := 0
 	for unsent < maxUnsent && q.left() > 0 {
-		in := g.pickUpstream(q, tried)
+		in := g.awaitUpstream(ctx, q, tried)
 		if in == nil || !g.maySend(q) {
 			break
 		}
@@ -79,6 +79,16 @@
 	return &e
 }
 
+// awaitUpstream waits for an upstream while the process starts.
+func (g *Gateway) awaitUpstream(ctx context.Context, q *request, tried map[string]bool) *wirepb.Instance {
+	for {
+		in := g.pickUpstream(q, tried)
+		if in != nil || len(tried) > 0 || time.Since(q.arrived) > g.startHold() || !wait(ctx, viewRetry) {
+			return in
+		}
+	}
+}
+
 // pickUpstream takes the less loaded of two random upstreams, those in trouble
 // last.
 func (g *Gateway) pickUpstream(q *request, tried map[string]bool) *wirepb.Instance {
--- a/pkg/role/gateway/stream.go
+++ b/pkg/role/gateway/stream.go
@@ -40,9 +40,8 @@
 }
 
 const (
-	// maxRefusals is the number of refusals by engines after which a request
-	// that has not run is given up.
-	maxRefusals = 4
+	// avoidTime is the time for which a request avoids an engine that refused it.
+	avoidTime = 300 * time.Millisecond
 	// choiceRetry is the pause before a path is looked for again.
 	choiceRetry = 40 * time.Millisecond
 	// streamBuffer holds some events.
@@ -51,45 +50,42 @@
 	// back: by then requests of the usual length have ended and left room. It is
 	// spread, so that refused callers do not return together.
 	streamReturn = 2 * time.Second
-	// gapPatience is the pause after which callers abandon a stream.
-	gapPatience = 2 * time.Second
+	// resumeTime is the pause up to which a broken stream is resumed. Callers
+	// abandon a stream after 2 s.
+	resumeTime = 1800 * time.Millisecond
 	// waitShare of the target is the time for which a request waits for a path
-	// with room, before it is refused.
-	waitShare = 0.5
+	// with room before it is refused: the rest is enough for a first event.
+	waitShare = 0.7
 )
 
 // serveStream passes a stream on and resumes it on another path when its path
 // breaks.
 func (g *Gateway) serveStream(ctx context.Context, w http.ResponseWriter, q *request) {
 	s := &stream{q: q}
-	exclude := make(map[string]bool)
-	refusals := 0
+	avoid := make(avoided)
 	var last error
 	for ctx.Err() == nil {
-		choice, err := g.choosePath(ctx, q, exclude, s.started)
+		choice, err := g.choosePath(ctx, s, avoid)
 		if err != nil {
-			last = err
+			if last == nil || !s.started {
+				last = err
+			}
 			break
 		}
 		if !g.maySend(q) {
 			break
 		}
-		err = g.runAttempt(ctx, w, s, choice, exclude)
-		if err == nil {
+		if err = g.runAttempt(ctx, w, s, choice, avoid); err == nil {
 			return
 		}
 		last = err
 		e := fault.As(err)
 		g.log.Info("Attempt failed.", logs.Str("request", q.caller.RequestID), logs.Str("upstream", q.upstream),
 			logs.Int("attempt", q.attempts), logs.Str("after_event", s.splitter.LastID()), logs.Err(err))
-		if e.Outcome == fault.NotRun {
-			refusals++
-		}
 		if s.takeLost() {
 			q.attempts--
 		}
-		exhausted := q.attempts >= max(1, q.route.MaxAttempts) || (e.Outcome != fault.NotRun && !q.route.Idempotent())
-		if exhausted || refusals > maxRefusals {
+		if e.Outcome != fault.NotRun && (!q.route.Idempotent() || q.attempts >= max(1, q.route.MaxAttempts)) {
 			break
 		}
 	}
@@ -102,25 +98,45 @@
 	refuse(w, q, err)
 }
 
-// choosePath returns a path with room, waiting a little for one.
-func (g *Gateway) choosePath(ctx context.Context, q *request, exclude map[string]bool, started bool) (path.Choice, error) {
-	limit := time.Now().Add(time.Duration(waitShare * float64(q.route.Target)))
-	if started {
-		limit = time.Now().Add(gapPatience)
+// avoided are the engines that refused a request, with the time until which the
+// request avoids them.
+type avoided map[string]time.Time
+
+func (a avoided) now() map[string]bool {
+	out := make(map[string]bool, len(a))
+	for id, until := range a {
+		if time.Now().Before(until) {
+			out[id] = true
+		}
 	}
+	return out
+}
+
+// waitLimit returns the time until which a path is looked for.
+func (g *Gateway) waitLimit(s *stream) time.Time {
+	if s.started {
+		return s.q.lastEvent.Add(resumeTime)
+	}
+	share := time.Duration(waitShare * float64(s.q.route.Target))
+	return s.q.arrived.Add(max(share, g.startHold()))
+}
+
+// choosePath returns a path with room, waiting a little for one.
+func (g *Gateway) choosePath(ctx context.Context, s *stream, avoid avoided) (path.Choice, error) {
+	q := s.q
+	tokens := q.caller.Prompt + q.answerTokens()
 	for {
 		v := g.view.Load()
-		choice, err := path.Choose(q.service.Model, g.enginesOf(v, q, exclude), path.Request{
+		choice, err := path.Choose(q.service.Model, g.enginesOf(v, q, avoid.now()), path.Request{
 			Prompt: q.caller.Prompt, Answer: q.answerTokens(), DataCentre: g.opts.DataCentre, Spread: spread(q.caller.RequestID),
 		})
-		tokens := q.caller.Prompt + q.answerTokens()
 		if err == nil && choice.Roomy && g.pipes.admit(q.service.Model, v.entries, tokens, choice) {
 			return choice, nil
 		}
 		if err == nil {
 			err = notRun(fault.Overloaded, "no path has room for %d tokens", tokens)
 		}
-		if time.Now().After(limit) || !wait(ctx, choiceRetry) {
+		if time.Now().After(g.waitLimit(s)) || !wait(ctx, choiceRetry) {
 			return path.Choice{}, err
 		}
 	}
@@ -150,7 +166,7 @@
 
 // runAttempt sends the request along a path and passes its events on. It
 // returns nil once the stream is complete.
-func (g *Gateway) runAttempt(ctx context.Context, w http.ResponseWriter, s *stream, choice path.Choice, exclude map[string]bool) error {
+func (g *Gateway) runAttempt(ctx context.Context, w http.ResponseWriter, s *stream, choice path.Choice, avoid avoided) error {
 	q := s.q
 	if !path.Covers(q.service.Model, choice.Parts) {
 		return fault.New(fault.Internal, "path does not run every layer once").WithOutcome(fault.NotRun)
@@ -183,7 +199,7 @@
 	}
 	defer reply.Close()
 	if reply.Status >= http.StatusMultipleChoices {
-		return g.refused(w, s, reply, head, exclude)
+		return g.refused(w, s, reply, head, avoid)
 	}
 	err = g.copyEvents(ctx, w, s, reply, head.ID)
 	if err == nil {
@@ -202,7 +218,7 @@
 
 // refused handles an answer that is no stream: a refusal by an engine of the
 // path, which the request then avoids, or an answer that belongs to the caller.
-func (g *Gateway) refused(w http.ResponseWriter, s *stream, reply *instances.Reply, head path.Part, exclude map[string]bool) error {
+func (g *Gateway) refused(w http.ResponseWriter, s *stream, reply *instances.Reply, head path.Part, avoid avoided) error {
 	body, err := reply.ReadAll(maxAnswer)
 	if err != nil {
 		return err
@@ -215,7 +231,7 @@
 				at = p.ID
 			}
 		}
-		exclude[at] = true
+		avoid[at] = time.Now().Add(avoidTime)
 		g.load.failed(at)
 		return notRun(fault.Overloaded, "engine %s refused with status %d", at, reply.Status)
 	}
--- a/pkg/role/gateway/view.go
+++ b/pkg/role/gateway/view.go
@@ -176,10 +176,10 @@
 	// rankMargin of an engine's KV cache is kept free by each rank for the more
 	// urgent ones, and headroom by all: running requests grow, and reports are
 	// late.
-	headroom   = 0.05
-	rankMargin = 0.08
+	headroom   = 0.02
+	rankMargin = 0.05
 	// maxMargin keeps room for the least urgent rank.
-	maxMargin = 0.3
+	maxMargin = 0.25
 	// stuckShare of the target for a first event is the wait after which a first
 	// engine gets no new requests: they would only queue behind.
 	stuckShare = 0.8
