coordinator: count an order as carried out only with its report

Cause: announcements are newer than reports. Change: an order is done when the count of accepted orders rose; a layout is made anew only when it is known what every engine will hold; changes of an engine's speed are logged.

--- a/pkg/core/layout/layout.go
+++ b/pkg/core/layout/layout.go
@@ -37,7 +37,10 @@
 // holds. Each data centre gets a full copy of the model first, so that no
 // activations cross between data centres; what is left goes to the layers with
 // the least room, which are also those whose loss costs most.
-func Plan(m *routing.Model, engines []Engine) map[string]Range {
+//
+// Where complete is false, some engines are left out because it is not known
+// what they will hold; what looks like the loss of a layer is not acted on then.
+func Plan(m *routing.Model, engines []Engine, complete bool) map[string]Range {
 	byDataCentre := make(map[string][]Engine)
 	var slow []Range
 	for _, e := range engines {
@@ -50,7 +53,7 @@
 		}
 	}
 	plan := planAll(m, byDataCentre, stretchRoom)
-	if held(m, plan, slow) {
+	if held(m, plan, slow) || !complete {
 		return plan
 	}
 	// A layer that no data centre holds stops all work: closing its gap goes
--- a/pkg/core/layout/layout_test.go
+++ b/pkg/core/layout/layout_test.go
@@ -60,7 +60,7 @@
 func TestPlan_HoldsTheModelInEachDataCentre(t *testing.T) {
 	m := model()
 	all := append(engines("a", 1, 6, 6), engines("b", 1, 10, 4)...)
-	plan := Plan(m, all)
+	plan := Plan(m, all, true)
 	for _, dc := range []string{"a", "b"} {
 		assert.Equal(t, gaps(m, all, plan, dc), 0)
 	}
@@ -79,10 +79,10 @@
 	m := model()
 	rapid.Check(t, func(t *rapid.T) {
 		all := engines("a", 1, 6, 6)
-		plan := Plan(m, all)
+		plan := Plan(m, all, true)
 		lost := rapid.IntRange(1, len(all)-1).Draw(t, "lost")
 		rest := without(all, lost, plan)
-		repaired := Plan(m, rest)
+		repaired := Plan(m, rest, true)
 		assert.Equal(t, gaps(m, rest, repaired, "a"), 0)
 		checkMemory(t, m, rest, repaired)
 		moved := 0
@@ -101,10 +101,10 @@
 	m := model()
 	rapid.Check(t, func(t *rapid.T) {
 		all := append(engines("a", 1, 6, 6), engines("b", 1, 10, 4)...)
-		plan := Plan(m, all)
+		plan := Plan(m, all, true)
 		lost := rapid.IntRange(0, len(all)-1).Draw(t, "lost")
 		rest := without(all, lost, plan)
-		repaired := Plan(m, rest)
+		repaired := Plan(m, rest, true)
 		assert.Assert(t, held(m, repaired, nil))
 		for _, e := range rest {
 			room := m.KVTokens(m.Accelerators[e.Accelerator], repaired[e.ID].Len())
@@ -130,9 +130,9 @@
 func TestPlan_LeavesALargeGapToOtherDataCentres(t *testing.T) {
 	m := model()
 	all := append(engines("a", 1, 6, 6), engines("b", 1, 10, 4)...)
-	plan := Plan(m, all)
+	plan := Plan(m, all, true)
 	rest := without(all, 0, plan)
-	for id, r := range Plan(m, rest) {
+	for id, r := range Plan(m, rest, true) {
 		assert.Equal(t, r, plan[id])
 	}
 }
@@ -142,8 +142,8 @@
 func TestPlan_MovesAllWhereNoOtherHoldsALayer(t *testing.T) {
 	m := model()
 	all := engines("a", 1, 6, 6)
-	rest := without(all, 0, Plan(m, all))
-	plan := Plan(m, rest)
+	rest := without(all, 0, Plan(m, all, true))
+	plan := Plan(m, rest, true)
 	assert.Equal(t, gaps(m, rest, plan, "a"), 0)
 	checkMemory(t, m, rest, plan)
 }
@@ -152,11 +152,11 @@
 func TestPlan_IsStable(t *testing.T) {
 	m := model()
 	all := engines("a", 2, 4, 4)
-	plan := Plan(m, all)
+	plan := Plan(m, all, true)
 	for i := range all {
 		all[i].Held = plan[all[i].ID]
 	}
-	assert.DeepEqual(t, Plan(m, all), plan)
+	assert.DeepEqual(t, Plan(m, all, true), plan)
 }
 
 // Guards against an engine that comes back and is filled to the brim with
@@ -166,15 +166,15 @@
 	rapid.Check(t, func(t *rapid.T) {
 		all := engines("a", 1, 6, 6)
 		lost := rapid.IntRange(1, len(all)-1).Draw(t, "lost")
-		rest := without(all, lost, Plan(m, all))
-		repaired := Plan(m, rest)
+		rest := without(all, lost, Plan(m, all, true))
+		repaired := Plan(m, rest, true)
 		back := Engine{ID: "new", DataCentre: "a", Accelerator: all[lost].Accelerator}
 		now := []Engine{back}
 		for _, e := range rest {
 			e.Held = repaired[e.ID]
 			now = append(now, e)
 		}
-		r := Plan(m, now)["new"]
+		r := Plan(m, now, true)["new"]
 		assert.Assert(t, !r.Empty())
 		room := m.KVTokens(m.Accelerators[back.Accelerator], r.Len())
 		assert.Assert(t, room >= stretchRoom*(m.UsualPrompt+m.UsualAnswer), "%v leaves room for %d tokens", r, room)
@@ -186,13 +186,13 @@
 func TestPlan_TakesOverTheLayersOfASlowEngine(t *testing.T) {
 	m := model()
 	all := engines("a", 1, 6, 6)
-	plan := Plan(m, all)
+	plan := Plan(m, all, true)
 	for i := range all {
 		all[i].Held = plan[all[i].ID]
 	}
 	slow := &all[len(all)-1]
 	slow.Slow = true
-	repaired := Plan(m, all)
+	repaired := Plan(m, all, true)
 	_, ordered := repaired[slow.ID]
 	assert.Assert(t, !ordered)
 	assert.Equal(t, gaps(m, all, repaired, "a"), 0)
@@ -203,7 +203,7 @@
 func TestPlan_StartsPathsAtShortRanges(t *testing.T) {
 	m := model()
 	all := engines("a", 1, 6, 6)
-	plan := Plan(m, all)
+	plan := Plan(m, all, true)
 	for _, r := range plan {
 		if r.From == 0 {
 			assert.Assert(t, r.Len() <= 6, "the first engine holds %d layers", r.Len())
@@ -218,14 +218,14 @@
 	rapid.Check(t, func(t *rapid.T) {
 		all := engines("a", 2, 6, 6)
 		ideal := try(m, all, map[string]int{"large": 192, "small": 192, "slow": 192}, stretchRoom).leastRoom()
-		plan := Plan(m, all)
+		plan := Plan(m, all, true)
 		for range 4 {
 			i := rapid.IntRange(0, len(all)-1).Draw(t, "lost")
 			for j := range all {
 				all[j].Held = plan[all[j].ID]
 			}
 			rest := append(append([]Engine{}, all[:i]...), all[i+1:]...)
-			plan = Plan(m, rest)
+			plan = Plan(m, rest, true)
 			all[i].ID += "'"
 			all[i].Held = Range{}
 			delete(plan, all[i].ID)
@@ -235,7 +235,7 @@
 			for j := range all {
 				all[j].Held = plan[all[j].ID]
 			}
-			next := Plan(m, all)
+			next := Plan(m, all, true)
 			if sameRanges(plan, next) {
 				break
 			}
@@ -259,7 +259,7 @@
 func TestPlan_ClosesAGapAtTheEnd(t *testing.T) {
 	m := model()
 	all := append(engines("a", 1, 6, 6), engines("b", 1, 10, 4)...)
-	plan := Plan(m, all)
+	plan := Plan(m, all, true)
 	var rest []Engine
 	for _, e := range all {
 		if r := plan[e.ID]; e.DataCentre == "b" || r.From > 0 {
@@ -271,10 +271,28 @@
 		for i := range rest {
 			rest[i].Held = plan[rest[i].ID]
 		}
-		plan = Plan(m, rest)
+		plan = Plan(m, rest, true)
 	}
 	assert.Equal(t, gaps(m, rest, plan, "a"), 0)
 	for _, e := range rest {
 		assert.Assert(t, m.KVTokens(m.Accelerators[e.Accelerator], plan[e.ID].Len()) >= stretchRoom*(m.UsualPrompt+m.UsualAnswer))
 	}
 }
+
+// Guards against a layout that is made anew because it is not yet known what
+// some engines will hold.
+func TestPlan_WaitsForEnginesThatLoad(t *testing.T) {
+	m := model()
+	all := append(engines("a", 1, 6, 6), engines("b", 1, 10, 4)...)
+	plan := Plan(m, all, true)
+	var known []Engine
+	for _, e := range all {
+		if e.Accelerator != "large" {
+			e.Held = plan[e.ID]
+			known = append(known, e)
+		}
+	}
+	for id, r := range Plan(m, known, false) {
+		assert.Equal(t, r, plan[id])
+	}
+}
--- a/pkg/role/coordinator/placement.go
+++ b/pkg/role/coordinator/placement.go
@@ -75,6 +75,7 @@
 func (p *placement) place(now time.Time, service *routing.Service) {
 	byID := make(map[string]*wirepb.Instance)
 	busy := make(map[string]bool)
+	complete := true
 	var engines []layout.Engine
 	for _, in := range p.c.registry.All() {
 		if in.GetService() != service.Name || !registry.Usable(in) {
@@ -83,20 +84,21 @@
 		p.note(now, in)
 		held, free := p.held(now, in, service.Model)
 		if !free && held.Empty() {
-			continue // it carries out an order of an earlier leader
+			complete = false // it carries out an order of an earlier leader
+			continue
 		}
 		byID[in.GetId()] = in
 		busy[in.GetId()] = !free
 		engines = append(engines, layout.Engine{
 			ID: in.GetId(), DataCentre: in.GetDataCentre(), Accelerator: in.GetAccelerator(), Held: held,
-			Slow: in.GetLoad().GetSlowdown() >= slowFactor,
+			Slow: isSlow(in.GetLoad()),
 		})
 	}
 	if len(engines) == 0 || !p.ready(now) {
 		return
 	}
 	m := service.Model
-	plan := layout.Plan(m, engines)
+	plan := layout.Plan(m, engines, complete)
 	for _, e := range engines {
 		if wanted, ok := plan[e.ID]; ok && wanted != e.Held && !busy[e.ID] {
 			p.order(now, byID[e.ID], wanted)
@@ -144,7 +146,10 @@
 	share := float64(o.wanted.Len()) / float64(max(1, m.Layers))
 	patience := orderPatience + time.Duration(loadMargin*share*float64(m.LoadTime))
 	late := now.Sub(o.at) > patience && !in.GetLoading()
-	if reported == o.wanted || late {
+	// Announcements are newer than reports, and a report may take back what an
+	// announcement said: the count of orders, which only reports carry, decides.
+	done := reported == o.wanted && in.GetOrders() > o.orders
+	if done || late {
 		delete(p.ordered, in.GetId())
 		return reported, true
 	}
@@ -178,3 +183,5 @@
 		delete(p.ordered, id)
 	}
 }
+
+func isSlow(load *wirepb.InstanceLoad) bool { return load.GetSlowdown() >= slowFactor }
--- a/pkg/role/coordinator/poll.go
+++ b/pkg/role/coordinator/poll.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"strconv"
 	"syscall"
 	"time"
 
@@ -92,6 +93,10 @@
 	if held.GetSuspect() {
 		c.log.Info("Engine answers again.", logs.Str("instance", in.GetId()), logs.Str("address", in.GetAddress()))
 	}
+	if was, is := isSlow(held.GetLoad()), isSlow(state.Load); was != is {
+		c.log.Info("Engine speed changed.", logs.Str("instance", in.GetId()), logs.Int("slow", bit(is)),
+			logs.Str("slowdown", strconv.FormatFloat(state.Load.GetSlowdown(), 'f', 2, 64)))
+	}
 	before := c.registry.Revision()
 	c.registry.Report(time.Now(), in.GetId(), registry.Report{
 		BornUnixMs: state.BornUnixMs, Layers: state.Layers, Loading: state.Loading,
