--- a/pkg/core/registry/registry.go
+++ b/pkg/core/registry/registry.go
@@ -24,6 +24,7 @@
 	instance *wirepb.Instance
 	heard    time.Time // last announcement or report
 	changed  uint64    // revision of the last change
+	leaving  time.Time // when it was first seen to leave
 }
 
 type removal struct {
@@ -62,8 +63,12 @@
 		return false
 	}
 	next := proto.CloneOf(in)
+	if next.Draining && !next.Leaving {
+		next.Leaving, next.Draining = true, r != nil && r.instance.GetDraining()
+	}
 	if r != nil && r.instance.GetBornUnixMs() == in.GetBornUnixMs() {
 		next.Left = next.Left || r.instance.GetLeft()
+		next.Leaving = next.Leaving || r.instance.GetLeaving()
 		next.Draining = next.Draining || r.instance.GetDraining()
 		next.Load = r.instance.GetLoad()
 		next.Loading = r.instance.GetLoading()
@@ -120,17 +125,41 @@
 }
 
 // Leave marks an instance that said it is gone. It stays known until it
-// expires, so that a delayed announcement does not bring it back.
+// expires, so that a delayed announcement does not bring it back. One that had
+// not said before that it leaves serves on for as long as one that had.
 func (g *Registry) Leave(now time.Time, id string) {
 	r := g.records[id]
 	if r == nil || r.instance.GetLeft() {
 		return
 	}
 	next := proto.CloneOf(r.instance)
-	next.Left = true
+	if next.Leaving {
+		next.Left = true
+	}
+	next.Leaving = true
 	g.put(now, next)
 }
 
+// Drain ends the time in which instances that leave still take work: those that
+// have been leaving for longer than grace get none from now on.
+func (g *Registry) Drain(now time.Time, grace time.Duration) (drained []string) {
+	for id, r := range g.records {
+		switch {
+		case !r.instance.GetLeaving() || r.instance.GetDraining():
+			continue
+		case r.leaving.IsZero():
+			r.leaving = now
+		case now.Sub(r.leaving) >= grace:
+			next := proto.CloneOf(r.instance)
+			next.Draining = true
+			g.put(r.heard, next)
+			drained = append(drained, id)
+		}
+	}
+	slices.Sort(drained)
+	return drained
+}
+
 // Report is what an engine answered when it was asked for its state.
 type Report struct {
 	BornUnixMs int64
@@ -241,6 +270,10 @@
 	return false, instances, removed
 }
 
+// Staying reports whether an instance may be given a part in new work that
+// outlasts its departure.
+func Staying(in *wirepb.Instance) bool { return Usable(in) && !in.GetLeaving() }
+
 // Usable reports whether new work may be sent to an instance.
 func Usable(in *wirepb.Instance) bool {
 	return !in.GetLeft() && !in.GetDraining() && !in.GetSuspect()
--- /dev/null
+++ b/pkg/core/registry/registry_test.go
@@ -0,0 +1,126 @@
+package registry
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func beat(id string, born int64, sequence uint64) *wirepb.Instance {
+	return &wirepb.Instance{Id: id, BornUnixMs: born, Sequence: sequence, Service: "s", Address: id + ":1", DataCentre: "a"}
+}
+
+// Guards against a delayed announcement that brings back what a server said
+// before, or a process that has ended.
+func TestAnnounce_IgnoresOldOnes(t *testing.T) {
+	g := New()
+	assert.Assert(t, g.Announce(start, beat("i", 10, 5)))
+	assert.Assert(t, !g.Announce(start, beat("i", 10, 4)))
+	assert.Assert(t, !g.Announce(start, beat("i", 9, 50)))
+	assert.Assert(t, g.Announce(start, beat("i", 11, 1)))
+	assert.Equal(t, g.Get("i").GetBornUnixMs(), int64(11))
+}
+
+// Guards against work for a process whose address was taken by another one, and
+// against its late announcement.
+func TestAnnounce_FollowsAReusedAddress(t *testing.T) {
+	g := New()
+	old := beat("old", 10, 1)
+	old.Address = "x:1"
+	fresh := beat("fresh", 20, 1)
+	fresh.Address = "x:1"
+	assert.Assert(t, g.Announce(start, old))
+	assert.Assert(t, g.Announce(start, fresh))
+	assert.Assert(t, g.Get("old") == nil)
+	old.Sequence = 9
+	assert.Assert(t, !g.Announce(start, old))
+}
+
+// Guards against an engine that starts again under its id and is taken to hold
+// the layers of the process before.
+func TestAnnounce_ForgetsWhatTheProcessBeforeHeld(t *testing.T) {
+	g := New()
+	g.Announce(start, beat("i", 10, 5))
+	g.Report(start, "i", Report{BornUnixMs: 10, Orders: 3, Layers: &wirepb.LayerRange{From: 0, To: 4}})
+	g.Announce(start, beat("i", 11, 1))
+	assert.Assert(t, g.Get("i").GetLayers() == nil)
+	g.Report(start, "i", Report{BornUnixMs: 10, Layers: &wirepb.LayerRange{From: 0, To: 4}})
+	assert.Assert(t, g.Get("i").GetLayers() == nil, "a report of the process before was taken")
+}
+
+// Guards against a leaving server that gets work for longer than it serves on,
+// and against one that gets none while others still load its layers.
+func TestDrain_EndsAfterTheGrace(t *testing.T) {
+	const grace = time.Second
+	g := New()
+	leaving := beat("i", 10, 2)
+	leaving.Draining = true
+	g.Announce(start, beat("i", 10, 1))
+	g.Announce(start, leaving)
+	g.Drain(start, grace)
+	assert.Assert(t, Usable(g.Get("i")) && !Staying(g.Get("i")))
+	assert.Equal(t, len(g.Drain(start.Add(grace/2), grace)), 0)
+	assert.DeepEqual(t, g.Drain(start.Add(grace), grace), []string{"i"})
+	assert.Assert(t, !Usable(g.Get("i")))
+	late := beat("i", 10, 3)
+	g.Announce(start.Add(2*grace), late)
+	assert.Assert(t, !Usable(g.Get("i")), "a later announcement brought it back")
+}
+
+// Guards against a server that says only that it is gone and gets no work at
+// once, and against one that said both and gets some.
+func TestLeave_ServesOnOnlyWithoutNotice(t *testing.T) {
+	g := New()
+	g.Announce(start, beat("i", 10, 1))
+	g.Leave(start, "i")
+	assert.Assert(t, Usable(g.Get("i")) && !Staying(g.Get("i")))
+	g.Leave(start, "i")
+	assert.Assert(t, !Usable(g.Get("i")))
+}
+
+// Guards against a watcher that misses a change or a removal.
+func TestSince_BringsAWatcherUpToDate(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := New()
+		held := make(map[string]*wirepb.Instance)
+		revision := uint64(0)
+		now := start
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Second)
+			id := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "id")
+			switch rapid.IntRange(0, 3).Draw(t, "kind") {
+			case 0:
+				g.Announce(now, beat(id, rapid.Int64Range(1, 4).Draw(t, "born"), rapid.Uint64Range(1, 9).Draw(t, "sequence")))
+			case 1:
+				g.Leave(now, id)
+			case 2:
+				g.Expire(now, 4*time.Second)
+			case 3:
+				g.Suspect(id)
+			}
+			if rapid.Bool().Draw(t, "watch") {
+				full, changed, removed := g.Since(revision)
+				if full {
+					clear(held)
+				}
+				for _, gone := range removed {
+					delete(held, gone)
+				}
+				for _, in := range changed {
+					held[in.GetId()] = in
+				}
+				revision = g.Revision()
+				assert.Equal(t, len(held), len(g.All()))
+				for _, in := range g.All() {
+					assert.Assert(t, same(held[in.GetId()], in))
+				}
+			}
+		}
+	})
+}
--- a/pkg/role/coordinator/coordinator.go
+++ b/pkg/role/coordinator/coordinator.go
@@ -42,6 +42,9 @@
 	Heartbeat       time.Duration
 	// BeatInterval is the usual time between two announcements of an instance.
 	BeatInterval time.Duration
+	// DrainGrace is the time for which an instance that leaves still gets work,
+	// well within the time for which it serves on.
+	DrainGrace time.Duration
 }
 
 // Coordinator is a running control process without its HTTP listeners.
@@ -288,6 +291,9 @@
 	for _, id := range c.registry.Expire(now, missedBeats*c.opts.BeatInterval) {
 		c.log.Info("Instance forgotten.", logs.Str("instance", id), logs.Str("reason", "no announcement"))
 	}
+	for _, id := range c.registry.Drain(now, c.opts.DrainGrace) {
+		c.log.Info("Instance gets no more work.", logs.Str("instance", id))
+	}
 	c.poll(now)
 	c.placement.step(now)
 	if c.registry.Revision() != before {
--- a/pkg/role/coordinator/placement.go
+++ b/pkg/role/coordinator/placement.go
@@ -78,7 +78,7 @@
 	complete := true
 	var engines []layout.Engine
 	for _, in := range p.c.registry.All() {
-		if in.GetService() != service.Name || !registry.Usable(in) {
+		if in.GetService() != service.Name || !registry.Staying(in) {
 			continue
 		}
 		p.note(now, in)
--- a/pkg/role/coordinator/service.go
+++ b/pkg/role/coordinator/service.go
@@ -149,7 +149,8 @@
 	held := c.registry.Get(in.GetId())
 	if in.GetLeft() {
 		c.registry.Leave(now, in.GetId())
-		c.log.Info("Instance left.", logs.Str("instance", in.GetId()))
+		c.log.Info("Instance left.", logs.Str("instance", in.GetId()), logs.Int("announced", bit(held.GetLeaving())))
+		c.wakeOwner()
 		c.watchers.wake()
 		return
 	}
@@ -162,8 +163,8 @@
 		c.log.Info("Instance announced.", logs.Str("instance", in.GetId()), logs.Str("address", in.GetAddress()), logs.Str("data_centre", in.GetDataCentre()), logs.Str("accelerator", in.GetAccelerator()))
 	case held.GetBornUnixMs() != in.GetBornUnixMs():
 		c.log.Info("Instance started again.", logs.Str("instance", in.GetId()), logs.Str("address", in.GetAddress()))
-	case in.GetDraining() && !held.GetDraining():
-		c.log.Info("Instance drains.", logs.Str("instance", in.GetId()), logs.Uint("sequence", in.GetSequence()))
+	case in.GetDraining() && !held.GetLeaving():
+		c.log.Info("Instance leaves.", logs.Str("instance", in.GetId()), logs.Uint("sequence", in.GetSequence()))
 	default:
 		return
 	}
--- a/pkg/role/gateway/plain.go
+++ b/pkg/role/gateway/plain.go
@@ -96,7 +96,7 @@
 	for _, in := range g.view.Load().byService[q.service.Name] {
 		switch {
 		case tried[in.GetId()]:
-		case g.load.inTrouble(in.GetId()):
+		case g.load.inTrouble(in.GetId()) || in.GetLeaving():
 			other = append(other, in)
 		default:
 			sound = append(sound, in)
--- a/pkg/role/gateway/repair.go
+++ b/pkg/role/gateway/repair.go
@@ -72,7 +72,7 @@
 		switch {
 		case !holds(in, p):
 			return p.ID, ""
-		case i > 0 && (in.GetDraining() || in.GetLeft()):
+		case i > 0 && (in.GetLeaving() || in.GetLeft()):
 			leaving = p.ID
 		}
 	}
@@ -116,6 +116,9 @@
 		Prompt: q.caller.Prompt, Answer: q.answerTokens(), DataCentre: g.opts.DataCentre,
 		Head: &parts[0], Inside: !cross, Spread: preferKept(parts, q.caller.RequestID),
 	})
+	if err == nil && lost != "" && through(choice.Parts, lost) {
+		return // nothing better than the engine that leaves
+	}
 	if err != nil || !g.pipes.admit(q.service.Model, v.entries, tokens, choice) {
 		s.noteBroken()
 		return // the next view may know another path
@@ -164,3 +167,12 @@
 		return others(id)
 	}
 }
+
+func through(parts []path.Part, id string) bool {
+	for _, p := range parts {
+		if p.ID == id {
+			return true
+		}
+	}
+	return false
+}
--- a/pkg/role/gateway/view.go
+++ b/pkg/role/gateway/view.go
@@ -70,6 +70,9 @@
 	// troublePenalty is the cost of an engine in trouble: it is used where
 	// nothing else is left.
 	troublePenalty = 20 * time.Second
+	// leavingPenalty is the cost of an engine that leaves: streams are moved off
+	// it again as soon as others hold its layers.
+	leavingPenalty = 4 * time.Second
 )
 
 func (b *loadBook) init() {
@@ -232,8 +235,11 @@
 	if m.ReadRate > 0 {
 		e.Read = time.Duration(float64(time.Second) / m.ReadRate * a.ReadFactor * slowdown / float64(m.Layers))
 	}
-	if g.load.inTrouble(in.GetId()) {
+	switch {
+	case g.load.inTrouble(in.GetId()):
 		e.Penalty = troublePenalty
+	case in.GetLeaving():
+		e.Penalty = leavingPenalty
 	}
 	return e
 }
