Move broken streams at once, and count every attempt

Change: broken streams move at once, also across data centres, with a larger share of the link of their own; an engine that others wait for is suspect after one missed poll; every attempt counts.

--- a/pkg/role/coordinator/poll.go
+++ b/pkg/role/coordinator/poll.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/plantainstair/plantainstair/pkg/core/registry"
+	"github.com/plantainstair/plantainstair/pkg/fault"
 	"github.com/plantainstair/plantainstair/pkg/instances"
 	"github.com/plantainstair/plantainstair/pkg/logs"
 	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
@@ -21,6 +22,8 @@
 	// pollMisses is the number of polls without an answer after which an engine
 	// gets no new work. One alone may be a lost packet.
 	pollMisses = 2
+	// stalledTime is the time for which the word of another engine counts.
+	stalledTime = time.Second
 )
 
 // pollState is the state of the polls of one engine.
@@ -28,6 +31,7 @@
 	running bool
 	next    time.Time
 	misses  int
+	stalled time.Time // when another engine last said that it waits for this one
 }
 
 // poll asks the engines for their state. An engine that refuses connections is
@@ -82,7 +86,8 @@
 	if err != nil {
 		p.misses++
 		p.next = time.Now() // ask again at once
-		if errors.Is(err, syscall.ECONNREFUSED) || p.misses >= pollMisses {
+		waitedFor := time.Since(p.stalled) < stalledTime
+		if errors.Is(err, syscall.ECONNREFUSED) || p.misses >= pollMisses || waitedFor {
 			p.next = time.Now().Add(pollInterval)
 			c.suspect(held, p.misses, err)
 		}
@@ -119,10 +124,15 @@
 }
 
 // noteStalled asks engines that others wait for without regard to the interval.
+// One missed poll is enough then.
 func (c *Coordinator) noteStalled(stalled []instances.Stalled) {
 	for _, s := range stalled {
 		for id, p := range c.polls {
 			if in := c.registry.Get(id); in.GetAddress() == s.Address && !in.GetSuspect() {
+				p.stalled = time.Now()
+				if p.misses > 0 {
+					c.suspect(in, p.misses, fault.New(fault.Unavailable, "other engines wait for it"))
+				}
 				p.next = time.Time{}
 				c.wakeOwner()
 			}
--- a/pkg/role/gateway/pipe.go
+++ b/pkg/role/gateway/pipe.go
@@ -11,31 +11,44 @@
 
 const (
 	// pipeShare of the bandwidth between data centres may be used by the prompts
-	// of paths that cross: each holds up the tokens of all others behind it.
-	pipeShare = 0.4
+	// of new requests on paths that cross: each holds up the tokens of all others
+	// behind it. Broken streams may use more, as their callers leave within 2 s.
+	pipeShare   = 0.4
+	repairShare = 0.9
 	// pipeBurst is the time over which unused bandwidth is saved.
 	pipeBurst = time.Second
 )
 
 // pipes bound the paths that cross between data centres, by this entry's share.
 type pipes struct {
-	mu     sync.Mutex
-	budget *route.Budget
+	mu           sync.Mutex
+	fresh, moved *route.Budget
 }
 
-// admit takes the bandwidth for a path, and reports false where there is none.
+// admit takes the bandwidth for the path of a new request, and reports false
+// where there is none.
 func (p *pipes) admit(m *routing.Model, entries, tokens int, c path.Choice) bool {
-	if c.Crossings == 0 || m.PipeMbps <= 0 {
+	return c.Crossings == 0 || p.take(&p.fresh, m, entries, tokens*c.Crossings, pipeShare)
+}
+
+// admitMoved is admit for a broken stream. Only the engines that are new to it
+// read what it has so far, so that its tokens cross once.
+func (p *pipes) admitMoved(m *routing.Model, entries, tokens int, c path.Choice) bool {
+	return c.Crossings == 0 || p.take(&p.moved, m, entries, tokens, repairShare)
+}
+
+func (p *pipes) take(budget **route.Budget, m *routing.Model, entries, tokens int, share float64) bool {
+	if m.PipeMbps <= 0 {
 		return true
 	}
-	bits := m.ActivationBytes * 8 * float64(tokens) * float64(c.Crossings)
-	perSecond := pipeShare * m.PipeMbps * 1e6 / bits / float64(max(1, entries))
+	bits := m.ActivationBytes * 8 * float64(tokens)
+	perSecond := share * m.PipeMbps * 1e6 / bits / float64(max(1, entries))
 	limits := route.BudgetLimits{Burst: max(1, perSecond*pipeBurst.Seconds()), Floor: perSecond}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.budget == nil {
-		p.budget = route.NewLimitedBudget(limits)
+	if *budget == nil {
+		*budget = route.NewLimitedBudget(limits)
 	}
-	p.budget.SetLimits(limits)
-	return p.budget.Retry(time.Now())
+	(*budget).SetLimits(limits)
+	return (*budget).Retry(time.Now())
 }
--- a/pkg/role/gateway/repair.go
+++ b/pkg/role/gateway/repair.go
@@ -12,10 +12,6 @@
 
 const (
 	repathTimeout = 500 * time.Millisecond
-	// crossAfter is the time after which a stream with a broken path is moved to
-	// one that crosses between data centres. Before that the lost layers are
-	// usually loaded beside it, and many streams at once would jam the link.
-	crossAfter = 1200 * time.Millisecond
 	// repathAgain is the time after which a repaired stream may be repaired
 	// again.
 	repathAgain = time.Second
@@ -50,14 +46,15 @@
 func (g *Gateway) repairStreams(ctx context.Context) {
 	v := g.view.Load()
 	for _, s := range g.streams.list() {
-		parts, broken, due := s.state()
+		parts, due := s.state()
 		lost, leaving := v.broken(parts)
 		switch {
 		case lost == parts[0].ID:
-			g.log.Info("First engine lost.", logs.Str("request", s.q.caller.RequestID), logs.Str("upstream", lost), logs.Dur("view_age", v.age()))
-			s.endAttempt(fault.New(fault.Upstream, "first engine %s was lost", lost).WithOutcome(fault.MayHaveRun))
+			if s.endAttempt(fault.New(fault.Upstream, "first engine %s was lost", lost).WithOutcome(fault.MayHaveRun)) {
+				g.log.Info("First engine lost.", logs.Str("request", s.q.caller.RequestID), logs.Str("upstream", lost), logs.Dur("view_age", v.age()))
+			}
 		case lost != "" && due:
-			g.repath(ctx, v, s, parts, lost, broken > crossAfter)
+			g.repath(ctx, v, s, parts, lost, true)
 		case lost == "" && leaving != "" && due:
 			g.repath(ctx, v, s, parts, leaving, false)
 		}
@@ -79,32 +76,25 @@
 	return "", leaving
 }
 
-// state returns the path, for how long it has been known to be broken, and
-// whether it may be repaired now.
-func (s *stream) state() (parts []path.Part, broken time.Duration, due bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if !s.broken.IsZero() {
-		broken = time.Since(s.broken)
-	}
-	return s.parts, broken, time.Since(s.moved) > repathAgain
-}
-
-// endAttempt ends the present attempt because its first engine was lost.
-func (s *stream) endAttempt(cause error) {
+// state returns the path, and whether it may be repaired now.
+func (s *stream) state() (parts []path.Part, due bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.gone = true
-	s.cancel(cause)
+	return s.parts, time.Since(s.moved) > repathAgain
 }
 
-// noteBroken notes that a path was found broken and could not be repaired yet.
-func (s *stream) noteBroken() {
+// endAttempt ends the present attempt because its first engine was lost. The
+// last attempt goes on: the engine may only be out of the coordinator's reach,
+// and no other may be tried.
+func (s *stream) endAttempt(cause error) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.broken.IsZero() {
-		s.broken = time.Now()
+	if s.final {
+		return false
 	}
+	s.final = true
+	s.cancel(cause)
+	return true
 }
 
 // repath moves a stream to a path with the same first engine, so that its
@@ -119,12 +109,11 @@
 	if err == nil && lost != "" && through(choice.Parts, lost) {
 		return // nothing better than the engine that leaves
 	}
-	if err != nil || !g.pipes.admit(q.service.Model, v.entries, tokens, choice) {
-		s.noteBroken()
+	if err != nil || !g.pipes.admitMoved(q.service.Model, v.entries, tokens, choice) {
 		return // the next view may know another path
 	}
 	s.mu.Lock()
-	s.parts, s.moved, s.broken = choice.Parts, time.Now(), time.Time{}
+	s.parts, s.moved = choice.Parts, time.Now()
 	s.mu.Unlock()
 	g.load.reserve(choice.Parts, tokens)
 	g.metrics.repaths.Inc()
--- a/pkg/role/gateway/stream.go
+++ b/pkg/role/gateway/stream.go
@@ -25,18 +25,7 @@
 	parts  []path.Part
 	cancel context.CancelCauseFunc // ends the present attempt
 	moved  time.Time               // last repair
-	broken time.Time               // when the path was first seen broken
-	gone   bool                    // the first engine was lost
-}
-
-// takeLost reports whether the first engine was lost. Such an attempt does not
-// count against the limit of the route.
-func (s *stream) takeLost() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	gone := s.gone
-	s.gone = false
-	return gone
+	final  bool                    // the route admits no further attempt
 }
 
 const (
@@ -82,9 +71,6 @@
 		e := fault.As(err)
 		g.log.Info("Attempt failed.", logs.Str("request", q.caller.RequestID), logs.Str("upstream", q.upstream),
 			logs.Int("attempt", q.attempts), logs.Str("after_event", s.splitter.LastID()), logs.Err(err))
-		if s.takeLost() {
-			q.attempts--
-		}
 		if e.Outcome != fault.NotRun && (!q.route.Idempotent() || q.attempts >= max(1, q.route.MaxAttempts)) {
 			break
 		}
@@ -175,7 +161,7 @@
 	defer cancel(nil)
 	head := choice.Parts[0]
 	q.engines = len(choice.Parts)
-	s.begin(choice.Parts, cancel)
+	s.begin(choice.Parts, cancel, q.attempts+1 >= max(1, q.route.MaxAttempts))
 	g.streams.add(s)
 	defer g.streams.remove(s)
 	defer g.load.begin(head.ID)()
@@ -296,10 +282,11 @@
 	return s.parts
 }
 
-func (s *stream) begin(parts []path.Part, cancel context.CancelCauseFunc) {
+func (s *stream) begin(parts []path.Part, cancel context.CancelCauseFunc, final bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.parts, s.cancel, s.moved, s.broken = parts, cancel, time.Time{}, time.Time{}
+	s.final = final
+	s.parts, s.cancel, s.moved = parts, cancel, time.Time{}
 }
 
 // streams are the streams in progress.
