--- a/pkg/replicalink/transport.go
+++ b/pkg/replicalink/transport.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -45,6 +46,7 @@
 
 	mu       sync.Mutex
 	seeds    []*wirepb.Voter
+	joining  []*wirepb.Voter // known while this replica joins
 	followed []*wirepb.Voter
 	peers    map[uint64]*peerSender
 	sending  map[uint64]bool // replicas that a snapshot is being sent to
@@ -131,7 +133,7 @@
 // a replica that joins.
 func (t *Transport) Know(replicas []*wirepb.Voter) {
 	t.mu.Lock()
-	t.seeds = append(t.seeds, replicas...)
+	t.joining = replicas
 	followed := t.followed
 	t.mu.Unlock()
 	t.follow(followed)
@@ -140,14 +142,14 @@
 // follow starts and stops senders. Seeds stay known, because a replica that
 // joins receives messages before it learns the voters.
 func (t *Transport) follow(voters []*wirepb.Voter) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	wanted := make(map[uint64]string)
-	for _, v := range append(append([]*wirepb.Voter{}, t.seeds...), voters...) {
+	for _, v := range slices.Concat(t.seeds, t.joining, voters) {
 		if v.GetId() != t.self && v.GetPeerAddress() != "" {
 			wanted[v.GetId()] = v.GetPeerAddress()
 		}
 	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
 	t.followed = voters
 	for id, p := range t.peers {
 		if wanted[id] != p.addr {
