Keep broken streams while their callers wait, and spare short ones a move

Every move pauses a stream; half of the moves off leaving engines made it late. Change: such a stream waits for the budget and for room until its caller leaves; an attempt is ended for a lost first engine only when another path has room; a stream whose path broke is resumed after 1 s without an event; streams that end within 1 s stay on a leaving engine.

--- a/pkg/role/entry/owner.go
+++ b/pkg/role/entry/owner.go
@@ -40,10 +40,11 @@
 	events    chan event
 	lastCheck time.Time
 	viewSince time.Time // when the first view arrived
-	// speeds holds what an engine of each group reported last. It stands in
-	// for one that has not run yet: with a default that is slower than its
-	// group, a new host gets no work while the others have free slots.
-	speeds map[string]speed
+	// speeds holds what each engine reported last, by group and host. The
+	// fastest of a group stands in for one that has not run yet: with a slower
+	// one, a new host gets no work while a faster host has free slots, and never
+	// shows how fast it is.
+	speeds map[string]map[string]speed
 }
 
 // speed is the time of an engine for a first and for each further token.
@@ -56,7 +57,7 @@
 		table:  route.NewTable(),
 		peers:  make(map[string]*peer),
 		events: make(chan event, eventQueueSize),
-		speeds: make(map[string]speed),
+		speeds: make(map[string]map[string]speed),
 	}
 }
 
@@ -145,6 +146,7 @@
 	}
 	host := p.announcement.Host
 	delete(o.peers, host)
+	delete(o.speeds[p.group], host)
 	o.table.Remove(host)
 	o.entry.tracker.Forget(host)
 }
@@ -184,14 +186,22 @@
 	o.table.Update(u)
 }
 
-// fillSpeed notes the speed that an engine reports, or gives it that of its
-// group when it has not run yet.
+// fillSpeed notes the speed that an engine reports, or gives it the fastest of
+// its group when it has not run yet.
 func (o *owner) fillSpeed(u *route.Upstream, group string) {
 	if u.FirstToken > 0 && u.InterToken > 0 {
-		o.speeds[group] = speed{first: u.FirstToken, inter: u.InterToken}
+		if o.speeds[group] == nil {
+			o.speeds[group] = make(map[string]speed)
+		}
+		o.speeds[group][u.Host] = speed{first: u.FirstToken, inter: u.InterToken}
 		return
 	}
-	known := o.speeds[group]
+	var known speed
+	for _, s := range o.speeds[group] {
+		if known.inter == 0 || s.inter < known.inter {
+			known = s
+		}
+	}
 	if u.FirstToken <= 0 {
 		u.FirstToken = known.first
 	}
--- a/pkg/role/entry/owner_test.go
+++ b/pkg/role/entry/owner_test.go
@@ -10,14 +10,15 @@
 	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
 )
 
-// Guards against a new host that counts as slower than its group, and so gets
-// no work while the others have free slots.
+// Guards against a new host that counts as slower than the fastest of its group,
+// and so gets no work while that one has free slots.
 func TestOwner_NewHostHasSpeedOfItsGroup(t *testing.T) {
 	o := newOwner(t.Context(), nil)
 	first, inter := 40*time.Millisecond, 6*time.Millisecond
-	o.fillSpeed(&route.Upstream{FirstToken: first, InterToken: inter}, "a")
+	o.fillSpeed(&route.Upstream{Host: "fast", FirstToken: first, InterToken: inter}, "a")
+	o.fillSpeed(&route.Upstream{Host: "slow", FirstToken: 2 * first, InterToken: 2 * inter}, "a")
 	for group, want := range map[string]speed{"a": {first, inter}, "b": {}} {
-		u := &route.Upstream{}
+		u := &route.Upstream{Host: "new"}
 		o.fillSpeed(u, group)
 		assert.Equal(t, speed{u.FirstToken, u.InterToken}, want, "group %s", group)
 	}
--- a/pkg/role/gateway/repair.go
+++ b/pkg/role/gateway/repair.go
@@ -12,6 +12,12 @@
 
 const (
 	repathTimeout = 500 * time.Millisecond
+	// leaveTime is the time for which an engine that leaves surely serves on.
+	// Streams that end within it stay, as a move pauses them.
+	leaveTime = time.Second
+	// silenceLimit is the pause after which a stream whose path was broken is
+	// resumed at another first engine: callers leave after 2 s.
+	silenceLimit = time.Second
 	// repathAgain is the time after which a repaired stream may be repaired
 	// again.
 	repathAgain = time.Second
@@ -50,17 +56,42 @@
 		lost, leaving := v.broken(parts)
 		switch {
 		case lost == parts[0].ID:
-			if s.endAttempt(fault.New(fault.Upstream, "first engine %s was lost", lost).WithOutcome(fault.MayHaveRun)) {
-				g.log.Info("First engine lost.", logs.Str("request", s.q.caller.RequestID), logs.Str("upstream", lost), logs.Dur("view_age", v.age()))
-			}
+			g.resume(v, s, parts[0], lost, "first engine lost")
+		case s.silent(lost != "") > silenceLimit:
+			g.resume(v, s, parts[0], lost, "no event since the path broke")
 		case lost != "" && due:
 			g.repath(ctx, v, s, parts, lost, true)
-		case lost == "" && leaving != "" && due:
+		case lost == "" && leaving != "" && due && s.remaining() > leaveTime:
 			g.repath(ctx, v, s, parts, leaving, false)
 		}
 	}
 }
 
+// resume ends the present attempt, so that the stream goes on along another
+// path. While none has room, the attempt stays: its engine may only be out of
+// the coordinator's reach.
+func (g *Gateway) resume(v *view, s *stream, head path.Part, lost, reason string) {
+	choice, err := g.bestPath(v, s.q, map[string]bool{head.ID: true, lost: true})
+	if err != nil || !choice.Roomy {
+		return
+	}
+	if s.endAttempt(fault.New(fault.Upstream, "%s", reason).WithOutcome(fault.MayHaveRun)) {
+		g.log.Info("Attempt ended.", logs.Str("request", s.q.caller.RequestID), logs.Str("reason", reason), logs.Str("lost", lost), logs.Dur("view_age", v.age()))
+	}
+}
+
+// silent returns the time without an event of a stream whose path is or was
+// broken in this attempt, and zero for others.
+func (s *stream) silent(broken bool) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.broken = s.broken || broken
+	if !s.broken {
+		return 0
+	}
+	return time.Since(s.event)
+}
+
 // broken returns an engine of a path that was lost, and one that is about to
 // leave.
 func (v *view) broken(parts []path.Part) (lost, leaving string) {
--- a/pkg/role/gateway/stream.go
+++ b/pkg/role/gateway/stream.go
@@ -26,6 +26,11 @@
 	cancel context.CancelCauseFunc // ends the present attempt
 	moved  time.Time               // last repair
 	final  bool                    // the route admits no further attempt
+	event  time.Time               // last event, or the begin of the attempt
+	broken bool                    // the path has been broken in this attempt
+	events int                     // whole events or groups of them that were passed on
+	// firstEvent is the time of the first of them.
+	firstEvent time.Time
 }
 
 const (
@@ -39,9 +44,6 @@
 	// back: by then requests of the usual length have ended and left room. It is
 	// spread, so that refused callers do not return together.
 	streamReturn = 2 * time.Second
-	// resumeTime is the pause up to which a broken stream is resumed. Callers
-	// abandon a stream after 2 s.
-	resumeTime = 1800 * time.Millisecond
 	// waitShare of the target is the time for which a request waits for a path
 	// with room before it is refused: the rest is enough for a first event.
 	waitShare = 0.7
@@ -62,6 +64,9 @@
 			break
 		}
 		if !g.maySend(q) {
+			if s.started && wait(ctx, choiceRetry) {
+				continue // the budget refills while the caller waits
+			}
 			break
 		}
 		if err = g.runAttempt(ctx, w, s, choice, avoid); err == nil {
@@ -98,10 +103,11 @@
 	return out
 }
 
-// waitLimit returns the time until which a path is looked for.
+// waitLimit returns the time until which a path is looked for. A stream that has
+// begun is resumed for as long as its caller waits.
 func (g *Gateway) waitLimit(s *stream) time.Time {
 	if s.started {
-		return s.q.lastEvent.Add(resumeTime)
+		return s.q.deadline
 	}
 	share := time.Duration(waitShare * float64(s.q.route.Target))
 	return s.q.arrived.Add(max(share, g.startHold()))
@@ -113,9 +119,7 @@
 	tokens := q.caller.Prompt + q.answerTokens()
 	for {
 		v := g.view.Load()
-		choice, err := path.Choose(q.service.Model, g.enginesOf(v, q, avoid.now()), path.Request{
-			Prompt: q.caller.Prompt, Answer: q.answerTokens(), DataCentre: g.opts.DataCentre, Spread: spread(q.caller.RequestID),
-		})
+		choice, err := g.bestPath(v, q, avoid.now())
 		if err == nil && choice.Roomy && g.pipes.admit(q.service.Model, v.entries, tokens, choice) {
 			return choice, nil
 		}
@@ -128,6 +132,13 @@
 	}
 }
 
+// bestPath returns the cheapest path that avoids some engines.
+func (g *Gateway) bestPath(v *view, q *request, avoid map[string]bool) (path.Choice, error) {
+	return path.Choose(q.service.Model, g.enginesOf(v, q, avoid), path.Request{
+		Prompt: q.caller.Prompt, Answer: q.answerTokens(), DataCentre: g.opts.DataCentre, Spread: spread(q.caller.RequestID),
+	})
+}
+
 // answerTokens is the expected length of the answer.
 func (q *request) answerTokens() int {
 	switch {
@@ -252,7 +263,7 @@
 			}
 			if len(whole) > 0 {
 				g.load.awaited(head, s)
-				s.q.noteEvent(time.Now())
+				s.noteEvent(time.Now())
 				if _, e := w.Write(whole); e != nil {
 					return fault.Wrap(e, fault.Cancelled, "caller left")
 				}
@@ -276,6 +287,30 @@
 	}
 }
 
+func (s *stream) noteEvent(now time.Time) {
+	s.q.noteEvent(now)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.event = now
+	s.events++
+	if s.events == 1 {
+		s.firstEvent = now
+	}
+}
+
+// remaining estimates the time until the end of the answer from its likely
+// length and its pace so far.
+func (s *stream) remaining() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.events < 2 {
+		return s.q.left()
+	}
+	likely := s.q.answerTokens() / max(1, s.q.service.Model.Stride)
+	perEvent := s.event.Sub(s.firstEvent) / time.Duration(s.events-1)
+	return perEvent * time.Duration(max(0, likely-s.events))
+}
+
 func (s *stream) path() []path.Part {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -285,7 +320,7 @@
 func (s *stream) begin(parts []path.Part, cancel context.CancelCauseFunc, final bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.final = final
+	s.final, s.event, s.broken = final, time.Now(), false
 	s.parts, s.cancel, s.moved = parts, cancel, time.Time{}
 }
 
