core/layout: work out the capacity of a layout, and log it

Cause: nothing told what a data centre could carry at most, beside what it served. Change: the room at the tightest layer, the time of a usual request and the rate at which the room is full, as a pure function; the leader logs each change and exports it.

--- a/pkg/role/coordinator/metrics.go
+++ b/pkg/role/coordinator/metrics.go
@@ -28,5 +28,10 @@
 	}
 }
 
+// capacity sets the rate of usual requests that a data centre can carry.
+func (m *metricSet) capacity(dataCentre string, perSecond float64) {
+	m.set.GetOrCreateGauge(`plantainstair_coordinator_capacity_requests_per_second{data_centre="`+dataCentre+`"}`, nil).Set(perSecond)
+}
+
 // Metrics returns the counters of this process.
 func (c *Coordinator) Metrics() *metrics.Set { return c.metrics.set }
--- a/pkg/role/coordinator/placement.go
+++ b/pkg/role/coordinator/placement.go
@@ -38,14 +38,15 @@
 // placement gives engines their layers. The owner of the coordinator owns it,
 // and only a leader runs it.
 type placement struct {
-	c       *Coordinator
-	planned time.Time
-	grewAt  time.Time // last time a new engine appeared
-	firstAt time.Time
-	known   map[string]bool
-	ordered map[string]order
-	settled bool
-	placed  bool // an earlier leader has placed layers
+	c        *Coordinator
+	planned  time.Time
+	grewAt   time.Time // last time a new engine appeared
+	firstAt  time.Time
+	known    map[string]bool
+	ordered  map[string]order
+	settled  bool
+	capacity map[string]layout.Capacity
+	placed   bool // an earlier leader has placed layers
 }
 
 type order struct {
@@ -55,7 +56,7 @@
 }
 
 func newPlacement(c *Coordinator) *placement {
-	return &placement{c: c, known: make(map[string]bool), ordered: make(map[string]order)}
+	return &placement{c: c, known: make(map[string]bool), ordered: make(map[string]order), capacity: make(map[string]layout.Capacity)}
 }
 
 func (p *placement) step(now time.Time) {
@@ -98,6 +99,7 @@
 		return
 	}
 	m := service.Model
+	p.noteCapacity(m, engines)
 	plan := layout.Plan(m, engines, complete)
 	for _, e := range engines {
 		if wanted, ok := plan[e.ID]; ok && wanted != e.Held && !busy[e.ID] {
@@ -184,4 +186,17 @@
 	}
 }
 
+// noteCapacity logs the capacity of each data centre when it has changed.
+func (p *placement) noteCapacity(m *routing.Model, engines []layout.Engine) {
+	for name, c := range layout.Capacities(m, engines) {
+		if p.capacity[name] == c {
+			continue
+		}
+		p.capacity[name] = c
+		p.c.metrics.capacity(name, c.PerSecond)
+		p.c.log.Info("Capacity changed.", logs.Str("data_centre", name), logs.Int("tokens", c.Tokens),
+			logs.Dur("stream", c.Stream), logs.Int("requests_per_s", int(c.PerSecond)))
+	}
+}
+
 func isSlow(load *wirepb.InstanceLoad) bool { return load.GetSlowdown() >= slowFactor }
