core/layout: relieve an engine elsewhere to close a gap between small ones

Change: the neighbours of another engine take its layers over, and it closes the gap in the next plan; engines that load are polled every 100 ms.

--- a/pkg/core/layout/layout_test.go
+++ b/pkg/core/layout/layout_test.go
@@ -254,6 +254,32 @@
 
 func sameRanges(a, b map[string]Range) bool { return maps.Equal(a, b) }
 
+// Guards against a data centre that stays without layers because the engines
+// beside the gap are small, although others could take them.
+func TestPlan_ClosesAGapBetweenSmallEngines(t *testing.T) {
+	m := model()
+	rapid.Check(t, func(t *rapid.T) {
+		all := append(engines("a", 1, 6, 6), engines("b", 1, 10, 4)...)
+		plan := Plan(m, all, true)
+		first := rapid.IntRange(1, 5).Draw(t, "first lost")
+		var rest []Engine
+		for _, e := range all {
+			if r := plan[e.ID]; e.DataCentre == "a" && (r.From/4 == first || r.From/4 == first+1) && r.To <= 24 {
+				continue // two small engines side by side
+			}
+			e.Held = plan[e.ID]
+			rest = append(rest, e)
+		}
+		for range 8 {
+			for i := range rest {
+				rest[i].Held = plan[rest[i].ID]
+			}
+			plan = Plan(m, rest, true)
+		}
+		assert.Equal(t, gaps(m, rest, plan, "a"), 0)
+	})
+}
+
 // Guards against a data centre that stays without the layers of a lost engine at
 // the end of the model, whose only neighbour has no room for them.
 func TestPlan_ClosesAGapAtTheEnd(t *testing.T) {
--- a/pkg/core/layout/pass.go
+++ b/pkg/core/layout/pass.go
@@ -1,8 +1,14 @@
 package layout
 
+import (
+	"maps"
+	"math"
+)
+
 // pass closes a gap in two steps, each of them a plan of its own. In the first,
 // the engine behind the neighbour of the gap takes some of the neighbour's
 // layers too. Once it holds them, the neighbour gives them up and takes the gap.
+// Where that leaves too little room, an engine elsewhere is relieved first.
 func (p *planner) pass(gap Range, tokens int) {
 	var best []move
 	most := tokens - 1
@@ -18,11 +24,61 @@
 			}
 		}
 	}
+	if best == nil {
+		best = p.relieve(gap, tokens)
+	}
 	for _, m := range best {
 		p.assign(m.engine, m.to)
 	}
 }
 
+// relieve returns the moves by which the neighbours of some engine take over all
+// its layers, so that the engine is free to close the gap in the next plan. Of
+// the engines that have room for the gap it chooses the one whose neighbours keep
+// most room.
+func (p *planner) relieve(gap Range, tokens int) []move {
+	var best []move
+	most := tokens - 1
+	for _, e := range p.engines {
+		q, ok := p.assigned[e.ID]
+		if !ok || p.roomFor(e, gap) < tokens {
+			continue
+		}
+		before := maps.Clone(p.assigned)
+		p.release(e)
+		rest := q
+		for !rest.Empty() && p.copies[rest.From] > 0 {
+			rest.From++
+		}
+		for !rest.Empty() && p.copies[rest.To-1] > 0 {
+			rest.To--
+		}
+		for !rest.Empty() && p.stretchInto(&rest, tokens) {
+		}
+		moves, room := p.movesSince(before)
+		p.assign(e, q)
+		p.restore(before)
+		if rest.Empty() && len(moves) > 0 && room > most {
+			best, most = moves, room
+		}
+	}
+	return best
+}
+
+// movesSince returns what has changed since, and the least room of the engines
+// that changed.
+func (p *planner) movesSince(before map[string]Range) ([]move, int) {
+	var moves []move
+	room := math.MaxInt
+	for _, e := range p.engines {
+		if r, ok := p.assigned[e.ID]; ok && r != before[e.ID] {
+			moves = append(moves, move{e, r})
+			room = min(room, p.roomFor(e, r))
+		}
+	}
+	return moves, room
+}
+
 type move struct {
 	engine Engine
 	to     Range
--- a/pkg/role/coordinator/poll.go
+++ b/pkg/role/coordinator/poll.go
@@ -19,6 +19,9 @@
 	// poll tells something new.
 	pollInterval = 300 * time.Millisecond
 	pollTimeout  = 250 * time.Millisecond
+	// loadPollInterval is for engines that carry out an order: requests wait for
+	// the layers that they load.
+	loadPollInterval = 100 * time.Millisecond
 	// pollMisses is the number of polls without an answer after which an engine
 	// gets no new work. One alone may be a lost packet.
 	pollMisses = 2
@@ -56,6 +59,9 @@
 		}
 		p.running = true
 		p.next = now.Add(pollInterval)
+		if _, loading := c.placement.ordered[in.GetId()]; loading {
+			p.next = now.Add(loadPollInterval)
+		}
 		c.metrics.polls.Inc()
 		go c.pollOne(in)
 	}
