Leave reported layers to reports, and let small improvements of the layout count

Change: layers come from reports once there is one; changes that improve a layout by 3% are made, and the mean room counts as much as the least.

--- a/pkg/core/layout/improve.go
+++ b/pkg/core/layout/improve.go
@@ -6,7 +6,7 @@
 	// leastGain is the factor by which a change has to improve a layout that is
 	// in force. Loads take time, and engines give layers up only after the
 	// requests that pass through them.
-	leastGain = 1.15
+	leastGain = 1.03
 	// longestShift is the largest number of layers that move between two
 	// engines at once.
 	longestShift = 8
--- a/pkg/core/layout/layout.go
+++ b/pkg/core/layout/layout.go
@@ -175,7 +175,7 @@
 
 // meanWeight is the worth of the mean room beside the least. The mean is the
 // harmonic one, to which the tight layers count most.
-const meanWeight = 0.2
+const meanWeight = 1.0
 
 // score rates a layout: the room at the tightest layer and the mean room, more
 // where layers have a second holder, and less than any other where a layer has
--- a/pkg/core/registry/registry.go
+++ b/pkg/core/registry/registry.go
@@ -73,8 +73,9 @@
 		next.Load = r.instance.GetLoad()
 		next.Loading = r.instance.GetLoading()
 		next.Orders = r.instance.GetOrders()
-		if r.instance.GetOrders() > 0 && r.instance.GetLayers() != nil && in.GetLayers() == nil {
-			next.Layers = r.instance.GetLayers()
+		if r.instance.GetLoad() != nil {
+			// Announcements may be seconds late; the engine itself was asked since.
+			next.Layers, next.Models = r.instance.GetLayers(), r.instance.GetModels()
 		}
 	}
 	g.put(now, next)
--- a/pkg/core/registry/registry_test.go
+++ b/pkg/core/registry/registry_test.go
@@ -124,3 +124,16 @@
 		}
 	})
 }
+
+// Guards against a late announcement that takes back the layers that an engine
+// has reported since, so that paths vanish for a moment.
+func TestAnnounce_LeavesReportedLayers(t *testing.T) {
+	g := New()
+	g.Announce(start, beat("i", 10, 1))
+	reported := &wirepb.LayerRange{From: 4, To: 12}
+	g.Report(start, "i", Report{BornUnixMs: 10, Orders: 2, Layers: reported, Load: &wirepb.InstanceLoad{}})
+	late := beat("i", 10, 2)
+	late.Layers = &wirepb.LayerRange{From: 4, To: 8}
+	g.Announce(start, late)
+	assert.Equal(t, g.Get("i").GetLayers().GetTo(), uint32(12))
+}
