docs: the platform deployment, from a failed request to its cause; one prefix for metrics

Cause: the two programs of the platform deployment had no pages, their settings were not in the reference, and their metrics had another prefix than the others. Change: decision 36, OPERATIONS.md (renamed from operations.md) with the way from a failed request to its cause, glossary, README, design and settings pages; metrics begin with plantain_; plantainctl check-config and settings know both roles.

--- a/cmd/plantainctl/settings.go
+++ b/cmd/plantainctl/settings.go
@@ -10,9 +10,10 @@
 	"github.com/plantainstair/plantainstair/pkg/role/agent"
 	"github.com/plantainstair/plantainstair/pkg/role/control"
 	"github.com/plantainstair/plantainstair/pkg/role/entry"
+	"github.com/plantainstair/plantainstair/platform"
 )
 
-var roles = []string{"entry", "agent", "control", "plantainctl"}
+var roles = []string{"entry", "agent", "control", "plantainctl", "gateway", "coordinator"}
 
 // settingsOf returns the empty settings of a role.
 func settingsOf(role string) (any, error) {
@@ -26,13 +27,16 @@
 	case "plantainctl":
 		return &ctl.Settings{}, nil
 	}
-	return nil, fault.New(fault.Invalid, "%q is not entry, agent, control or plantainctl", role).WithField("role")
+	if settings := platform.NewSettings(role); settings != nil {
+		return settings, nil
+	}
+	return nil, fault.New(fault.Invalid, "%q is not one of %s", role, strings.Join(roles, ", ")).WithField("role")
 }
 
 func (c *commands) addCheckConfig() {
 	var role, file string
 	sub := newSub("check-config", "Checks a settings file and lists every fault.")
-	sub.AddPositionalValue(&role, "role", 1, true, "entry, agent, control or plantainctl.")
+	sub.AddPositionalValue(&role, "role", 1, true, "One of "+strings.Join(roles, ", ")+".")
 	sub.AddPositionalValue(&file, "file", 2, true, "Settings file.")
 	c.list = append(c.list, command{sub: sub, run: func() error {
 		settings, err := settingsOf(role)
--- a/pkg/role/coordinator/metrics.go
+++ b/pkg/role/coordinator/metrics.go
@@ -18,19 +18,19 @@
 	s := metrics.NewSet()
 	return &metricSet{
 		set:         s,
-		connections: s.NewCounter("plantainstair_coordinator_engine_connections_total"),
-		dropped:     s.NewCounter("plantainstair_coordinator_messages_dropped_total"),
-		polls:       s.NewCounter("plantainstair_coordinator_polls_total"),
-		pollTime:    s.NewHistogram("plantainstair_coordinator_poll_seconds"),
-		orders:      s.NewCounter("plantainstair_coordinator_orders_total"),
-		changes:     s.NewCounter("plantainstair_coordinator_configurations_acknowledged_total"),
-		refused:     s.NewCounter("plantainstair_coordinator_configurations_refused_total"),
+		connections: s.NewCounter("plantain_coordinator_engine_connections_total"),
+		dropped:     s.NewCounter("plantain_coordinator_messages_dropped_total"),
+		polls:       s.NewCounter("plantain_coordinator_polls_total"),
+		pollTime:    s.NewHistogram("plantain_coordinator_poll_seconds"),
+		orders:      s.NewCounter("plantain_coordinator_orders_total"),
+		changes:     s.NewCounter("plantain_coordinator_configurations_acknowledged_total"),
+		refused:     s.NewCounter("plantain_coordinator_configurations_refused_total"),
 	}
 }
 
 // capacity sets the rate of usual requests that a data centre can carry.
 func (m *metricSet) capacity(dataCentre string, perSecond float64) {
-	m.set.GetOrCreateGauge(`plantainstair_coordinator_capacity_requests_per_second{data_centre="`+dataCentre+`"}`, nil).Set(perSecond)
+	m.set.GetOrCreateGauge(`plantain_coordinator_capacity_requests_per_second{data_centre="`+dataCentre+`"}`, nil).Set(perSecond)
 }
 
 // Metrics returns the counters of this process.
--- a/pkg/role/gateway/metrics.go
+++ b/pkg/role/gateway/metrics.go
@@ -22,19 +22,19 @@
 	s := metrics.NewSet()
 	return &metricSet{
 		set:           s,
-		connections:   s.NewCounter("plantainstair_gateway_upstream_connections_total"),
-		repaths:       s.NewCounter("plantainstair_gateway_repaths_total"),
-		brokenStreams: s.NewCounter("plantainstair_gateway_broken_streams_total"),
-		budgetSpent:   s.NewCounter("plantainstair_gateway_retry_budget_spent_total"),
-		inProgress:    s.NewCounter("plantainstair_gateway_requests_in_progress"),
-		firstByte:     s.NewHistogram("plantainstair_gateway_first_byte_seconds"),
+		connections:   s.NewCounter("plantain_gateway_upstream_connections_total"),
+		repaths:       s.NewCounter("plantain_gateway_repaths_total"),
+		brokenStreams: s.NewCounter("plantain_gateway_broken_streams_total"),
+		budgetSpent:   s.NewCounter("plantain_gateway_retry_budget_spent_total"),
+		inProgress:    s.NewCounter("plantain_gateway_requests_in_progress"),
+		firstByte:     s.NewHistogram("plantain_gateway_first_byte_seconds"),
 	}
 }
 
 // answered counts an answer by its status.
 func (m *metricSet) answered(status int, took time.Duration) {
-	m.set.GetOrCreateCounter(`plantainstair_gateway_answers_total{status="` + strconv.Itoa(status) + `"}`).Inc()
-	m.set.GetOrCreateHistogram("plantainstair_gateway_request_seconds").Update(took.Seconds())
+	m.set.GetOrCreateCounter(`plantain_gateway_answers_total{status="` + strconv.Itoa(status) + `"}`).Inc()
+	m.set.GetOrCreateHistogram("plantain_gateway_request_seconds").Update(took.Seconds())
 }
 
 // Metrics returns the counters of this process.
