gateway: enforce the header limit, one place for connection headers, and tests

Cause: the header limit of a configuration was not enforced and the idle limit was shorter than a configuration may allow; two lists of connection headers and two waits stood beside each other; stream.go and layout.go had grown. Change: headers over the limit get 431; connections may idle for 2 min; one list, one wait; files by subject; tests of statuses, the share of the link and the room for ranks.

--- a/pkg/instances/dialect.go
+++ b/pkg/instances/dialect.go
@@ -4,6 +4,8 @@
 
 import (
 	"net/http"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/plantainstair/plantainstair/pkg/core/path"
@@ -30,6 +32,25 @@
 	CallerHost(host string) string
 }
 
+// connectionHeaders concern one connection only.
+var connectionHeaders = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect"}
+
+// StripConnection removes the headers that concern one connection only, and
+// those that a Connection header names, but for the ones to keep.
+func StripConnection(h http.Header, keep ...string) {
+	for _, list := range h.Values("Connection") {
+		for _, name := range strings.Split(list, ",") {
+			name = http.CanonicalHeaderKey(strings.TrimSpace(name))
+			if !slices.Contains(keep, name) {
+				h.Del(name)
+			}
+		}
+	}
+	for _, name := range connectionHeaders {
+		h.Del(name)
+	}
+}
+
 // Caller is what a caller says of its request.
 type Caller struct {
 	RequestID string
--- a/pkg/role/coordinator/serve.go
+++ b/pkg/role/coordinator/serve.go
@@ -128,16 +128,16 @@
 		c.watchers.add(1)
 		defer c.watchers.add(-1)
 	}
-	if err := c.feed(s, w); err != nil {
-		c.log.Debug("Watch ended.", logs.Str("watcher", peer.Host), logs.Err(err))
-		_ = s.SetDeadline(time.Now().Add(updateTimeout))
-		_ = s.WriteError(err)
-	}
+	err := c.feed(s, w)
+	c.log.Debug("Watch ended.", logs.Str("watcher", peer.Host), logs.Err(err))
+	_ = s.SetDeadline(time.Now().Add(updateTimeout))
+	_ = s.WriteError(err)
 }
 
 // spacing keeps a burst of changes from becoming as many updates.
 const spacing = 40 * time.Millisecond
 
+// feed sends updates until the watch fails, and returns why.
 func (c *Coordinator) feed(s *wire.Stream, w *wirepb.FleetWatch) error {
 	version := w.GetVersion()
 	revision := uint64(0)
--- a/pkg/role/gateway/gateway.go
+++ b/pkg/role/gateway/gateway.go
@@ -112,20 +112,21 @@
 }
 
 const (
-	// defaultHeaderTimeout and the like hold until a configuration is known.
-	defaultHeaderTimeout = 3 * time.Second
-	defaultIdleTimeout   = 15 * time.Second
+	// headerTimeout and idleTimeout are above what configurations allow their
+	// callers, who leave before.
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 2 * time.Minute
 	// maxHeader is above what a configuration may allow, which the handler
-	// checks.
-	maxHeader = 64 << 10
+	// checks, in bytes.
+	maxHeader = 1 << 20
 )
 
 // NewServer returns the HTTP server for callers.
 func (g *Gateway) NewServer() *http.Server {
 	return &http.Server{
 		Handler:           alice.New(g.track).ThenFunc(g.serve),
-		ReadHeaderTimeout: defaultHeaderTimeout,
-		IdleTimeout:       defaultIdleTimeout,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeader,
 	}
 }
--- /dev/null
+++ b/pkg/role/gateway/gateway_test.go
@@ -0,0 +1,90 @@
+package gateway
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/plantainstair/plantainstair/pkg/core/path"
+	"github.com/plantainstair/plantainstair/pkg/core/routing"
+	"github.com/plantainstair/plantainstair/pkg/fault"
+	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
+)
+
+// Guards against a status that promises that a request has not run without
+// proof, and against none where it is proved.
+func TestStatusOf_PromisesOnlyWhatIsProved(t *testing.T) {
+	for _, c := range []struct {
+		kind    fault.Kind
+		outcome fault.Outcome
+		want    int
+	}{
+		{fault.Unavailable, fault.NotRun, http.StatusServiceUnavailable},
+		{fault.Overloaded, fault.NotRun, http.StatusServiceUnavailable},
+		{fault.Unavailable, fault.MayHaveRun, http.StatusBadGateway},
+		{fault.Upstream, fault.MayHaveRun, http.StatusBadGateway},
+		{fault.Upstream, fault.Unspecified, http.StatusBadGateway},
+		{fault.Deadline, fault.MayHaveRun, http.StatusGatewayTimeout},
+		{fault.Unauthenticated, fault.NotRun, http.StatusUnauthorized},
+		{fault.NotFound, fault.NotRun, http.StatusNotFound},
+	} {
+		assert.Equal(t, statusOf(fault.New(c.kind, "x").WithOutcome(c.outcome)), c.want, "%s", c.kind)
+	}
+}
+
+// Guards against a crash after which so many streams cross between data centres
+// that the tokens of all others wait behind their prompts.
+func TestPipes_BoundsWhatCrosses(t *testing.T) {
+	m := &routing.Model{PipeMbps: 1000, ActivationBytes: 1000}
+	const entries, tokens = 10, 1000
+	inside, across := path.Choice{}, path.Choice{Crossings: 1}
+	perPrompt := m.ActivationBytes * 8 * tokens / (m.PipeMbps * 1e6) // seconds of the link
+	var p pipes
+	admitted := 0
+	for range 1000 {
+		if p.admit(m, entries, tokens, across) {
+			admitted++
+		}
+		assert.Assert(t, p.admit(m, entries, tokens, inside))
+	}
+	most := pipeShare*pipeBurst.Seconds()/perPrompt/entries + 1
+	assert.Assert(t, admitted >= 1 && float64(admitted) <= most, "%d admitted at once, at most %f", admitted, most)
+	assert.Assert(t, p.admitMoved(m, entries, tokens, across), "broken streams have a share of their own")
+}
+
+// Guards against less urgent work that takes the last room of an engine, and
+// against new work behind a first engine that gives no first events.
+func TestEnginesOf_KeepsRoomForUrgentRanks(t *testing.T) {
+	g := &Gateway{}
+	g.load.init()
+	m := &routing.Model{Layers: 8, LayerMB: 10, KVTokenBytes: 8000, UsualPrompt: 10, UsualAnswer: 10, Slots: 5,
+		Accelerators: map[string]*routing.Accelerator{"a": {MemoryMB: 100, StepFactor: 1, ReadFactor: 1}}}
+	service := &routing.Service{Name: "s", Model: m}
+	in := &wirepb.Instance{Id: "e", Service: "s", Accelerator: "a", Layers: &wirepb.LayerRange{From: 0, To: 8}}
+	v := &view{byService: map[string][]*wirepb.Instance{"s": {in}}}
+	room := func(rank int) int {
+		q := &request{service: service, rank: rank, route: &routing.Route{Target: time.Nanosecond}}
+		return g.enginesOf(v, q, nil)[0].FreeTokens
+	}
+	assert.Assert(t, room(0) > room(1) && room(1) > room(2))
+	q := &request{service: service, route: &routing.Route{Target: time.Nanosecond}}
+	assert.Assert(t, g.enginesOf(v, q, nil)[0].FreeSlots > 0)
+	s := &stream{}
+	g.load.await("e", s)
+	time.Sleep(time.Millisecond)
+	assert.Equal(t, g.enginesOf(v, q, nil)[0].FreeSlots, 0)
+	g.load.awaited("e", s)
+	assert.Assert(t, g.enginesOf(v, q, nil)[0].FreeSlots > 0)
+}
+
+// Guards against an engine in trouble that is avoided for good.
+func TestLoadBook_ForgetsTrouble(t *testing.T) {
+	var b loadBook
+	b.init()
+	b.failed("e")
+	assert.Assert(t, b.inTrouble("e"))
+	b.succeeded("e")
+	assert.Assert(t, !b.inTrouble("e"))
+}
--- a/pkg/role/gateway/handler.go
+++ b/pkg/role/gateway/handler.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/plantainstair/plantainstair/pkg/core/routing"
+	"github.com/plantainstair/plantainstair/pkg/delay"
 	"github.com/plantainstair/plantainstair/pkg/fault"
 	"github.com/plantainstair/plantainstair/pkg/instances"
 	"github.com/plantainstair/plantainstair/pkg/logs"
@@ -103,7 +104,7 @@
 // awaitView waits for the configuration while the process starts.
 func (g *Gateway) awaitView(ctx context.Context, q *request) {
 	for q.view = g.view.Load(); q.view.conf == nil; q.view = g.view.Load() {
-		if time.Since(q.arrived) > g.startHold() || !wait(ctx, viewRetry) {
+		if time.Since(q.arrived) > g.startHold() || !delay.Wait(ctx, viewRetry) {
 			return
 		}
 	}
@@ -120,6 +121,9 @@
 	if conf == nil {
 		return notRun(fault.StaleConfig, "no configuration is known yet").WithRetryAfter(time.Second)
 	}
+	if limit := conf.Limits.HeaderBytes; limit > 0 && headerSize(r) > limit {
+		return notRun(fault.Invalid, "header is over %d bytes", limit).WithField("header")
+	}
 	if q.route = conf.Match(g.opts.Dialect.CallerHost(r.Host), r.URL.Path); q.route == nil {
 		return notRun(fault.NotFound, "no route for this host and path")
 	}
@@ -135,6 +139,17 @@
 	return nil
 }
 
+// headerSize returns about the size of a request's header, in bytes.
+func headerSize(r *http.Request) int {
+	n := len(r.Method) + len(r.RequestURI) + len(r.Host)
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(v)
+		}
+	}
+	return n
+}
+
 func (q *request) authenticate(conf *routing.Configuration) error {
 	q.rank = q.route.Rank
 	if q.route.Public || len(conf.Organisations) == 0 {
@@ -231,8 +246,11 @@
 	}
 	switch e.Kind {
 	case fault.Invalid:
-		if e.Field == "body" {
+		switch e.Field {
+		case "body":
 			return http.StatusRequestEntityTooLarge
+		case "header":
+			return http.StatusRequestHeaderFieldsTooLarge
 		}
 		return http.StatusBadRequest
 	case fault.Unauthenticated:
--- a/pkg/role/gateway/plain.go
+++ b/pkg/role/gateway/plain.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/plantainstair/plantainstair/pkg/core/routing"
+	"github.com/plantainstair/plantainstair/pkg/delay"
 	"github.com/plantainstair/plantainstair/pkg/fault"
 	"github.com/plantainstair/plantainstair/pkg/instances"
 	"github.com/plantainstair/plantainstair/pkg/logs"
@@ -83,7 +84,7 @@
 func (g *Gateway) awaitUpstream(ctx context.Context, q *request, tried map[string]bool) *wirepb.Instance {
 	for {
 		in := g.pickUpstream(q, tried)
-		if in != nil || len(tried) > 0 || time.Since(q.arrived) > g.startHold() || !wait(ctx, viewRetry) {
+		if in != nil || len(tried) > 0 || time.Since(q.arrived) > g.startHold() || !delay.Wait(ctx, viewRetry) {
 			return in
 		}
 	}
@@ -164,16 +165,9 @@
 	_, _ = w.Write(body)
 }
 
-// connectionHeaders concern one connection only.
-var connectionHeaders = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length"}
-
 func copyHeader(to, from http.Header) {
 	for name, values := range from {
 		to[name] = values
 	}
-	for _, name := range connectionHeaders {
-		if name != "Content-Length" {
-			to.Del(name)
-		}
-	}
+	instances.StripConnection(to)
 }
--- /dev/null
+++ b/pkg/role/gateway/streams.go
@@ -0,0 +1,43 @@
+package gateway
+
+import (
+	"sync"
+
+	"github.com/plantainstair/plantainstair/pkg/core/path"
+	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
+)
+
+// streams are the streams in progress.
+type streams struct {
+	mu  sync.Mutex
+	all map[*stream]bool
+}
+
+func (l *streams) init() { l.all = make(map[*stream]bool) }
+
+func (l *streams) add(s *stream) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.all[s] = true
+}
+
+func (l *streams) remove(s *stream) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.all, s)
+}
+
+func (l *streams) list() []*stream {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := make([]*stream, 0, len(l.all))
+	for s := range l.all {
+		out = append(out, s)
+	}
+	return out
+}
+
+// holds reports whether an instance still runs its part of a path.
+func holds(in *wirepb.Instance, p path.Part) bool {
+	return in != nil && in.GetAddress() == p.Address && !in.GetSuspect() && in.GetLayers() != nil
+}
