--- a/pkg/core/layout/layout.go
+++ b/pkg/core/layout/layout.go
@@ -96,8 +96,8 @@
 const stretchRoom = 48
 
 // rooms are the amounts of KV cache per engine, in requests of the usual size,
-// among which the sizes of a layout are chosen.
-// Those below stretchRoom are used only where the model has no place otherwise.
+// among which the sizes of a layout are chosen. Those below stretchRoom are used
+// only where the model has no place otherwise.
 var rooms = []int{4, 8, 16, 24, 32, 48, 64, 96, 128, 192, 256}
 
 // planDataCentre looks for the sizes with which the tightest layer has most
--- a/pkg/role/gateway/repair.go
+++ b/pkg/role/gateway/repair.go
@@ -25,7 +25,8 @@
 	sweepInterval = time.Second
 )
 
-// repairLoop moves streams off engines that were lost.
+// repairLoop moves streams off engines that were lost or leave, whenever the view
+// changes, and closes idle connections.
 func (g *Gateway) repairLoop(ctx context.Context) {
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
@@ -128,16 +129,17 @@
 	return true
 }
 
-// repath moves a stream to a path with the same first engine, so that its
-// connection and what the other engines have read are kept.
-func (g *Gateway) repath(ctx context.Context, v *view, s *stream, parts []path.Part, lost string, cross bool) {
+// repath moves a stream off an engine to a path with the same first engine, so
+// that its connection and what the other engines have read are kept. With cross,
+// the path may change the data centre.
+func (g *Gateway) repath(ctx context.Context, v *view, s *stream, parts []path.Part, off string, cross bool) {
 	q := s.q
 	tokens := q.caller.Prompt + q.answerTokens()
 	choice, err := path.Choose(q.service.Model, g.enginesOf(v, q, nil), path.Request{
 		Prompt: q.caller.Prompt, Answer: q.answerTokens(), DataCentre: g.opts.DataCentre,
 		Head: &parts[0], Inside: !cross, Spread: preferKept(parts, q.caller.RequestID),
 	})
-	if err == nil && lost != "" && through(choice.Parts, lost) {
+	if err == nil && through(choice.Parts, off) {
 		return // nothing better than the engine that leaves
 	}
 	if err != nil || !g.pipes.admitMoved(q.service.Model, v.entries, tokens, choice) {
@@ -154,10 +156,10 @@
 		defer cancel()
 		err := g.engines.Repath(ctx, parts[0].Address, instances.Repath{RequestID: q.caller.RequestID, Path: choice.Parts})
 		if err == nil {
-			g.log.Info("Stream moved.", logs.Str("request", q.caller.RequestID), logs.Str("lost", lost), logs.Int("engines", len(choice.Parts)))
+			g.log.Info("Stream moved.", logs.Str("request", q.caller.RequestID), logs.Str("off", off), logs.Int("engines", len(choice.Parts)))
 			return
 		}
-		g.log.Warn("Stream not moved.", logs.Str("request", q.caller.RequestID), logs.Str("lost", lost), logs.Err(err))
+		g.log.Warn("Stream not moved.", logs.Str("request", q.caller.RequestID), logs.Str("off", off), logs.Err(err))
 		for _, p := range choice.Parts {
 			if p.Address == fault.As(err).Field {
 				g.load.failed(p.ID)
