--- a/pkg/core/layout/capacity.go
+++ b/pkg/core/layout/capacity.go
@@ -19,9 +19,6 @@
 	PerSecond float64
 }
 
-// hopTime is the delay between two engines of a data centre.
-const hopTime = 100 * time.Microsecond
-
 // Capacities returns the capacity of each data centre.
 func Capacities(m *routing.Model, engines []Engine) map[string]Capacity {
 	groups := make(map[string][]Engine)
@@ -51,13 +48,12 @@
 		for l := max(0, e.Held.From); l < min(m.Layers, e.Held.To); l++ {
 			tokens[l] += room
 			if s := m.StepTime(a, 1); step[l] == 0 || s < step[l] {
-				step[l] = s
-				read[l] = time.Duration(float64(time.Second) / max(1, m.ReadRate) * a.ReadFactor / float64(m.Layers))
+				step[l], read[l] = s, m.ReadTime(a, 1)
 			}
 		}
 	}
 	c := Capacity{Tokens: tokens[0]}
-	token, prompt := time.Duration(hops)*hopTime, time.Duration(0)
+	token, prompt := time.Duration(hops)*routing.LocalHop, time.Duration(0)
 	for l := range tokens {
 		c.Tokens = min(c.Tokens, tokens[l])
 		token += step[l]
--- a/pkg/core/layout/improve.go
+++ b/pkg/core/layout/improve.go
@@ -14,8 +14,8 @@
 
 // improve returns the plan with the one change that makes the layout better by
 // most: an engine gives up layers that others hold too, or takes layers over
-// from its neighbour. Repairs leave engines with little room; this brings the
-// room back once there is peace.
+// from its neighbour. Repairs leave engines with little room; single changes
+// bring it back without moving all engines at once.
 func (p *planner) improve() map[string]Range {
 	base := p.score()
 	best := maps.Clone(p.assigned)
@@ -59,7 +59,7 @@
 			default:
 				continue
 			}
-			if p.model.KVTokens(p.model.Accelerators[e.Accelerator], wider.Len()) == 0 {
+			if p.roomFor(e, wider) == 0 {
 				continue
 			}
 			p.assign(o, rest)
--- a/pkg/core/layout/pass.go
+++ b/pkg/core/layout/pass.go
@@ -114,10 +114,6 @@
 	return nil, 0
 }
 
-func (p *planner) roomFor(e Engine, r Range) int {
-	return p.model.KVTokens(p.model.Accelerators[e.Accelerator], r.Len())
-}
-
 // heldByOthers reports whether other engines hold every layer of a range that e
 // holds.
 func (p *planner) heldByOthers(e Engine, r Range) bool {
--- a/pkg/core/layout/planner.go
+++ b/pkg/core/layout/planner.go
@@ -40,10 +40,15 @@
 	return p
 }
 
+// roomFor returns the KV cache of an engine beside a range of layers, in tokens.
+func (p *planner) roomFor(e Engine, r Range) int {
+	return p.model.KVTokens(p.model.Accelerators[e.Accelerator], r.Len())
+}
+
 func (p *planner) assign(e Engine, r Range) {
 	p.release(e)
 	p.assigned[e.ID] = r
-	p.room[e.ID] = p.model.KVTokens(p.model.Accelerators[e.Accelerator], r.Len())
+	p.room[e.ID] = p.roomFor(e, r)
 	for l := r.From; l < r.To; l++ {
 		p.copies[l]++
 		p.tokens[l] += p.room[e.ID]
@@ -224,7 +229,7 @@
 		default:
 			continue
 		}
-		if room := p.model.KVTokens(p.model.Accelerators[e.Accelerator], r.Len()); room > most && room >= tokens {
+		if room := p.roomFor(e, r); room > most && room >= tokens {
 			best, wanted, most = e, r, room
 		}
 	}
--- a/pkg/core/path/path.go
+++ b/pkg/core/path/path.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -13,16 +14,15 @@
 
 // Engine is an engine as a path may use it.
 type Engine struct {
-	ID          string
-	Address     string
-	DataCentre  string
-	From, To    int           // layers held
-	Step        time.Duration // of one token over one layer, with the present batch
-	Read        time.Duration // of one prompt token over one layer
-	FreeTokens  int           // KV cache that is left, in tokens over all layers held
-	FreeSlots   int           // requests that it takes as first of a path
-	Penalty     time.Duration // added once, for an engine that answered badly
-	Unavailable bool
+	ID         string
+	Address    string
+	DataCentre string
+	From, To   int           // layers held
+	Step       time.Duration // of one token over one layer, with the present batch
+	Read       time.Duration // of one prompt token over one layer
+	FreeTokens int           // KV cache that is left, in tokens over all layers held
+	FreeSlots  int           // requests that it takes as first of a path
+	Penalty    time.Duration // added once, for an engine that answered badly
 }
 
 // Part is one engine of a path with the layers that it runs.
@@ -53,8 +53,9 @@
 	// crowded is the cost of an engine without room for the request: it would
 	// refuse it, so it is used only where nothing else is left.
 	crowded = 30 * time.Second
-	// localHop is the delay between two engines of one data centre.
-	localHop = 100 * time.Microsecond
+	// pipeWeight is the number of other transfers that a transfer over the shared
+	// pipe is taken to delay.
+	pipeWeight = 10
 )
 
 // Choice is a path with its estimate.
@@ -71,18 +72,13 @@
 // first; one that crosses is taken only where none of them is complete or all
 // lack room, because the link between data centres is shared by all.
 func Choose(m *routing.Model, engines []Engine, r Request) (Choice, error) {
-	usable := slices.DeleteFunc(slices.Clone(engines), func(e Engine) bool { return e.Unavailable || e.To <= e.From })
+	usable := slices.DeleteFunc(slices.Clone(engines), func(e Engine) bool { return e.To <= e.From })
 	groups := make(map[string][]Engine)
 	for _, e := range usable {
 		groups[e.DataCentre] = append(groups[e.DataCentre], e)
 	}
-	names := make([]string, 0, len(groups))
-	for name := range groups {
-		names = append(names, name)
-	}
-	slices.Sort(names)
 	best, found := Choice{}, false
-	for _, name := range names {
+	for _, name := range slices.Sorted(maps.Keys(groups)) {
 		c, ok := cheapest(m, groups[name], r)
 		if !ok {
 			continue
@@ -202,21 +198,18 @@
 		s.extend(c)
 	}
 	last := len(s.cuts) - 1
-	end := slices.MinFunc(s.indices(), func(a, b int) int { return compare(s.best[last][a], s.best[last][b]) })
+	end := 0
+	for i := range s.engines {
+		if compare(s.best[last][i], s.best[last][end]) < 0 {
+			end = i
+		}
+	}
 	if !s.best[last][end].ok {
 		return nil, 0, false
 	}
 	return s.parts(last, end), s.best[last][end].cost, true
 }
 
-func (s *search) indices() []int {
-	out := make([]int, len(s.engines))
-	for i := range out {
-		out[i] = i
-	}
-	return out
-}
-
 func compare(a, b step) int {
 	switch {
 	case a.ok != b.ok && a.ok:
@@ -292,7 +285,7 @@
 func (s *search) hop(from, to *Engine) time.Duration {
 	answers := time.Duration(s.request.Answer + 1)
 	if from.DataCentre == to.DataCentre {
-		return localHop * answers
+		return routing.LocalHop * answers
 	}
 	d := s.model.Delay(from.DataCentre, to.DataCentre) * answers
 	if s.model.PipeMbps > 0 {
@@ -303,10 +296,6 @@
 	return d
 }
 
-// pipeWeight is the number of other transfers that a transfer over the shared
-// pipe is taken to delay.
-const pipeWeight = 10
-
 func (s *search) parts(cut, engine int) []Part {
 	var out []Part
 	for engine >= 0 {
--- a/pkg/core/registry/registry.go
+++ b/pkg/core/registry/registry.go
@@ -163,10 +163,10 @@
 
 // Report is what an engine answered when it was asked for its state.
 type Report struct {
-	BornUnixMs int64
-	Layers     *wirepb.LayerRange
-	Loading    bool
-	Orders     uint64
+	BornUnixMs int64              // zero when not said
+	Layers     *wirepb.LayerRange // nil when it holds none
+	Loading    bool               // an order is in progress
+	Orders     uint64             // orders that it accepted
 	Load       *wirepb.InstanceLoad
 	Models     []string
 }
--- a/pkg/core/routing/model.go
+++ b/pkg/core/routing/model.go
@@ -65,6 +65,17 @@
 	return time.Duration(float64(m.Step) * a.StepFactor * float64(layers) / float64(m.Layers))
 }
 
+// ReadTime returns the time of one prompt token over so many layers.
+func (m *Model) ReadTime(a *Accelerator, layers int) time.Duration {
+	if m.ReadRate <= 0 {
+		return 0
+	}
+	return time.Duration(float64(time.Second) / m.ReadRate * a.ReadFactor * float64(layers) / float64(m.Layers))
+}
+
+// LocalHop is the delay between two engines of one data centre.
+const LocalHop = 100 * time.Microsecond
+
 // Delay returns the one-way delay between two data centres.
 func (m *Model) Delay(from, to string) time.Duration {
 	if d, ok := m.LinkDelays[[2]string{from, to}]; ok {
--- a/pkg/instances/dialect.go
+++ b/pkg/instances/dialect.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/plantainstair/plantainstair/pkg/core/path"
-	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
+	"github.com/plantainstair/plantainstair/pkg/core/registry"
 )
 
 // Dialect translates between this package and what a deployment speaks.
@@ -86,12 +86,7 @@
 
 // State is the answer of an engine to a report call.
 type State struct {
-	BornUnixMs int64
-	Layers     *wirepb.LayerRange // nil when it holds none
-	Loading    bool
-	Orders     uint64 // orders that it accepted
-	Load       *wirepb.InstanceLoad
-	Models     []string
+	registry.Report
 	// Stalled are requests that wait for a lost engine.
 	Stalled []Stalled
 }
--- a/pkg/role/coordinator/poll.go
+++ b/pkg/role/coordinator/poll.go
@@ -7,7 +7,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/plantainstair/plantainstair/pkg/core/registry"
 	"github.com/plantainstair/plantainstair/pkg/fault"
 	"github.com/plantainstair/plantainstair/pkg/instances"
 	"github.com/plantainstair/plantainstair/pkg/logs"
@@ -25,7 +24,8 @@
 	// pollMisses is the number of polls without an answer after which an engine
 	// gets no new work. One alone may be a lost packet.
 	pollMisses = 2
-	// stalledTime is the time for which the word of another engine counts.
+	// stalledTime is the time for which a report that an engine is waited for
+	// counts.
 	stalledTime = time.Second
 )
 
@@ -109,10 +109,7 @@
 			logs.Str("slowdown", strconv.FormatFloat(state.Load.GetSlowdown(), 'f', 2, 64)))
 	}
 	before := c.registry.Revision()
-	c.registry.Report(time.Now(), in.GetId(), registry.Report{
-		BornUnixMs: state.BornUnixMs, Layers: state.Layers, Loading: state.Loading,
-		Orders: state.Orders, Load: state.Load, Models: state.Models,
-	})
+	c.registry.Report(time.Now(), in.GetId(), state.Report)
 	if c.registry.Revision() != before {
 		c.watchers.wake()
 	}
--- a/pkg/role/coordinator/replica.go
+++ b/pkg/role/coordinator/replica.go
@@ -43,15 +43,13 @@
 	if err != nil {
 		return err
 	}
-	founder := false
-	for _, v := range o.Founders {
-		founder = founder || (o.Bootstrap && v.GetPeerAddress() == o.Self.GetPeerAddress())
-	}
+	own := founderAt(o.Founders, o.Self.GetPeerAddress())
+	founder := o.Bootstrap && own != nil
 	switch {
 	case exists:
 		o.Self.Id = id
 	case founder:
-		o.Self.Id = founderID(o.Founders, o.Self)
+		o.Self.Id = own.GetId()
 	default:
 		if o.Self.Id, err = newID(); err != nil {
 			return err
@@ -89,14 +87,14 @@
 	return 0
 }
 
-// founderID returns the id of a founder, which all founders work out alike.
-func founderID(founders []*wirepb.Voter, self *wirepb.Voter) uint64 {
+// founderAt returns the founder with an address, or nil.
+func founderAt(founders []*wirepb.Voter, address string) *wirepb.Voter {
 	for _, v := range founders {
-		if v.GetPeerAddress() == self.GetPeerAddress() {
-			return v.GetId()
+		if v.GetPeerAddress() == address {
+			return v
 		}
 	}
-	return 0
+	return nil
 }
 
 // newID returns an id that was never used before. The upper bit keeps it apart
--- a/pkg/role/gateway/handler.go
+++ b/pkg/role/gateway/handler.go
@@ -54,12 +54,7 @@
 	q := &request{arrived: time.Now()}
 	g.awaitView(r.Context(), q)
 	recorder := &statusRecorder{ResponseWriter: w}
-	defer func() {
-		g.record(q, recorder)
-		if p := recover(); p != nil {
-			panic(p) // http.ErrAbortHandler, which ends the connection
-		}
-	}()
+	defer g.record(q, recorder)
 	if err := g.admit(q, r); err != nil {
 		refuse(recorder, q, err)
 		return
--- a/pkg/role/gateway/metrics.go
+++ b/pkg/role/gateway/metrics.go
@@ -16,6 +16,7 @@
 	budgetSpent   *metrics.Counter
 	inProgress    *metrics.Counter
 	firstByte     *metrics.Histogram
+	requestTime   *metrics.Histogram
 }
 
 func newMetrics() *metricSet {
@@ -28,13 +29,14 @@
 		budgetSpent:   s.NewCounter("plantain_gateway_retry_budget_spent_total"),
 		inProgress:    s.NewCounter("plantain_gateway_requests_in_progress"),
 		firstByte:     s.NewHistogram("plantain_gateway_first_byte_seconds"),
+		requestTime:   s.NewHistogram("plantain_gateway_request_seconds"),
 	}
 }
 
 // answered counts an answer by its status.
 func (m *metricSet) answered(status int, took time.Duration) {
 	m.set.GetOrCreateCounter(`plantain_gateway_answers_total{status="` + strconv.Itoa(status) + `"}`).Inc()
-	m.set.GetOrCreateHistogram("plantain_gateway_request_seconds").Update(took.Seconds())
+	m.requestTime.Update(took.Seconds())
 }
 
 // Metrics returns the counters of this process.
--- a/pkg/role/gateway/repair.go
+++ b/pkg/role/gateway/repair.go
@@ -58,7 +58,7 @@
 		switch {
 		case lost == parts[0].ID:
 			g.resume(v, s, parts[0], lost, "first engine lost")
-		case s.silent(lost != "") > silenceLimit:
+		case s.silentSinceBreak(lost != "") > silenceLimit:
 			g.resume(v, s, parts[0], lost, "no event since the path broke")
 		case lost != "" && due:
 			g.repath(ctx, v, s, parts, lost, true)
@@ -81,9 +81,10 @@
 	}
 }
 
-// silent returns the time without an event of a stream whose path is or was
-// broken in this attempt, and zero for others.
-func (s *stream) silent(broken bool) time.Duration {
+// silentSinceBreak notes whether the path is broken, and returns the time without
+// an event of a stream whose path is or was broken in this attempt; zero for
+// others.
+func (s *stream) silentSinceBreak(broken bool) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.broken = s.broken || broken
--- a/pkg/role/gateway/view.go
+++ b/pkg/role/gateway/view.go
@@ -97,12 +97,10 @@
 		ID: in.GetId(), Address: in.GetAddress(), DataCentre: in.GetDataCentre(),
 		From: int(in.GetLayers().GetFrom()), To: int(in.GetLayers().GetTo()),
 		Step:       time.Duration(step * a.StepFactor * slowdown / float64(m.Layers)),
+		Read:       time.Duration(float64(m.ReadTime(a, 1)) * slowdown),
 		FreeTokens: int(total-used) - pending,
 		FreeSlots:  m.Slots - int(load.GetActive()) - int(load.GetQueued()),
 	}
-	if m.ReadRate > 0 {
-		e.Read = time.Duration(float64(time.Second) / m.ReadRate * a.ReadFactor * slowdown / float64(m.Layers))
-	}
 	switch {
 	case g.load.inTrouble(in.GetId()):
 		e.Penalty = troublePenalty
