--- a/pkg/instances/dialect.go
+++ b/pkg/instances/dialect.go
@@ -65,6 +65,9 @@
 	// zero if not stated.
 	ExpectedOutputTokens int
 	LastEventID          string // event after which a stream is resumed
+	// SharedPromptParts identifies the parts of the prompt that other requests may have
+	// as well, in order. The part that is the request's own is not among them.
+	SharedPromptParts []string
 }
 
 // Dispatch is what the router tells an upstream about a request.
--- a/pkg/logs/logs.go
+++ b/pkg/logs/logs.go
@@ -62,6 +62,12 @@
 // Str returns a string field.
 func Str(key, value string) Field { return func(e *zerolog.Event) { e.Str(key, value) } }
 
+// Strs returns a field that holds a list of strings.
+func Strs(key string, values []string) Field { return func(e *zerolog.Event) { e.Strs(key, values) } }
+
+// Bool returns a boolean field.
+func Bool(key string, value bool) Field { return func(e *zerolog.Event) { e.Bool(key, value) } }
+
 // Int returns an integer field.
 func Int(key string, value int) Field { return func(e *zerolog.Event) { e.Int(key, value) } }
 
--- a/pkg/role/gateway/attempt.go
+++ b/pkg/role/gateway/attempt.go
@@ -101,6 +101,7 @@
 // copyEvents relays complete events to the caller as they arrive.
 func (g *Gateway) copyEvents(ctx context.Context, w http.ResponseWriter, s *stream, reply *instances.Reply, firstEngineID string) error {
 	controller := http.NewResponseController(w)
+	s.recordReplyBegan()
 	if !s.started {
 		copyHeader(w.Header(), reply.Header)
 		w.Header().Del("Content-Length")
@@ -142,12 +143,19 @@
 	}
 }
 
+func (s *stream) recordReplyBegan() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.replyBegan = true
+}
+
 func (s *stream) recordEvent(now time.Time) {
 	s.q.recordEvent(now)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lastEventAt = now
 	s.eventWrites++
+	s.attemptWrites++
 	if s.eventWrites == 1 {
 		s.firstEventAt = now
 	}
--- a/pkg/role/gateway/stream.go
+++ b/pkg/role/gateway/stream.go
@@ -27,6 +27,10 @@
 	lastEventAt time.Time               // last event, or the start of the attempt
 	pathBroken  bool                    // the path broke during this attempt
 	eventWrites int                     // writes to the caller, each of one or more complete events
+	// replyBegan is set once the engine has sent the header of its reply to this attempt, and
+	// attemptWrites counts the writes of this attempt.
+	replyBegan    bool
+	attemptWrites int
 	// firstEventAt is the time of the first of these writes.
 	firstEventAt time.Time
 }
@@ -73,8 +77,10 @@
 		}
 		lastErr = err
 		e := fault.As(err)
+		replyBegan, writes := s.attemptProgress()
 		g.log.Info("Attempt failed.", logs.Str("request", q.metadata.RequestID), logs.Str("upstream", q.upstream),
-			logs.Int("attempt", q.attempts), logs.Str("after_event", s.splitter.LastEventID()), logs.Err(err))
+			logs.Int("attempt", q.attempts), logs.Str("after_event", s.splitter.LastEventID()),
+			logs.Bool("reply_began", replyBegan), logs.Int("attempt_writes", writes), logs.Strs("prompt_parts", q.metadata.SharedPromptParts), logs.Err(err))
 		if e.Outcome != fault.NotRun && (!q.route.MayRepeat() || q.attempts >= max(1, q.route.MaxAttempts)) {
 			break
 		}
@@ -163,4 +169,13 @@
 	defer s.mu.Unlock()
 	s.endBlocked, s.lastEventAt, s.pathBroken = lastAttempt, time.Now(), false
 	s.stages, s.cancel, s.repathedAt = stages, cancel, time.Time{}
+	s.replyBegan, s.attemptWrites = false, 0
+}
+
+// attemptProgress returns whether the engine has begun its reply to the current attempt,
+// and the number of writes to the caller since.
+func (s *stream) attemptProgress() (replyBegan bool, writes int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.replyBegan, s.attemptWrites
 }
