--- a/pkg/role/entry/harness_test.go
+++ b/pkg/role/entry/harness_test.go
@@ -83,6 +83,7 @@
 	server        *link.Server
 	nextBehaviour func() behaviour
 	silent        atomic.Bool
+	engineLost    atomic.Bool // reports that it takes no work, as an agent without its engine
 	requests      atomic.Int64
 	cancelled     atomic.Int64
 	reports       atomic.Int64
@@ -119,7 +120,7 @@
 	go func() { defer close(ended); _, _ = s.Read() }()
 	for n := uint64(1); ; n++ {
 		if !a.silent.Load() {
-			r := &wirepb.LoadReport{Sequence: n, Host: a.host, Incarnation: 1, Slots: 8}
+			r := &wirepb.LoadReport{Sequence: n, Host: a.host, Incarnation: 1, Slots: 8, Draining: a.engineLost.Load()}
 			if s.Write(&wirepb.Frame{Body: &wirepb.Frame_LoadReport{LoadReport: r}}) != nil {
 				return
 			}
