pkg/role/entry: refuse prompts that begin like those on which engines crash

Change: each entry gives the tracker of pkg/core/quarantine the prefixes of prompts whose engine was lost before the first token, confirmed by the routing table, and those of answered prompts. The delays of the tracker become arguments: one process need not wait for reports. The error kind quarantined is public (503, not_run, with the time that remains).

--- a/pkg/callers/errors.go
+++ b/pkg/callers/errors.go
@@ -54,7 +54,7 @@
 	switch k {
 	case fault.RateLimited, fault.Overloaded, fault.Deadline, fault.Unavailable, fault.StaleConfig,
 		fault.StaleEpoch, fault.OutOfOrder, fault.Upstream, fault.Protocol, fault.Preempted, fault.Draining,
-		fault.UnknownOutcome, fault.NotLeader:
+		fault.UnknownOutcome, fault.NotLeader, fault.Quarantined:
 		return true
 	}
 	return false
@@ -124,7 +124,7 @@
 		return http.StatusGone
 	case fault.RateLimited:
 		return http.StatusTooManyRequests
-	case fault.Overloaded, fault.Unavailable, fault.StaleConfig, fault.Preempted, fault.Draining, fault.NotLeader:
+	case fault.Overloaded, fault.Unavailable, fault.StaleConfig, fault.Preempted, fault.Draining, fault.NotLeader, fault.Quarantined:
 		return http.StatusServiceUnavailable
 	case fault.Deadline:
 		return http.StatusGatewayTimeout
--- a/pkg/core/quarantine/decide.go
+++ b/pkg/core/quarantine/decide.go
@@ -38,7 +38,7 @@
 func (t *Tracker) decide(now time.Time) []cause {
 	var unexplained []*crash
 	for _, c := range t.crashes {
-		if c.confirmed && now.Sub(c.reportedAt) >= settleTime {
+		if c.confirmed && now.Sub(c.reportedAt) >= t.delays.Settle {
 			unexplained = append(unexplained, c)
 		}
 	}
@@ -96,7 +96,7 @@
 
 // isCause reports whether a part that occurs in count crashes is held to be their cause.
 func (t *Tracker) isCause(now time.Time, id string, count int, score float64, crashes []*crash) bool {
-	if now.Sub(t.watched[id].since) < answerReportTime || t.isSound(id, count) {
+	if now.Sub(t.watched[id].since) < t.delays.Answers || t.isSound(id, count) {
 		return false
 	}
 	enough := minCrashes
--- a/pkg/core/quarantine/tracker.go
+++ b/pkg/core/quarantine/tracker.go
@@ -42,12 +42,6 @@
 	// confirmTimeout is the time within which a leader finds out that an engine is lost,
 	// also one that has just been elected. A connection that breaks without it is no crash.
 	confirmTimeout = 5 * time.Second
-	// settleTime is the time from the first report of a crash until those of the other
-	// gateways have arrived.
-	settleTime = 150 * time.Millisecond
-	// answerReportTime is the time from when a part is first watched until the gateways
-	// have reported whether requests with it are answered.
-	answerReportTime = 400 * time.Millisecond
 	// maxWatched bounds the parts that gateways report answers for.
 	maxWatched = 128
 	// maxQuarantines bounds the quarantines, ended ones included.
@@ -99,9 +93,21 @@
 	answeredOnce bool // also before
 }
 
+// Delays are the times that evidence takes to arrive. They are zero where one process has
+// all of it.
+type Delays struct {
+	// Settle is the time from the first report of a crash until those of all other
+	// processes have arrived.
+	Settle time.Duration
+	// Answers is the time from when a part is first watched until all processes have
+	// reported whether requests with it are answered.
+	Answers time.Duration
+}
+
 // Tracker collects the evidence of all gateways and decides on quarantines. It is not safe
 // for concurrent use.
 type Tracker struct {
+	delays      Delays
 	crashes     map[Process]*crash
 	watched     map[string]*watch
 	quarantines []Quarantine
@@ -112,8 +118,8 @@
 }
 
 // NewTracker returns a tracker without evidence. known are quarantines imposed before.
-func NewTracker(known []Quarantine) *Tracker {
-	t := &Tracker{crashes: make(map[Process]*crash), watched: make(map[string]*watch), revision: 1}
+func NewTracker(d Delays, known []Quarantine) *Tracker {
+	t := &Tracker{delays: d, crashes: make(map[Process]*crash), watched: make(map[string]*watch), revision: 1}
 	t.Merge(known)
 	return t
 }
@@ -251,12 +257,12 @@
 // crash or of answers are still expected.
 func (t *Tracker) awaitsReports(now time.Time) bool {
 	for _, c := range t.crashes {
-		if now.Sub(c.reportedAt) < settleTime {
+		if now.Sub(c.reportedAt) < t.delays.Settle {
 			return true
 		}
 	}
 	for _, w := range t.watched {
-		if now.Sub(w.since) < answerReportTime {
+		if now.Sub(w.since) < t.delays.Answers {
 			return true
 		}
 	}
--- a/pkg/role/coordinator/coordinator.go
+++ b/pkg/role/coordinator/coordinator.go
@@ -114,7 +114,7 @@
 	c.conns = instances.NewPool(o.Dialect, c.metrics.connections.Inc)
 	c.engines = instances.NewEngineClient(c.conns, o.Dialect)
 	c.placement = newPlacement(c)
-	c.prompts = quarantine.NewTracker(nil)
+	c.prompts = quarantine.NewTracker(promptDelays, nil)
 	if err := c.openReplica(); err != nil {
 		cancel()
 		c.pool.Close()
@@ -367,7 +367,7 @@
 	c.registry.Merge(now, known)
 	c.placement = newPlacement(c)
 	c.polls = make(map[string]*pollState)
-	c.prompts = quarantine.NewTracker(view.Prompts.Quarantines)
+	c.prompts = quarantine.NewTracker(promptDelays, view.Prompts.Quarantines)
 	c.loggedQuarantines, c.loggedPromptRevision = c.prompts.Quarantines(), c.prompts.Revision()
 	c.log.Info("Leads now.", logs.Uint("term", c.node.Status().Term), logs.Int("instances", len(known)))
 }
--- a/pkg/role/coordinator/prompts.go
+++ b/pkg/role/coordinator/prompts.go
@@ -12,6 +12,10 @@
 	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
 )
 
+// promptDelays are several times the usual time of a report: gateways group what they
+// report for 50 ms, and a watched part reaches them within an update.
+var promptDelays = quarantine.Delays{Settle: 150 * time.Millisecond, Answers: 400 * time.Millisecond}
+
 // servePromptReport records what a gateway saw of requests with shared prompt parts.
 func (c *Coordinator) servePromptReport(s *wire.Stream, r *wirepb.PromptReport) {
 	ctx, cancel := context.WithTimeout(c.ctx, forwardTimeout)
--- a/pkg/role/entry/attempt.go
+++ b/pkg/role/entry/attempt.go
@@ -47,6 +47,7 @@
 	if g.emitErr != nil {
 		return nil, g.emitErr
 	}
+	g.entry.promptGuard.recordAnswered(g.parts)
 	g.recordSuccess(firstTokenAt, len(g.stream.Emitted())-firstPosition)
 	return done, nil
 }
--- a/pkg/role/entry/entry.go
+++ b/pkg/role/entry/entry.go
@@ -36,6 +36,7 @@
 	baseline           roundRobin // used only if Settings.RoundRobin is set
 	organisationLimits *organisationLimiter
 	requestLimiter     *requestLimiter
+	promptGuard        *promptGuard
 	metrics            *entryMetrics
 	lifecycle          *lifecycle.Lifecycle
 	shuttingDown       atomic.Bool
@@ -58,6 +59,7 @@
 		retryBudget:        route.NewRetryBudget(),
 		organisationLimits: newOrganisationLimiter(),
 		requestLimiter:     newRequestLimiter(opts.Settings.MaxConcurrentRequests),
+		promptGuard:        newPromptGuard(opts.Log),
 		metrics:            newEntryMetrics(),
 		lifecycle:          lifecycle.NewLifecycle(),
 	}
--- a/pkg/role/entry/generate.go
+++ b/pkg/role/entry/generate.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/plantainstair/plantainstair/pkg/callers"
+	"github.com/plantainstair/plantainstair/pkg/core/quarantine"
 	"github.com/plantainstair/plantainstair/pkg/core/route"
 	"github.com/plantainstair/plantainstair/pkg/core/sched"
 	"github.com/plantainstair/plantainstair/pkg/core/session"
@@ -38,6 +39,7 @@
 	chain    []route.Stage
 	plan     session.Plan
 	prefixes []uint64
+	parts    quarantine.Parts
 
 	started     time.Time
 	lastTokenAt time.Time
@@ -139,6 +141,10 @@
 func (g *generation) selectChain(exclude map[string]bool, avoid string) ([]route.Stage, error) {
 	if g.prefixes == nil {
 		g.prefixes = g.entry.opts.PrefixHashes(g.req.Model, g.version, g.req.Adapter, g.req.Prompt)
+		g.parts = promptParts(g.prefixes)
+	}
+	if err := g.entry.promptGuard.check(g.entry.opts.Now(), g.parts); err != nil {
+		return nil, err
 	}
 	return g.entry.selectAdmittedChain(g.entry.snapshot.Load(), g.requirements(exclude, avoid))
 }
--- a/pkg/role/entry/repair.go
+++ b/pkg/role/entry/repair.go
@@ -31,6 +31,9 @@
 	g.requeued = false
 	failed := g.failedStage(err)
 	g.entry.recordFailure(g.chain[failed].Host, err)
+	if !g.hasTokens() && err.Outcome != fault.NotRun && indicatesFault(err.Kind) {
+		g.entry.promptGuard.recordBroken(g.entry.opts.Now(), g.req.RequestID, g.chain[failed], g.parts)
+	}
 	avoid := g.chain[failed].DataCentre
 	plan, planErr := g.stream.Fail(g.plan.Epoch, failed)
 	if planErr != nil {
--- a/pkg/role/entry/select.go
+++ b/pkg/role/entry/select.go
@@ -122,8 +122,7 @@
 // recordFailure reports an error to the outlier detector if it indicates a
 // faulty host. Refusals by an overloaded or draining agent do not.
 func (e *Entry) recordFailure(host string, err *fault.Error) {
-	switch err.Kind {
-	case fault.Unavailable, fault.Upstream, fault.Protocol, fault.Internal, fault.OutOfOrder:
+	if indicatesFault(err.Kind) {
 		now := e.opts.Now()
 		before := e.outliers.Weight(host, now)
 		e.outliers.Observe(host, false, 0, now)
@@ -134,6 +133,15 @@
 	}
 }
 
+// indicatesFault reports whether an error of this kind indicates a faulty host.
+func indicatesFault(kind fault.Kind) bool {
+	switch kind {
+	case fault.Unavailable, fault.Upstream, fault.Protocol, fault.Internal, fault.OutOfOrder:
+		return true
+	}
+	return false
+}
+
 // canFailOver reports whether another upstream may succeed after an error of
 // this kind.
 func canFailOver(kind fault.Kind) bool {
--- a/pkg/role/entry/upstream_monitor.go
+++ b/pkg/role/entry/upstream_monitor.go
@@ -228,6 +228,7 @@
 		}
 		m.updateLiveness(up, now)
 	}
+	m.entry.promptGuard.step(now, m.table)
 	m.checkWarmUp(now)
 }
 
