pkg/role/gateway: take an unframed stream without events for broken

Cause: a reply with neither a length nor chunks ends with its connection. An engine that crashes after the header of such a reply looks like the end of a complete stream: the caller got an empty answer as complete, and the crash did not count against the prompt.

Change: a stream without framing that ends before its first event has failed and may have run. One that is resumed may end without further events.

--- a/pkg/instances/pool.go
+++ b/pkg/instances/pool.go
@@ -61,6 +61,9 @@
 	Body     io.Reader
 	// Length is the length of the body in bytes, -1 if unknown.
 	Length int64
+	// Framed is set if the reply states where its body ends. Otherwise the body ends with
+	// the connection.
+	Framed bool
 
 	conn     *conn
 	resp     *http.Response
@@ -229,7 +232,7 @@
 	}
 	return &Reply{
 		Status: resp.StatusCode, Header: resp.Header, Metadata: metadata,
-		Body: resp.Body, Length: resp.ContentLength, conn: c, resp: resp,
+		Body: resp.Body, Length: resp.ContentLength, Framed: resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0, conn: c, resp: resp,
 	}, nil
 }
 
--- a/pkg/role/gateway/attempt.go
+++ b/pkg/role/gateway/attempt.go
@@ -133,6 +133,8 @@
 			}
 		}
 		switch {
+		case err == io.EOF && !reply.Framed && !s.hasEvents():
+			return fault.New(fault.Upstream, "connection ended before the first event").WithOutcome(fault.MayHaveRun)
 		case err == io.EOF && len(s.splitter.Pending()) == 0:
 			reply.MarkComplete()
 			return nil
@@ -147,6 +149,14 @@
 	}
 }
 
+// hasEvents reports whether the caller has any events of the stream, also from an earlier
+// request that it resumes.
+func (s *stream) hasEvents() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.eventWrites > 0 || s.splitter.LastEventID() != "" || s.q.metadata.LastEventID != ""
+}
+
 func (s *stream) recordReplyBegan() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
