pkg/role/gateway, platform: log the request limits that upstreams name

Cause: the logs could not tell which upstream names a limit, when, and which gateway was told.

A gateway logs when it changes. No decision depends on it.

--- a/pkg/instances/dialect.go
+++ b/pkg/instances/dialect.go
@@ -87,6 +87,9 @@
 	NotRun bool
 	// RefusingEngine is the address of the engine in the path that refused the request.
 	RefusingEngine string
+	// RequestLimit is the number of requests per second that the upstream takes from all
+	// callers together for now; zero if it names no limit.
+	RequestLimit float64
 	// Encoded is set if the body has a content encoding, so that it differs from what
 	// the upstream produced.
 	Encoded bool
--- a/pkg/role/gateway/attempt.go
+++ b/pkg/role/gateway/attempt.go
@@ -46,6 +46,7 @@
 		return causeOf(ctx, err)
 	}
 	defer reply.Close()
+	g.recordRequestLimit(firstStage.ID, reply)
 	if reply.Status >= http.StatusMultipleChoices {
 		return g.handleErrorReply(w, s, reply, firstStage, avoid)
 	}
--- a/pkg/role/gateway/plain.go
+++ b/pkg/role/gateway/plain.go
@@ -130,6 +130,7 @@
 		return nil, nil, err
 	}
 	defer reply.Close()
+	g.recordRequestLimit(in.GetId(), reply)
 	body, err := reply.ReadAll(maxReplyBytes)
 	if err != nil {
 		g.recordAttemptError(ctx, q, in.GetId(), err)
