pkg/core/route, roles: keep within the request limits that upstreams name

Cause: no process read the limit. Each gateway sent what its callers asked for, and nothing related the requests of 13 gateways to one rate.

Change: the leader learns limits from its polls, and from gateways that see another one in a reply than the view has; all gateways hear of them with the registry. A request to an upstream with a limit, as the first of its path, needs a permit of the leader: a token bucket for each upstream, empty when it is created, with half a second of accumulated permits, of which less urgent ranks leave a part. A gateway that was denied one asks no more until there may be one, and meanwhile takes other paths or upstreams; a plain request that cannot get one within the route's target is refused at once. While the leader does not answer, each gateway takes an equal share that does not accumulate.

--- a/pkg/coordinators/prompts.go
+++ b/pkg/coordinators/prompts.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/plantainstair/plantainstair/pkg/core/quarantine"
-	"github.com/plantainstair/plantainstair/pkg/fault"
 	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
 )
 
@@ -49,10 +48,6 @@
 // ReportPrompts sends the leader what this process saw of requests with shared prompt
 // parts.
 func (c *Client) ReportPrompts(ctx context.Context, r *wirepb.PromptReport) error {
-	session := c.session.Load()
-	if session == nil {
-		return fault.New(fault.Unavailable, "no leader is known").WithOutcome(fault.NotRun)
-	}
-	_, err := session.Exchange(ctx, &wirepb.Frame{Body: &wirepb.Frame_PromptReport{PromptReport: r}})
+	_, err := c.exchange(ctx, &wirepb.Frame{Body: &wirepb.Frame_PromptReport{PromptReport: r}})
 	return err
 }
--- a/pkg/core/registry/registry.go
+++ b/pkg/core/registry/registry.go
@@ -86,6 +86,7 @@
 		next.Load = r.instance.GetLoad()
 		next.Loading = r.instance.GetLoading()
 		next.Orders = r.instance.GetOrders()
+		next.RequestLimit = r.instance.GetRequestLimit()
 		if r.instance.GetLoad() != nil {
 			// Announcements may be seconds late; the last poll result of the engine is
 			// newer.
@@ -204,6 +205,9 @@
 	Orders      uint64             // number of orders accepted
 	Load        *wirepb.InstanceLoad
 	Models      []string
+	// RequestLimit is the limit that the engine names, in requests per second; zero if it
+	// names none.
+	RequestLimit float64
 }
 
 // ApplyPoll records the poll result of an instance. A result of another process with
@@ -215,12 +219,25 @@
 	}
 	next := proto.CloneOf(r.instance)
 	next.Layers, next.Loading, next.Orders, next.Load, next.Suspect = p.Layers, p.Loading, p.Orders, p.Load, false
+	next.RequestLimit = p.RequestLimit
 	if len(p.Models) > 0 {
 		next.Models = p.Models
 	}
 	g.storeInstance(now, next)
 }
 
+// SetRequestLimit records the limit that an instance named in a reply, in requests per
+// second, or zero if it named none.
+func (g *Registry) SetRequestLimit(id string, limit float64) {
+	r := g.records[id]
+	if r == nil {
+		return
+	}
+	next := proto.CloneOf(r.instance)
+	next.RequestLimit = limit
+	g.storeInstance(r.lastHeard, next)
+}
+
 // MarkSuspect marks an instance that does not answer.
 func (g *Registry) MarkSuspect(id string) {
 	r := g.records[id]
--- a/pkg/core/route/budget.go
+++ b/pkg/core/route/budget.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"math"
 	"sync"
 	"time"
 )
@@ -70,6 +71,11 @@
 	return &Budget{limits: l, balance: l.Burst}
 }
 
+// NewEmptyBudget returns a budget with the limits l and no balance.
+func NewEmptyBudget(l BudgetLimits, now time.Time) *Budget {
+	return &Budget{limits: l, last: now}
+}
+
 // SetLimits replaces the limits. The balance is cut to the new maximum, and
 // never rises.
 func (b *Budget) SetLimits(l BudgetLimits) {
@@ -90,14 +96,21 @@
 // Take takes one unit from the balance. It reports false, and takes nothing, when
 // less than one is left.
 func (b *Budget) Take(now time.Time) bool {
+	taken, _ := b.TakeAbove(now, 0)
+	return taken
+}
+
+// TakeAbove takes one unit from the balance if reserve is left. Otherwise it takes nothing
+// and returns the time until there will be enough, if nothing is taken meanwhile.
+func (b *Budget) TakeAbove(now time.Time, reserve float64) (taken bool, wait time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.refillBalance(now)
-	if b.balance < 1 {
-		return false
+	if missing := 1 + reserve - b.balance; missing > 0 {
+		return false, time.Duration(math.Ceil(missing / b.limits.PerSecond * float64(time.Second)))
 	}
 	b.balance--
-	return true
+	return true, 0
 }
 
 func (b *Budget) refillBalance(now time.Time) {
--- a/pkg/instances/engine.go
+++ b/pkg/instances/engine.go
@@ -24,14 +24,16 @@
 func (e *EngineClient) Report(ctx context.Context, address string, timeout time.Duration) (EngineState, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	status, body, err := e.call(ctx, address, e.dialect.ReportCall())
+	reply, body, err := e.call(ctx, address, e.dialect.ReportCall())
 	if err != nil {
 		return EngineState{}, err
 	}
-	if status != http.StatusOK {
-		return EngineState{}, fault.New(fault.Upstream, "%s responded to a report call with status %d", address, status)
+	if reply.Status != http.StatusOK {
+		return EngineState{}, fault.New(fault.Upstream, "%s responded to a report call with status %d", address, reply.Status)
 	}
-	return e.dialect.DecodeReport(body)
+	state, err := e.dialect.DecodeReport(body)
+	state.RequestLimit = reply.Metadata.RequestLimit
+	return state, err
 }
 
 // Place orders the engine at address to hold a range of layers.
@@ -54,11 +56,11 @@
 }
 
 func (e *EngineClient) order(ctx context.Context, address string, call Call) error {
-	status, body, err := e.call(ctx, address, call)
+	reply, body, err := e.call(ctx, address, call)
 	if err != nil {
 		return err
 	}
-	if status != http.StatusOK && status != http.StatusAccepted {
+	if status := reply.Status; status != http.StatusOK && status != http.StatusAccepted {
 		// Field holds the address of the engine that caused the refusal.
 		refused := fault.New(fault.Conflict, "%s refused the order with status %d: %s", address, status, body)
 		return refused.WithField(e.dialect.RefusedBy(body))
@@ -66,13 +68,14 @@
 	return nil
 }
 
-func (e *EngineClient) call(ctx context.Context, address string, call Call) (int, []byte, error) {
+// call returns the reply, which is closed, and its body.
+func (e *EngineClient) call(ctx context.Context, address string, call Call) (*Reply, []byte, error) {
 	call.Host = address
 	reply, err := e.pool.Do(ctx, address, call)
 	if err != nil {
-		return 0, nil, err
+		return nil, nil, err
 	}
 	defer reply.Close()
 	body, err := reply.ReadAll(maxEngineReplyBytes)
-	return reply.Status, body, err
+	return reply, body, err
 }
--- a/pkg/logs/logs.go
+++ b/pkg/logs/logs.go
@@ -74,6 +74,9 @@
 // Uint returns an unsigned integer field.
 func Uint(key string, value uint64) Field { return func(e *zerolog.Event) { e.Uint64(key, value) } }
 
+// Float returns a floating-point field.
+func Float(key string, value float64) Field { return func(e *zerolog.Event) { e.Float64(key, value) } }
+
 // Dur returns a duration field.
 func Dur(key string, value time.Duration) Field { return func(e *zerolog.Event) { e.Dur(key, value) } }
 
--- a/pkg/role/coordinator/coordinator.go
+++ b/pkg/role/coordinator/coordinator.go
@@ -16,6 +16,7 @@
 	"github.com/plantainstair/plantainstair/pkg/core/quarantine"
 	"github.com/plantainstair/plantainstair/pkg/core/raft"
 	"github.com/plantainstair/plantainstair/pkg/core/registry"
+	"github.com/plantainstair/plantainstair/pkg/core/route"
 	"github.com/plantainstair/plantainstair/pkg/core/routing"
 	"github.com/plantainstair/plantainstair/pkg/fault"
 	"github.com/plantainstair/plantainstair/pkg/instances"
@@ -86,6 +87,7 @@
 	placement       *placement
 	polls           map[string]*pollState
 	prompts         *quarantine.Tracker
+	permits         *route.Permits
 	// loggedQuarantines are those of prompts at loggedPromptRevision.
 	loggedQuarantines    quarantine.List
 	loggedPromptRevision uint64
@@ -114,7 +116,7 @@
 	c.conns = instances.NewPool(o.Dialect, c.metrics.connections.Inc)
 	c.engines = instances.NewEngineClient(c.conns, o.Dialect)
 	c.placement = newPlacement(c)
-	c.prompts = quarantine.NewTracker(promptDelays, nil)
+	c.prompts, c.permits = quarantine.NewTracker(promptDelays, nil), route.NewPermits()
 	if err := c.openReplica(); err != nil {
 		cancel()
 		c.pool.Close()
@@ -349,6 +351,7 @@
 	c.poll(now)
 	c.placement.step(now)
 	c.stepPrompts(now)
+	c.forgetPermits()
 	if c.registry.Revision() != before {
 		c.watchers.signalChange()
 	}
@@ -368,6 +371,7 @@
 	c.placement = newPlacement(c)
 	c.polls = make(map[string]*pollState)
 	c.prompts = quarantine.NewTracker(promptDelays, view.Prompts.Quarantines)
+	c.permits = route.NewPermits()
 	c.loggedQuarantines, c.loggedPromptRevision = c.prompts.Quarantines(), c.prompts.Revision()
 	c.log.Info("Leads now.", logs.Uint("term", c.node.Status().Term), logs.Int("instances", len(known)))
 }
--- a/pkg/role/coordinator/metrics.go
+++ b/pkg/role/coordinator/metrics.go
@@ -14,6 +14,7 @@
 	refusedConfigurations      *metrics.Counter
 	relayedAnnouncements       *metrics.Counter
 	quarantines                *metrics.Counter
+	deniedPermits              *metrics.Counter
 }
 
 func newMetrics() *metricSet {
@@ -29,6 +30,7 @@
 		refusedConfigurations:      s.NewCounter("plantain_coordinator_configurations_refused_total"),
 		relayedAnnouncements:       s.NewCounter("plantain_coordinator_announcements_relayed_total"),
 		quarantines:                s.NewCounter("plantain_coordinator_quarantines_total"),
+		deniedPermits:              s.NewCounter("plantain_coordinator_permits_denied_total"),
 	}
 }
 
--- /dev/null
+++ b/pkg/role/coordinator/permits.go
@@ -0,0 +1,77 @@
+package coordinator
+
+import (
+	"context"
+	"time"
+
+	"github.com/plantainstair/plantainstair/pkg/logs"
+	"github.com/plantainstair/plantainstair/pkg/wire"
+	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
+)
+
+// unknownInstanceWait is the wait for a permit for an instance that the leader does not know:
+// the gateway hears of its end within it.
+const unknownInstanceWait = 200 * time.Millisecond
+
+// servePermit answers a request for a permit to send one request to an instance.
+func (c *Coordinator) servePermit(s *wire.Stream, r *wirepb.PermitRequest) {
+	ctx, cancel := context.WithTimeout(c.ctx, forwardTimeout)
+	defer cancel()
+	var granted bool
+	var wait time.Duration
+	if err := c.runOnOwnerIfLeader(ctx, func() { granted, wait = c.takePermit(time.Now(), r) }); err != nil {
+		_ = s.WriteError(err)
+		return
+	}
+	if !granted {
+		c.metrics.deniedPermits.Inc()
+	}
+	reply := &wirepb.PermitReply{Granted: granted, WaitMs: uint32(wait.Milliseconds())}
+	_ = s.Write(&wirepb.Frame{Body: &wirepb.Frame_PermitReply{PermitReply: reply}})
+}
+
+// takePermit runs on the owner.
+func (c *Coordinator) takePermit(now time.Time, r *wirepb.PermitRequest) (granted bool, wait time.Duration) {
+	in := c.registry.Get(r.GetInstanceId())
+	switch {
+	case in == nil || in.GetBornUnixMs() != r.GetBornUnixMs():
+		return false, unknownInstanceWait
+	case in.GetRequestLimit() <= 0:
+		return true, 0 // the gateway has not heard yet that the limit has ended
+	}
+	return c.permits.Take(now, in.GetId(), in.GetRequestLimit(), int(r.GetRank()))
+}
+
+// serveRequestLimit records a limit that an instance named in a reply to a gateway.
+func (c *Coordinator) serveRequestLimit(s *wire.Stream, r *wirepb.RequestLimitReport) {
+	ctx, cancel := context.WithTimeout(c.ctx, forwardTimeout)
+	defer cancel()
+	if err := c.runOnOwnerIfLeader(ctx, func() { c.recordRequestLimit(r) }); err != nil {
+		_ = s.WriteError(err)
+		return
+	}
+	_ = s.Write(&wirepb.Frame{Body: &wirepb.Frame_RequestLimitReportReply{RequestLimitReportReply: &wirepb.RequestLimitReportReply{}}})
+}
+
+// recordRequestLimit runs on the owner.
+func (c *Coordinator) recordRequestLimit(r *wirepb.RequestLimitReport) {
+	known := c.registry.Get(r.GetInstanceId())
+	if known == nil || known.GetBornUnixMs() != r.GetBornUnixMs() || known.GetRequestLimit() == r.GetPerSecond() {
+		return
+	}
+	c.logRequestLimit(known, r.GetPerSecond())
+	c.registry.SetRequestLimit(known.GetId(), r.GetPerSecond())
+	c.watchers.signalChange()
+}
+
+// logRequestLimit logs the limit that an instance names now if it differs from the known one.
+func (c *Coordinator) logRequestLimit(known *wirepb.Instance, limit float64) {
+	if before := known.GetRequestLimit(); before != limit {
+		c.log.Info("Request limit changed.", logs.Str("instance", known.GetId()), logs.Float("per_second", limit), logs.Float("before", before))
+	}
+}
+
+// forgetPermits forgets the permits of instances that name no limit. It runs on the owner.
+func (c *Coordinator) forgetPermits() {
+	c.permits.Retain(func(id string) bool { return c.registry.Get(id).GetRequestLimit() > 0 })
+}
--- a/pkg/role/coordinator/poll.go
+++ b/pkg/role/coordinator/poll.go
@@ -112,6 +112,7 @@
 		c.log.Info("Engine speed changed.", logs.Str("instance", in.GetId()), logs.Int("slow", boolToInt(is)),
 			logs.Str("slowdown", strconv.FormatFloat(state.Load.GetSlowdown(), 'f', 2, 64)))
 	}
+	c.logRequestLimit(known, state.RequestLimit)
 	before, loads := c.registry.Revision(), c.registry.LoadRevision()
 	c.registry.ApplyPoll(time.Now(), in.GetId(), state.PollResult)
 	if c.registry.Revision() != before || c.registry.LoadRevision() != loads && c.loadInterval() == 0 {
--- a/pkg/role/coordinator/serve.go
+++ b/pkg/role/coordinator/serve.go
@@ -40,6 +40,10 @@
 		c.serveJoin(s, body.Join)
 	case *wirepb.Frame_PromptReport:
 		c.servePromptReport(s, body.PromptReport)
+	case *wirepb.Frame_PermitRequest:
+		c.servePermit(s, body.PermitRequest)
+	case *wirepb.Frame_RequestLimitReport:
+		c.serveRequestLimit(s, body.RequestLimitReport)
 	default:
 		_ = s.WriteError(fault.New(fault.Protocol, "unexpected first message from %s", peer.Host))
 	}
--- a/pkg/role/gateway/attempt.go
+++ b/pkg/role/gateway/attempt.go
@@ -21,6 +21,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	firstStage := choice.Stages[0]
+	s.permittedEngine = "" // this attempt uses the permit
 	q.engineCount = len(choice.Stages)
 	s.begin(choice.Stages, cancel, q.attempts+1 >= max(1, q.route.MaxAttempts))
 	g.streams.add(s)
--- a/pkg/role/gateway/gateway.go
+++ b/pkg/role/gateway/gateway.go
@@ -36,24 +36,25 @@
 
 // Gateway routes requests to upstreams. The process that starts it owns the listeners.
 type Gateway struct {
-	opts         Options
-	log          logs.Logger
-	client       *coordinators.Client
-	pool         *instances.Pool
-	engines      *instances.EngineClient
-	metrics      *metricSet
-	lifecycle    *lifecycle.Lifecycle
-	view         atomic.Pointer[view]
-	streams      streams
-	callerConns  connections
-	load         loadTracker
-	retryBudgets retryBudgets
-	linkBudgets  linkBudgets
-	prompts      *promptEvidence
-	repairSignal chan struct{}
-	startedAt    time.Time
-	wg           sync.WaitGroup
-	cancel       context.CancelFunc
+	opts          Options
+	log           logs.Logger
+	client        *coordinators.Client
+	pool          *instances.Pool
+	engines       *instances.EngineClient
+	metrics       *metricSet
+	lifecycle     *lifecycle.Lifecycle
+	view          atomic.Pointer[view]
+	streams       streams
+	callerConns   connections
+	load          loadTracker
+	retryBudgets  retryBudgets
+	linkBudgets   linkBudgets
+	requestLimits requestLimits
+	prompts       *promptEvidence
+	repairSignal  chan struct{}
+	startedAt     time.Time
+	wg            sync.WaitGroup
+	cancel        context.CancelFunc
 }
 
 // Start returns a Gateway that watches the coordinators until Close is called.
@@ -65,6 +66,7 @@
 	}
 	g.load.init()
 	g.streams.init()
+	g.requestLimits.init()
 	g.callerConns.init()
 	g.retryBudgets.init(o.RetryBudget)
 	g.prompts = newPromptEvidence()
--- a/pkg/role/gateway/load.go
+++ b/pkg/role/gateway/load.go
@@ -17,7 +17,6 @@
 	backoff          map[string]backoff
 	full             map[string]time.Time             // engine ID -> time until which it counts as full
 	waiting          map[string]map[*stream]time.Time // first engine ID -> start of each request without an event
-	requestLimits    map[string]float64               // instance ID -> limit in its last reply, in requests per second
 }
 
 type backoff struct {
@@ -48,7 +47,6 @@
 	b.backoff = make(map[string]backoff)
 	b.full = make(map[string]time.Time)
 	b.waiting = make(map[string]map[*stream]time.Time)
-	b.requestLimits = make(map[string]float64)
 }
 
 // addWaiting records a request that waits for its first event at a first engine.
@@ -131,20 +129,6 @@
 	return b.active[id]
 }
 
-// setRequestLimit records the limit that an instance named in a reply, zero if none. It
-// returns the limit of the reply before.
-func (b *loadTracker) setRequestLimit(id string, limit float64) (before float64) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	before = b.requestLimits[id]
-	if limit > 0 {
-		b.requestLimits[id] = limit
-	} else {
-		delete(b.requestLimits, id)
-	}
-	return before
-}
-
 // onFailure puts an instance that failed a request into backoff.
 func (b *loadTracker) onFailure(id string) {
 	b.mu.Lock()
--- a/pkg/role/gateway/plain.go
+++ b/pkg/role/gateway/plain.go
@@ -32,8 +32,14 @@
 	var lastErr error
 	notRunCount := 0
 	for notRunCount < maxNotRunAttempts && q.timeLeft() > 0 {
-		in := g.awaitUpstream(ctx, q, tried)
-		if in == nil || !g.acquireSend(q) {
+		in, err := g.awaitUpstream(ctx, q, tried)
+		if in == nil {
+			if lastErr == nil {
+				lastErr = err
+			}
+			break
+		}
+		if !g.acquireSend(q) {
 			break
 		}
 		tried[in.GetId()] = true
@@ -74,21 +80,53 @@
 		return e
 	}
 	e := *fault.As(lastErr)
-	e.RetryAfter = refusalRetryAfter
+	retryAfter := refusalRetryAfter
 	if q.route.Kind == routing.Stream {
-		e.RetryAfter = streamRetryAfter/2 + rand.N(streamRetryAfter)
+		retryAfter = streamRetryAfter/2 + rand.N(streamRetryAfter)
 	}
+	e.RetryAfter = max(e.RetryAfter, retryAfter)
 	return &e
 }
 
-// awaitUpstream picks an upstream, and waits for one while the process starts.
-func (g *Gateway) awaitUpstream(ctx context.Context, q *request, tried map[string]bool) *wirepb.Instance {
+// awaitUpstream picks an upstream that takes the request. It waits for one while the process
+// starts, and if those that are left are at the limits that they name and one of them will
+// take the request in time. Otherwise it returns the reason, nil if there is no upstream.
+func (g *Gateway) awaitUpstream(ctx context.Context, q *request, tried map[string]bool) (*wirepb.Instance, error) {
 	for {
 		in := g.pickUpstream(q, tried)
-		if in != nil || len(tried) > 0 || time.Since(q.arrived) > g.startupWait() || !delay.Wait(ctx, viewRetryDelay) {
-			return in
+		if in != nil && g.takePermit(ctx, in, q.rank) {
+			return in, nil
+		}
+		if ctx.Err() != nil {
+			return nil, nil
+		}
+		if in != nil {
+			continue // this one is now known to be at its limit
+		}
+		limitWait := g.limitWait(q, tried)
+		switch {
+		case limitWait > 0 && time.Since(q.arrived)+limitWait > time.Duration(pathWaitShare*float64(q.route.TargetLatency)):
+			return nil, notRunError(fault.Overloaded, "upstreams of the service are at the limits that they name").WithRetryAfter(limitWait)
+		case limitWait > 0:
+			if !delay.Wait(ctx, limitWait) {
+				return nil, nil
+			}
+		case len(tried) > 0 || time.Since(q.arrived) > g.startupWait() || !delay.Wait(ctx, viewRetryDelay):
+			return nil, nil
+		}
+	}
+}
+
+// limitWait returns the time until the first upstream that is at its limit may take a
+// request, zero if none is.
+func (g *Gateway) limitWait(q *request, tried map[string]bool) time.Duration {
+	var shortest time.Duration
+	for _, in := range g.view.Load().byService[q.service.Name] {
+		if wait := g.requestLimits.wait(time.Now(), in); wait > 0 && !tried[in.GetId()] && (shortest == 0 || wait < shortest) {
+			shortest = wait
 		}
 	}
+	return shortest
 }
 
 // pickUpstream returns the less loaded of two random upstreams. Upstreams that are in
@@ -97,7 +135,7 @@
 	var healthy, degraded []*wirepb.Instance
 	for _, in := range g.view.Load().byService[q.service.Name] {
 		switch {
-		case tried[in.GetId()]:
+		case tried[in.GetId()] || g.requestLimits.wait(time.Now(), in) > 0:
 		case g.load.inBackoff(in.GetId()) || in.GetLeaving():
 			degraded = append(degraded, in)
 		default:
--- a/pkg/role/gateway/repair.go
+++ b/pkg/role/gateway/repair.go
@@ -42,10 +42,12 @@
 }
 
 func (g *Gateway) closeExpired() {
+	v := g.view.Load()
 	known := make(map[string]bool)
-	for _, in := range g.view.Load().byID {
+	for _, in := range v.byID {
 		known[in.GetAddress()] = true
 	}
+	g.requestLimits.retain(func(id string) bool { return v.byID[id] != nil })
 	g.pool.CloseExpired(func(address string) bool { return known[address] })
 }
 
--- a/pkg/role/gateway/stream.go
+++ b/pkg/role/gateway/stream.go
@@ -18,6 +18,10 @@
 	q        *request
 	splitter events.Splitter
 	started  bool // the response header was sent to the caller
+	// permittedEngine is the first engine for which the stream holds a permit that was taken
+	// at permittedAt.
+	permittedEngine string
+	permittedAt     time.Time
 
 	mu          sync.Mutex
 	stages      []path.PipelineStage
@@ -132,6 +136,13 @@
 	for {
 		v := g.view.Load()
 		choice, err := g.bestPath(v, q, avoid.unexpired())
+		if err == nil && !g.permitFirstEngine(ctx, v, s, choice) {
+			err = notRunError(fault.Overloaded, "engine %s is at the limit that it names", choice.Stages[0].ID)
+			if ctx.Err() == nil && time.Now().Before(g.waitDeadline(s)) {
+				continue // another engine may be first
+			}
+			return path.Choice{}, err
+		}
 		if err == nil && g.linkBudgets.admitNewPath(q.service.Model, v.gatewayCount, tokens, choice) {
 			return choice, nil
 		}
@@ -144,6 +155,22 @@
 	}
 }
 
+// permitFirstEngine reports whether the stream has a permit for the first engine of a path,
+// and takes one if it does not. A permit that was not used because something else was
+// missing serves the next try.
+func (g *Gateway) permitFirstEngine(ctx context.Context, v *view, s *stream, choice path.Choice) bool {
+	first := choice.Stages[0].ID
+	if s.permittedEngine == first && time.Since(s.permittedAt) < permitMaxAge {
+		return true
+	}
+	in := v.byID[first]
+	if !g.takePermit(ctx, in, s.q.rank) {
+		return false
+	}
+	s.permittedEngine, s.permittedAt = first, time.Now()
+	return true
+}
+
 // bestPath returns the cheapest path without the engines in avoid.
 func (g *Gateway) bestPath(v *view, q *request, avoid map[string]bool) (path.Choice, error) {
 	return path.Choose(q.service.Model, g.candidateEngines(v, q, avoid), path.Request{
--- a/pkg/role/gateway/view.go
+++ b/pkg/role/gateway/view.go
@@ -77,7 +77,7 @@
 		}
 		e := g.estimateEngine(v, m, accelerator, in, layers)
 		e.FreeKVTokens -= int(margin * float64(m.KVCapacity(accelerator, layers)))
-		if e.From == 0 && g.load.firstEventOverdue(e.ID, limit) {
+		if e.From == 0 && (g.load.firstEventOverdue(e.ID, limit) || g.requestLimits.wait(time.Now(), in) > 0) {
 			e.FreeSlots = 0
 		}
 		out = append(out, e)
