pkg/role/gateway: share limits by the highest recent number of gateways

A leader that was just elected has heard of few, so that each took the share of one of few: of the links between data centres, of the load that all have sent since the last reports, and of a request limit while the leader is silent. The retry budget ignores lower numbers already.

--- a/pkg/role/gateway/view.go
+++ b/pkg/role/gateway/view.go
@@ -24,10 +24,11 @@
 	receivedAt   time.Time
 }
 
-func newView(v *coordinators.View) *view {
+// newView returns a view of a fleet with this number of gateways.
+func newView(v *coordinators.View, gatewayCount int) *view {
 	out := &view{
 		conf: v.Configuration, byID: v.Instances, byService: make(map[string][]*wirepb.Instance),
-		gatewayCount: max(1, v.GatewayCount), quarantines: v.Prompts.Quarantines, term: v.Term, receivedAt: v.ReceivedAt,
+		gatewayCount: gatewayCount, quarantines: v.Prompts.Quarantines, term: v.Term, receivedAt: v.ReceivedAt,
 	}
 	for _, in := range v.Instances {
 		if registry.Usable(in) {
