pkg/core/quarantine, roles: poll once per crash, report evidence once per leadership

Cause: found on reading the change. Each report of a broken reply made the leader poll the engine at once, for up to 5 s where connections are reset without a crash. A coordinator that leads again at the same address was not sent the evidence again, which it forgets with its term. A quarantine without parts, from a message that lacks them, would stop all requests.

Change: only the first report of a process brings a poll forward; gateways tell leaders apart by address and term; a quarantine without parts matches nothing.

--- a/pkg/core/quarantine/parts.go
+++ b/pkg/core/quarantine/parts.go
@@ -64,7 +64,7 @@
 // Match returns a quarantine that is in force and stops requests with these parts.
 func (l List) Match(now time.Time, p Parts) (Quarantine, bool) {
 	for _, q := range l {
-		if q.inForce(now) && p.Contains(q.Parts) {
+		if q.inForce(now) && len(q.Parts) > 0 && p.Contains(q.Parts) {
 			return q, true
 		}
 	}
--- a/pkg/core/quarantine/quarantine_test.go
+++ b/pkg/core/quarantine/quarantine_test.go
@@ -137,6 +137,13 @@
 	}
 }
 
+// Guards against a quarantine without parts, which would stop all requests.
+func TestList_IgnoresQuarantineWithoutParts(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	_, refused := List{{Until: now.Add(time.Minute)}}.Match(now, Parts{"a"})
+	assert.Assert(t, !refused)
+}
+
 // Guards against a leader that forgets what the last one had decided.
 func TestTracker_MergesKnownQuarantines(t *testing.T) {
 	i := newIncident()
--- a/pkg/core/quarantine/tracker.go
+++ b/pkg/core/quarantine/tracker.go
@@ -145,14 +145,15 @@
 	}
 }
 
-// RecordBroken records a broken reply. It reports whether the loss of the engine is yet to
-// be confirmed.
-func (t *Tracker) RecordBroken(now time.Time, r BrokenReply) bool {
+// RecordBroken records a broken reply. It reports whether it is the first one of the process,
+// whose loss is then yet to be confirmed.
+func (t *Tracker) RecordBroken(now time.Time, r BrokenReply) (first bool) {
 	if len(r.Parts) == 0 {
 		return false
 	}
 	c := t.crashes[r.Process]
 	if c == nil {
+		first = true
 		t.makeRoom()
 		c = &crash{process: r.Process, at: r.At, reportedAt: now, replies: make(map[string]BrokenReply)}
 		t.crashes[r.Process] = c
@@ -160,7 +161,7 @@
 	old, known := c.replies[r.RequestID]
 	switch {
 	case known && old.Progress >= r.Progress, !known && len(c.replies) >= maxReplies && !c.dropLess(r.Progress):
-		return !c.confirmed
+		return first
 	}
 	c.replies[r.RequestID] = r
 	c.update()
@@ -168,7 +169,7 @@
 		c.at = r.At
 	}
 	t.crashesChanged = true
-	return !c.confirmed
+	return first
 }
 
 // dropLess removes a reply that is less suspicious than one with this progress.
--- a/pkg/role/coordinator/prompts.go
+++ b/pkg/role/coordinator/prompts.go
@@ -31,11 +31,11 @@
 func (c *Coordinator) recordPromptReport(now time.Time, r *wirepb.PromptReport) {
 	for _, b := range r.GetBroken() {
 		process := quarantine.Process{ID: b.GetInstanceId(), StartUnixMs: b.GetBornUnixMs()}
-		unconfirmed := c.prompts.RecordBroken(now, quarantine.BrokenReply{
+		first := c.prompts.RecordBroken(now, quarantine.BrokenReply{
 			RequestID: b.GetRequestId(), Process: process, Progress: progressOf(b), Parts: quarantine.NewParts(b.GetParts()),
 			At: now.Add(-time.Duration(b.GetAgeMs()) * time.Millisecond),
 		})
-		if p := c.polls[process.ID]; p != nil && unconfirmed {
+		if p := c.polls[process.ID]; p != nil && first {
 			p.next = time.Time{} // the poll tells a crash from a broken connection
 		}
 	}
--- a/pkg/role/gateway/gateway.go
+++ b/pkg/role/gateway/gateway.go
@@ -93,7 +93,7 @@
 func (g *Gateway) viewChanged(v *coordinators.View) {
 	g.view.Store(newView(v, g.gatewayCount.update(time.Now(), v.GatewayCount)))
 	g.retryBudgets.resize(v.GatewayCount)
-	g.prompts.setWatched(v.LeaderPeerAddress, v.Prompts.Watched)
+	g.prompts.setWatched(leaderTerm{v.LeaderPeerAddress, v.Term}, v.Prompts.Watched)
 	select {
 	case g.repairSignal <- struct{}{}:
 	default:
--- a/pkg/role/gateway/prompts.go
+++ b/pkg/role/gateway/prompts.go
@@ -55,7 +55,7 @@
 	answered *lru.Cache[string, struct{}]
 
 	mu      sync.Mutex
-	leader  string          // address of the leader that watches the parts
+	leader  leaderTerm      // that watches the parts
 	watched map[string]bool // parts whose answered requests the leader wants to know of
 	answers map[string]*wirepb.AnsweredPrompts
 	broken  []*brokenReply // oldest first
@@ -64,7 +64,13 @@
 type brokenReply struct {
 	message *wirepb.BrokenReply
 	at      time.Time
-	sentTo  string // address of the leader that has acknowledged it
+	sentTo  leaderTerm // that has acknowledged it
+}
+
+// leaderTerm is one leadership of a coordinator. A leader forgets all evidence with its term.
+type leaderTerm struct {
+	address string
+	term    uint64
 }
 
 func newPromptEvidence() *promptEvidence {
@@ -84,7 +90,7 @@
 
 // setWatched sets the parts that the leader watches. Those that are new to this leader are
 // reported if a request with them was answered before.
-func (e *promptEvidence) setWatched(leader string, parts []string) {
+func (e *promptEvidence) setWatched(leader leaderTerm, parts []string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	newLeader := leader != e.leader
@@ -182,7 +188,7 @@
 	return r, func() { e.acknowledge(leader, sent, r.Answered) }
 }
 
-func (e *promptEvidence) acknowledge(leader string, sent []*brokenReply, answered []*wirepb.AnsweredPrompts) {
+func (e *promptEvidence) acknowledge(leader leaderTerm, sent []*brokenReply, answered []*wirepb.AnsweredPrompts) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for _, b := range sent {
