--- a/pkg/coordinators/client.go
+++ b/pkg/coordinators/client.go
@@ -223,6 +223,16 @@
 	return stream.Write(&wirepb.Frame{Body: &wirepb.Frame_FleetWatch{FleetWatch: request}})
 }
 
+// exchange sends the leader a request and returns its reply. The error has the outcome
+// NotRun if no leader is known.
+func (c *Client) exchange(ctx context.Context, req *wirepb.Frame) (*wirepb.Frame, error) {
+	session := c.session.Load()
+	if session == nil {
+		return nil, fault.New(fault.Unavailable, "no leader is known").WithOutcome(fault.NotRun)
+	}
+	return session.Exchange(ctx, req)
+}
+
 // applyUpdate publishes a view with an update of the leader. It never replaces a
 // configuration by an older one.
 func (c *Client) applyUpdate(leader string, u *wirepb.FleetUpdate, sentIDs map[string]bool) error {
--- a/pkg/coordinators/limits.go
+++ b/pkg/coordinators/limits.go
@@ -8,16 +8,6 @@
 	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
 )
 
-// exchange sends the leader a request and returns its reply. The error has the outcome
-// NotRun if no leader is known.
-func (c *Client) exchange(ctx context.Context, req *wirepb.Frame) (*wirepb.Frame, error) {
-	session := c.session.Load()
-	if session == nil {
-		return nil, fault.New(fault.Unavailable, "no leader is known").WithOutcome(fault.NotRun)
-	}
-	return session.Exchange(ctx, req)
-}
-
 // TakePermit asks the leader for a permit to send one request of a rank to an instance that
 // names a limit. If there is none, it returns the time until there may be one.
 func (c *Client) TakePermit(ctx context.Context, in *wirepb.Instance, rank int) (granted bool, wait time.Duration, err error) {
