pkg/core/quarantine: one memory of answered parts for gateways and entries

Cause: found on reading the change: gateway and entry each wrapped the cache of answered parts with the same code.

Change: AnsweredParts holds it. No behaviour changes.

--- a/pkg/core/quarantine/quarantine_test.go
+++ b/pkg/core/quarantine/quarantine_test.go
@@ -137,6 +137,17 @@
 	}
 }
 
+// Guards against memory without a bound under callers that send a new part with each
+// request, and against forgetting the parts that are asked for all the time.
+func TestAnsweredParts_ForgetsPartsThatAreNotAskedFor(t *testing.T) {
+	a := NewAnsweredParts()
+	for i := range 2 * maxAnsweredParts {
+		a.Add(Parts{"shared", fmt.Sprint(i)})
+	}
+	assert.Assert(t, a.Contains("shared") && !a.Contains("0"))
+	assert.Equal(t, a.cache.Len(), maxAnsweredParts)
+}
+
 // Guards against a quarantine without parts, which would stop all requests.
 func TestList_IgnoresQuarantineWithoutParts(t *testing.T) {
 	now := time.Unix(1_000_000, 0)
--- a/pkg/role/entry/quarantine.go
+++ b/pkg/role/entry/quarantine.go
@@ -6,22 +6,16 @@
 	"sync/atomic"
 	"time"
 
-	lru "github.com/hashicorp/golang-lru/v2"
-
 	"github.com/plantainstair/plantainstair/pkg/core/quarantine"
 	"github.com/plantainstair/plantainstair/pkg/core/route"
 	"github.com/plantainstair/plantainstair/pkg/fault"
 	"github.com/plantainstair/plantainstair/pkg/logs"
 )
 
-// maxAnsweredPrefixes bounds the prefixes of prompts that are remembered from answered
-// requests.
-const maxAnsweredPrefixes = 4096
-
 // promptGuard refuses prompts that begin like those on which engines crash. It knows only
 // what this entry has sent.
 type promptGuard struct {
-	answered *lru.Cache[string, struct{}]
+	answered quarantine.AnsweredParts
 	log      logs.Logger
 
 	list atomic.Pointer[quarantine.List] // of the tracker
@@ -32,11 +26,7 @@
 }
 
 func newPromptGuard(log logs.Logger) *promptGuard {
-	answered, err := lru.New[string, struct{}](maxAnsweredPrefixes)
-	if err != nil {
-		panic(err) // only a size that is not positive is refused
-	}
-	p := &promptGuard{answered: answered, log: log, tracker: quarantine.NewTracker(quarantine.Delays{}, nil)}
+	p := &promptGuard{answered: quarantine.NewAnsweredParts(), log: log, tracker: quarantine.NewTracker(quarantine.Delays{}, nil)}
 	p.list.Store(&quarantine.List{})
 	return p
 }
@@ -72,9 +62,7 @@
 
 // recordAnswered records that an engine has answered a prompt with these parts.
 func (p *promptGuard) recordAnswered(parts quarantine.Parts) {
-	for _, id := range parts {
-		p.answered.Add(id, struct{}{})
-	}
+	p.answered.Add(parts)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.tracker.RecordAnswered(parts, 1, false)
--- a/pkg/role/gateway/prompts.go
+++ b/pkg/role/gateway/prompts.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	lru "github.com/hashicorp/golang-lru/v2"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/plantainstair/plantainstair/pkg/core/path"
@@ -31,9 +30,6 @@
 	// answeredWrites is the number of writes to the caller from which a request counts as
 	// answered: an engine that crashes on a request does so when it starts to answer.
 	answeredWrites = 2
-	// maxAnsweredParts bounds the prompt parts that are remembered from answered requests.
-	// Those that were not asked for longest are forgotten first.
-	maxAnsweredParts = 4096
 	// maxBrokenReplies bounds the broken replies that are kept, also for a later leader.
 	maxBrokenReplies = 256
 	// brokenReplyAge is the time for which they are kept.
@@ -52,7 +48,7 @@
 // until the leader has been told.
 type promptEvidence struct {
 	changed  chan struct{} // signals that there is something to report
-	answered *lru.Cache[string, struct{}]
+	answered quarantine.AnsweredParts
 
 	mu      sync.Mutex
 	leader  leaderTerm      // that watches the parts
@@ -74,11 +70,9 @@
 }
 
 func newPromptEvidence() *promptEvidence {
-	answered, err := lru.New[string, struct{}](maxAnsweredParts)
-	if err != nil {
-		panic(err) // only a size that is not positive is refused
+	return &promptEvidence{
+		changed: make(chan struct{}, 1), answered: quarantine.NewAnsweredParts(), answers: make(map[string]*wirepb.AnsweredPrompts),
 	}
-	return &promptEvidence{changed: make(chan struct{}, 1), answered: answered, answers: make(map[string]*wirepb.AnsweredPrompts)}
 }
 
 func (e *promptEvidence) signal() {
@@ -136,9 +130,7 @@
 
 // recordAnswered records a request that was answered.
 func (e *promptEvidence) recordAnswered(p quarantine.Parts) {
-	for _, id := range p {
-		e.answered.Add(id, struct{}{})
-	}
+	e.answered.Add(p)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	var watched quarantine.Parts
--- a/pkg/role/gateway/prompts_test.go
+++ b/pkg/role/gateway/prompts_test.go
@@ -43,14 +43,13 @@
 	now := time.Unix(1_000_000, 0)
 	e := newPromptEvidence()
 	var watched []string
-	for i := range 2 * maxAnsweredParts {
+	for i := range 2 * maxBrokenReplies {
 		id := fmt.Sprint(i)
 		watched = append(watched, id)
 		e.recordAnswered(quarantine.Parts{id})
 		e.recordBroken(now, &wirepb.BrokenReply{RequestId: id, Parts: []string{id}})
 	}
 	e.setWatched(leaderTerm{"a", 1}, watched)
-	assert.Equal(t, e.answered.Len(), maxAnsweredParts)
 	assert.Equal(t, len(e.broken), maxBrokenReplies)
 	assert.Equal(t, len(e.answers), maxAnswerGroups)
 	e.recordBroken(now.Add(brokenReplyAge+time.Second), &wirepb.BrokenReply{RequestId: "new"})
