--- a/pkg/role/coordinator/coordinator.go
+++ b/pkg/role/coordinator/coordinator.go
@@ -24,6 +24,7 @@
 	"github.com/plantainstair/plantainstair/pkg/logs"
 	"github.com/plantainstair/plantainstair/pkg/replica"
 	"github.com/plantainstair/plantainstair/pkg/replicalink"
+	"github.com/plantainstair/plantainstair/pkg/wire"
 	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
 )
 
@@ -286,6 +287,19 @@
 	return err
 }
 
+// replyFromOwner runs f on the owner if this replica is the leader, and writes the frame that
+// f returns, or the error, to a stream.
+func (c *Coordinator) replyFromOwner(s *wire.Stream, f func() *wirepb.Frame) {
+	ctx, cancel := context.WithTimeout(c.ctx, forwardTimeout)
+	defer cancel()
+	var reply *wirepb.Frame
+	if err := c.runOnOwnerIfLeader(ctx, func() { reply = f() }); err != nil {
+		_ = s.WriteError(err)
+		return
+	}
+	_ = s.Write(reply)
+}
+
 // postToOwner queues f for the owner and does not wait until it has run.
 func (c *Coordinator) postToOwner(f func()) {
 	select {
--- a/pkg/role/coordinator/prompts.go
+++ b/pkg/role/coordinator/prompts.go
@@ -1,14 +1,12 @@
 package coordinator
 
 import (
-	"context"
 	"slices"
 	"time"
 
 	"github.com/plantainstair/plantainstair/pkg/coordinators"
 	"github.com/plantainstair/plantainstair/pkg/core/quarantine"
 	"github.com/plantainstair/plantainstair/pkg/logs"
-	"github.com/plantainstair/plantainstair/pkg/wire"
 	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
 )
 
@@ -16,19 +14,9 @@
 // report for 50 ms, and a watched part reaches them within an update.
 var promptDelays = quarantine.Delays{Settle: 150 * time.Millisecond, Answers: 400 * time.Millisecond}
 
-// servePromptReport records what a gateway saw of requests with shared prompt parts.
-func (c *Coordinator) servePromptReport(s *wire.Stream, r *wirepb.PromptReport) {
-	ctx, cancel := context.WithTimeout(c.ctx, forwardTimeout)
-	defer cancel()
-	if err := c.runOnOwnerIfLeader(ctx, func() { c.recordPromptReport(time.Now(), r) }); err != nil {
-		_ = s.WriteError(err)
-		return
-	}
-	_ = s.Write(&wirepb.Frame{Body: &wirepb.Frame_PromptReportReply{PromptReportReply: &wirepb.PromptReportReply{}}})
-}
-
-// recordPromptReport runs on the owner.
-func (c *Coordinator) recordPromptReport(now time.Time, r *wirepb.PromptReport) {
+// recordPromptReport records what a gateway saw of requests with shared prompt parts. It runs
+// on the owner.
+func (c *Coordinator) recordPromptReport(now time.Time, r *wirepb.PromptReport) *wirepb.Frame {
 	for _, b := range r.GetBroken() {
 		process := quarantine.Process{ID: b.GetInstanceId(), StartUnixMs: b.GetBornUnixMs()}
 		first := c.prompts.RecordBroken(now, quarantine.BrokenReply{
@@ -43,6 +31,7 @@
 		c.prompts.RecordAnswered(quarantine.NewParts(a.GetParts()), int(a.GetCount()), a.GetBeforeWatch())
 	}
 	c.requestStep()
+	return &wirepb.Frame{Body: &wirepb.Frame_PromptReportReply{PromptReportReply: &wirepb.PromptReportReply{}}}
 }
 
 func progressOf(b *wirepb.BrokenReply) quarantine.Progress {
--- a/pkg/role/coordinator/serve.go
+++ b/pkg/role/coordinator/serve.go
@@ -39,7 +39,7 @@
 	case *wirepb.Frame_Join:
 		c.serveJoin(s, body.Join)
 	case *wirepb.Frame_PromptReport:
-		c.servePromptReport(s, body.PromptReport)
+		c.replyFromOwner(s, func() *wirepb.Frame { return c.recordPromptReport(time.Now(), body.PromptReport) })
 	case *wirepb.Frame_PermitRequest:
 		c.servePermit(s, body.PermitRequest)
 	case *wirepb.Frame_RequestLimitReport:
