--- a/pkg/role/coordinator/permits.go
+++ b/pkg/role/coordinator/permits.go
@@ -1,11 +1,9 @@
 package coordinator
 
 import (
-	"context"
 	"time"
 
 	"github.com/plantainstair/plantainstair/pkg/logs"
-	"github.com/plantainstair/plantainstair/pkg/wire"
 	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
 )
 
@@ -13,24 +11,17 @@
 // the gateway hears of its end within it.
 const unknownInstanceWait = 200 * time.Millisecond
 
-// servePermit answers a request for a permit to send one request to an instance.
-func (c *Coordinator) servePermit(s *wire.Stream, r *wirepb.PermitRequest) {
-	ctx, cancel := context.WithTimeout(c.ctx, forwardTimeout)
-	defer cancel()
-	var granted bool
-	var wait time.Duration
-	if err := c.runOnOwnerIfLeader(ctx, func() { granted, wait = c.takePermit(time.Now(), r) }); err != nil {
-		_ = s.WriteError(err)
-		return
-	}
+// answerPermit answers a request for a permit to send one request to an instance. It runs on
+// the owner.
+func (c *Coordinator) answerPermit(now time.Time, r *wirepb.PermitRequest) *wirepb.Frame {
+	granted, wait := c.takePermit(now, r)
 	if !granted {
 		c.metrics.deniedPermits.Inc()
 	}
 	reply := &wirepb.PermitReply{Granted: granted, WaitMs: uint32(wait.Milliseconds())}
-	_ = s.Write(&wirepb.Frame{Body: &wirepb.Frame_PermitReply{PermitReply: reply}})
+	return &wirepb.Frame{Body: &wirepb.Frame_PermitReply{PermitReply: reply}}
 }
 
-// takePermit runs on the owner.
 func (c *Coordinator) takePermit(now time.Time, r *wirepb.PermitRequest) (granted bool, wait time.Duration) {
 	in := c.registry.Get(r.GetInstanceId())
 	switch {
@@ -42,26 +33,16 @@
 	return c.permits.Take(now, in.GetId(), in.GetRequestLimit(), int(r.GetRank()))
 }
 
-// serveRequestLimit records a limit that an instance named in a reply to a gateway.
-func (c *Coordinator) serveRequestLimit(s *wire.Stream, r *wirepb.RequestLimitReport) {
-	ctx, cancel := context.WithTimeout(c.ctx, forwardTimeout)
-	defer cancel()
-	if err := c.runOnOwnerIfLeader(ctx, func() { c.recordRequestLimit(r) }); err != nil {
-		_ = s.WriteError(err)
-		return
-	}
-	_ = s.Write(&wirepb.Frame{Body: &wirepb.Frame_RequestLimitReportReply{RequestLimitReportReply: &wirepb.RequestLimitReportReply{}}})
-}
-
-// recordRequestLimit runs on the owner.
-func (c *Coordinator) recordRequestLimit(r *wirepb.RequestLimitReport) {
+// recordRequestLimit records a limit that an instance named in a reply to a gateway. It runs
+// on the owner.
+func (c *Coordinator) recordRequestLimit(r *wirepb.RequestLimitReport) *wirepb.Frame {
 	known := c.registry.Get(r.GetInstanceId())
-	if known == nil || known.GetBornUnixMs() != r.GetBornUnixMs() || known.GetRequestLimit() == r.GetPerSecond() {
-		return
+	if known != nil && known.GetBornUnixMs() == r.GetBornUnixMs() && known.GetRequestLimit() != r.GetPerSecond() {
+		c.logRequestLimit(known, r.GetPerSecond())
+		c.registry.SetRequestLimit(known.GetId(), r.GetPerSecond())
+		c.watchers.signalChange()
 	}
-	c.logRequestLimit(known, r.GetPerSecond())
-	c.registry.SetRequestLimit(known.GetId(), r.GetPerSecond())
-	c.watchers.signalChange()
+	return &wirepb.Frame{Body: &wirepb.Frame_RequestLimitReportReply{RequestLimitReportReply: &wirepb.RequestLimitReportReply{}}}
 }
 
 // logRequestLimit logs the limit that an instance names now if it differs from the known one.
--- a/pkg/role/coordinator/serve.go
+++ b/pkg/role/coordinator/serve.go
@@ -41,9 +41,9 @@
 	case *wirepb.Frame_PromptReport:
 		c.replyFromOwner(s, func() *wirepb.Frame { return c.recordPromptReport(time.Now(), body.PromptReport) })
 	case *wirepb.Frame_PermitRequest:
-		c.servePermit(s, body.PermitRequest)
+		c.replyFromOwner(s, func() *wirepb.Frame { return c.answerPermit(time.Now(), body.PermitRequest) })
 	case *wirepb.Frame_RequestLimitReport:
-		c.serveRequestLimit(s, body.RequestLimitReport)
+		c.replyFromOwner(s, func() *wirepb.Frame { return c.recordRequestLimit(body.RequestLimitReport) })
 	default:
 		_ = s.WriteError(fault.New(fault.Protocol, "unexpected first message from %s", peer.Host))
 	}
