platform/soak: let engines crash on a prompt part

Cause: the soak stopped servers at times that it drew, never because of a request, and so could not find the first incident.

--- a/cmd/plantain-soak/main.go
+++ b/cmd/plantain-soak/main.go
@@ -28,6 +28,8 @@
 	bin     string
 	dir     string
 	size    soak.Size
+	// upstreamFaults is soak.Options.UpstreamFaults.
+	upstreamFaults bool
 }
 
 func main() {
@@ -43,6 +45,7 @@
 	flaggy.Int(&o.size.Coordinators, "c", "coordinators", "Number of coordinators.")
 	flaggy.Int(&o.size.Gateways, "g", "gateways", "Number of gateways.")
 	flaggy.Int(&o.size.CallersPerGateway, "l", "callers", "Number of callers for each gateway.")
+	flaggy.Bool(&o.upstreamFaults, "u", "upstream-faults", "Also let engines crash on a prompt part.")
 	flaggy.Parse()
 	ctx, stop := lifecycle.SignalContext()
 	defer stop()
@@ -123,7 +126,7 @@
 			break
 		}
 		dir := filepath.Join(base, fmt.Sprint(r.seed))
-		violated, err := r.run(ctx, o.bin, dir)
+		violated, err := r.run(ctx, o, dir)
 		if err != nil {
 			return violatingSeeds, err
 		}
@@ -136,14 +139,16 @@
 
 // run runs one seed and reports whether it violated a guarantee. In that case it
 // keeps the seed's folder.
-func (r seedRun) run(ctx context.Context, bin, dir string) (violated bool, err error) {
+func (r seedRun) run(ctx context.Context, o options, dir string) (violated bool, err error) {
 	if err := os.RemoveAll(dir); err != nil { // left by an earlier run of the seed
 		return false, fault.Wrap(err, fault.Disk, "empty a folder")
 	}
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return false, fault.Wrap(err, fault.Disk, "create a folder")
 	}
-	report, err := soak.Run(ctx, soak.Options{Size: r.size, Seed: r.seed, FaultDuration: time.Duration(r.seconds) * time.Second, BinDir: bin, WorkDir: dir})
+	report, err := soak.Run(ctx, soak.Options{
+		Size: r.size, Seed: r.seed, FaultDuration: time.Duration(r.seconds) * time.Second, UpstreamFaults: o.upstreamFaults, BinDir: o.bin, WorkDir: dir,
+	})
 	if err != nil {
 		return false, err
 	}
