--- a/cmd/plantain-soak/main.go
+++ b/cmd/plantain-soak/main.go
@@ -45,7 +45,7 @@
 	flaggy.Int(&o.size.Coordinators, "c", "coordinators", "Number of coordinators.")
 	flaggy.Int(&o.size.Gateways, "g", "gateways", "Number of gateways.")
 	flaggy.Int(&o.size.CallersPerGateway, "l", "callers", "Number of callers for each gateway.")
-	flaggy.Bool(&o.upstreamFaults, "u", "upstream-faults", "Also let engines crash on a prompt part.")
+	flaggy.Bool(&o.upstreamFaults, "u", "upstream-faults", "Also let engines crash on a prompt part, and plain servers name a request limit.")
 	flaggy.Parse()
 	ctx, stop := lifecycle.SignalContext()
 	defer stop()
