pkg/core/raft: double the election timeout while elections have no result

Seen: with syncs of about 0.2 s, a new deployment elects no leader at all ("wait for the first change: no control replica answered", 60 s), and the same words ended a whole run of ./test/e2e after 1189 s.

Cause: an election needs a sync of the candidate and one of a voter. The election timeout was fixed at 200 to 400 ms, so that a candidate whose votes took longer raised the term and asked again before they arrived, for ever.

Change: each term without a leader after the first doubles the timeout, up to 16 times. All nodes see the same terms and back off together. A follower that loses its leader starts its election as soon as before.

--- a/pkg/core/raft/election.go
+++ b/pkg/core/raft/election.go
@@ -14,6 +14,27 @@
 	n.electionTimeout = n.cfg.ElectionTicks + n.cfg.Random(n.cfg.ElectionTicks)
 }
 
+// maxElectionBackoff limits how often the election timeout is doubled.
+const maxElectionBackoff = 4
+
+// electionBackoff returns how often the election timeout is doubled: once for each
+// election since the last leader but the first. An election takes a sync of the candidate
+// and one of a voter, so with a fixed timeout none succeeds while syncs take longer.
+func (n *Node) electionBackoff() uint64 {
+	if n.lead != None || n.term <= n.leaderTerm {
+		return 0
+	}
+	return min(n.term-n.leaderTerm-1, maxElectionBackoff)
+}
+
+// setLeader records the leader of the current term, or that none is known.
+func (n *Node) setLeader(id uint64) {
+	n.lead = id
+	if id != None {
+		n.leaderTerm = max(n.leaderTerm, n.term)
+	}
+}
+
 // inLease reports whether this node is the leader or heard from the leader within
 // the minimum election timeout. An election would then disrupt a working leader.
 func (n *Node) inLease() bool {
@@ -165,7 +186,7 @@
 
 func (n *Node) becomeLeader() {
 	n.fireEvent(eventWin)
-	n.lead = n.cfg.ID
+	n.setLeader(n.cfg.ID)
 	n.electionElapsed = 0
 	n.heartbeatElapsed = 0
 	n.votes = nil
--- a/pkg/core/raft/follower.go
+++ b/pkg/core/raft/follower.go
@@ -91,7 +91,7 @@
 	if n.role != Follower {
 		n.becomeFollower(n.term, m.From)
 	}
-	n.lead = m.From
+	n.setLeader(m.From)
 	n.electionElapsed = 0
 	return true
 }
--- a/pkg/core/raft/node.go
+++ b/pkg/core/raft/node.go
@@ -22,6 +22,7 @@
 
 	electionElapsed  int
 	electionTimeout  int
+	leaderTerm       uint64 // highest term with a known leader; at the start, the term of the hard state
 	heartbeatElapsed int
 	transferTo       uint64
 
@@ -61,13 +62,14 @@
 func New(cfg Config) *Node {
 	cfg.setDefaults()
 	n := &Node{
-		cfg:     cfg,
-		term:    cfg.HardState.Term,
-		vote:    cfg.HardState.Vote,
-		cluster: cfg.Cluster,
-		role:    Follower,
-		roleFSM: newRoleFSM(),
-		log:     newEntryLog(cfg.Snapshot, cfg.Entries),
+		cfg:        cfg,
+		term:       cfg.HardState.Term,
+		leaderTerm: cfg.HardState.Term,
+		vote:       cfg.HardState.Vote,
+		cluster:    cfg.Cluster,
+		role:       Follower,
+		roleFSM:    newRoleFSM(),
+		log:        newEntryLog(cfg.Snapshot, cfg.Entries),
 	}
 	n.voterSets = []votersAt{{index: cfg.Snapshot.Index, voters: cfg.Snapshot.Voters}}
 	for _, e := range cfg.Entries {
@@ -91,7 +93,7 @@
 		n.tickLeader()
 		return
 	}
-	if n.electionElapsed >= n.electionTimeout {
+	if n.electionElapsed >= n.electionTimeout<<n.electionBackoff() {
 		n.resetElectionTimer()
 		n.campaign(n.disabled.preVote)
 	}
--- a/pkg/core/raft/step.go
+++ b/pkg/core/raft/step.go
@@ -136,7 +136,7 @@
 	if term > n.term {
 		n.setHardState(term, None)
 	}
-	n.lead = lead
+	n.setLeader(lead)
 	n.transferTo = None
 	n.votes = nil
 	n.progress = nil
--- a/pkg/role/control/settings.go
+++ b/pkg/role/control/settings.go
@@ -22,7 +22,7 @@
 	PeerAddress       string        `ini:"replica.peer_address" required:"true" format:"address" help:"Address for entries, agents and other replicas."`
 	Voters            []string      `ini:"replica.voters" help:"First voters as id=peer_address/admin_address/host; a joining replica lists the present ones."`
 	Join              bool          `ini:"replica.join" default:"false" help:"Wait with an empty folder until the replica is added to an existing cluster."`
-	ElectionTimeout   time.Duration `ini:"replica.election_timeout" default:"200ms" min:"50ms" max:"10s" help:"Least time without a leader before an election; the actual time is up to twice that."`
+	ElectionTimeout   time.Duration `ini:"replica.election_timeout" default:"200ms" min:"50ms" max:"10s" help:"Least time without a leader before an election; the actual time is up to twice that, and doubles up to four times while elections have no result."`
 	HeartbeatInterval time.Duration `ini:"replica.heartbeat" default:"40ms" min:"10ms" max:"2s" help:"Interval of the heartbeats of the leader."`
 	SnapshotEntries   int           `ini:"replica.snapshot_entries" default:"50000" min:"100" max:"10000000" help:"Log entries between two snapshots."`
 	AdminAddress      string        `ini:"admin.address" required:"true" format:"address" help:"Address of the admin API, health, readiness and metrics."`
