pkg/instances, gateway: end replies that go on without end

Cause: http.ReadResponse has no limit of its own, and the other bounds were chosen for one reply at a time.

Change: 64 KiB for a head (headLimiter, below the buffered reader), an event and an error reply of an engine. An engine that exceeds them is in backoff. A reply that breaks the protocol is no longer sent again unseen on a new connection; that is left to the retry budget.

--- a/pkg/core/events/events.go
+++ b/pkg/core/events/events.go
@@ -15,8 +15,9 @@
 	lastID string
 }
 
-// maxEventBytes is the maximum size of an event.
-const maxEventBytes = 1 << 20
+// maxEventBytes is the maximum size of an event. A process relays hundreds of streams of one
+// engine, and an engine in trouble may send bytes without end on all of them.
+const maxEventBytes = 64 << 10
 
 // Feed appends bytes of the stream and returns all events that are complete. The
 // caller owns the result. It fails if no event is complete and the buffered bytes
--- a/pkg/instances/pool.go
+++ b/pkg/instances/pool.go
@@ -38,6 +38,9 @@
 	maxResponsesRead   = 4
 	maxStaleReplyBytes = 1 << 20
 	readBufferSize     = 4 << 10
+	// maxHeadBytes bounds the head of a response: an upstream in trouble may send bytes
+	// without end.
+	maxHeadBytes = 64 << 10
 )
 
 // Call is an HTTP request to an upstream.
@@ -84,7 +87,8 @@
 	net.Conn
 	pool       *Pool
 	address    string
-	reader     *bufio.Reader
+	input      *headLimiter
+	reader     *bufio.Reader // of input
 	maxIdle    time.Duration // longest idle time, 0 if the connection must not be reused
 	idleSince  time.Time
 	stopCancel func() bool // stops the AfterFunc that closes the connection with the context
@@ -157,7 +161,8 @@
 		return nil, fault.Wrap(err, fault.Unavailable, "connect to %s", address).WithOutcome(fault.NotRun)
 	}
 	p.onDial()
-	return &conn{Conn: nc, pool: p, address: address, reader: bufio.NewReaderSize(nc, readBufferSize), maxIdle: defaultMaxIdle}, nil
+	input := &headLimiter{source: nc}
+	return &conn{Conn: nc, pool: p, address: address, input: input, reader: bufio.NewReaderSize(input, readBufferSize), maxIdle: defaultMaxIdle}, nil
 }
 
 // CloseExpired closes connections that were idle for too long, and all idle connections
@@ -225,7 +230,7 @@
 		kind := fault.Upstream
 		if ctx.Err() != nil {
 			kind = fault.Deadline
-		} else if resp == nil {
+		} else if resp == nil && !fault.Is(err, fault.Protocol) {
 			kind = fault.Unavailable
 		}
 		return nil, fault.Wrap(err, kind, "no valid reply from %s", c.address).WithOutcome(fault.MayHaveRun)
@@ -255,7 +260,7 @@
 // replies to earlier requests, which it recognises by their request ID.
 func (c *conn) awaitReply(call Call) (*http.Response, ReplyMetadata, error) {
 	for range maxResponsesRead {
-		resp, err := http.ReadResponse(c.reader, &http.Request{Method: call.Method})
+		resp, err := c.readHead(call.Method)
 		if err != nil {
 			return nil, ReplyMetadata{}, err
 		}
@@ -278,6 +283,13 @@
 	return nil, ReplyMetadata{}, fault.New(fault.Protocol, "%s sent %d responses, none of them to this call", c.address, maxResponsesRead)
 }
 
+// readHead reads the head of the next response. It fails if the head exceeds maxHeadBytes.
+func (c *conn) readHead(method string) (*http.Response, error) {
+	c.input.beginHead(maxHeadBytes)
+	defer c.input.endHead()
+	return http.ReadResponse(c.reader, &http.Request{Method: method})
+}
+
 func (c *conn) discardConn() {
 	c.stopCancel()
 	_ = c.Close()
--- a/pkg/instances/pool_test.go
+++ b/pkg/instances/pool_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
+	"strings"
 	"testing"
 	"time"
 
@@ -169,3 +171,54 @@
 	assert.NilError(t, err)
 	assert.Equal(t, <-s.requests, "GET /x?y=%2f")
 }
+
+// startEndlessUpstream responds with start and then with 64 MiB of repeated, unless the
+// caller closes the connection before.
+func startEndlessUpstream(t *testing.T, start, repeated string) net.Listener {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = ln.Close() })
+	chunk := []byte(repeated)
+	go func() {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		_, err = io.WriteString(c, start)
+		for sent := 0; err == nil && sent < 64<<20; sent += len(chunk) {
+			_, err = c.Write(chunk)
+		}
+	}()
+	return ln
+}
+
+// Guards against memory that grows, and a call that waits for its deadline, while an upstream
+// sends bytes that are no reply until the connection is closed.
+func TestPool_EndsEndlessReplies(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nId: 1\r\n"
+	for name, c := range map[string]struct{ start, repeated string }{
+		"status line":      {"", "garbage "},
+		"header line":      {head + "A: ", "garbage "},
+		"header fields":    {head, "A: b\r\n"},
+		"interim replies":  {"", "HTTP/1.1 102 Processing\r\n\r\n"},
+		"length":           {head + "Content-Length: ", "1"},
+		"chunk size":       {head + "Transfer-Encoding: chunked\r\n\r\n", "0"},
+		"chunk extensions": {head + "Transfer-Encoding: chunked\r\n\r\n1;", "garbage "},
+		"trailer":          {head + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "A: b\r\n"},
+		"body":             {head + "\r\n", "garbage "},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := startEndlessUpstream(t, c.start, strings.Repeat(c.repeated, 4096/len(c.repeated)))
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			_, err := get(t, NewPool(echoDialect{}, func() {}), s.Addr().String(), "1")
+			runtime.ReadMemStats(&after)
+			assert.Assert(t, fault.Is(err, fault.Upstream), "%v", err)
+			assert.Equal(t, fault.As(err).Outcome, fault.MayHaveRun)
+			allocated := after.TotalAlloc - before.TotalAlloc
+			assert.Assert(t, allocated < 4<<20, "%d bytes were allocated for one reply", allocated)
+		})
+	}
+}
--- a/pkg/role/gateway/attempt.go
+++ b/pkg/role/gateway/attempt.go
@@ -11,6 +11,10 @@
 	"github.com/plantainstair/plantainstair/pkg/instances"
 )
 
+// maxErrorReplyBytes bounds an error reply of an engine. Hundreds of streams may get one from
+// the same engine.
+const maxErrorReplyBytes = 64 << 10
+
 // attemptStream sends the request along a path and relays its events. It returns nil
 // once the response to the caller is complete.
 func (g *Gateway) attemptStream(ctx context.Context, w http.ResponseWriter, s *stream, choice path.Choice, avoid avoidUntil) error {
@@ -76,8 +80,9 @@
 // reply is sent to the caller, unless the stream has started or the request may be
 // retried.
 func (g *Gateway) handleErrorReply(w http.ResponseWriter, s *stream, reply *instances.Reply, firstStage path.PipelineStage, avoid avoidUntil) error {
-	body, err := reply.ReadAll(maxReplyBytes)
+	body, err := reply.ReadAll(maxErrorReplyBytes)
 	if err != nil {
+		g.load.onFailure(firstStage.ID)
 		return err
 	}
 	if reply.Metadata.NotRun {
@@ -120,7 +125,8 @@
 		if n > 0 {
 			complete, e := s.splitter.Feed(buffer[:n])
 			if e != nil {
-				return e
+				g.load.onFailure(firstEngineID)
+				return fault.As(e).WithOutcome(fault.MayHaveRun)
 			}
 			if len(complete) > 0 {
 				g.load.removeWaiting(firstEngineID, s)
