--- a/pkg/replica/loop.go
+++ b/pkg/replica/loop.go
@@ -209,6 +209,7 @@
 		s.Commit = r.node.Commit()
 		s.Last = r.node.Last()
 		s.Voters = r.node.Voters()
+		s.CommittedVoters = r.node.VotersAt(s.Commit)
 	}
 	if r.latestSnapshot.meta != nil {
 		s.Snapshot = r.latestSnapshot.meta.Index
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -26,6 +26,7 @@
 	Last              uint64 // index of the last log entry
 	Snapshot          uint64 // index of the newest durable snapshot
 	Voters            []*wirepb.Voter
+	CommittedVoters   []*wirepb.Voter // voters of the last committed change of membership
 	Bootstrapping     bool
 	// FatalError is the failure that stopped the replica permanently, or nil.
 	FatalError error
--- a/pkg/role/coordinator/metrics.go
+++ b/pkg/role/coordinator/metrics.go
@@ -1,6 +1,10 @@
 package coordinator
 
-import "github.com/VictoriaMetrics/metrics"
+import (
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
+)
 
 // metricSet holds the metrics of one coordinator.
 type metricSet struct {
@@ -39,5 +43,12 @@
 	m.set.GetOrCreateGauge(`plantain_coordinator_capacity_requests_per_second{data_centre="`+dataCentre+`"}`, nil).Set(perSecond)
 }
 
+// membership adds gauges of the committed membership, which tell whether a replacement of a
+// member is complete.
+func (m *metricSet) membership(selfID uint64, committedVoters func() []*wirepb.Voter) {
+	m.set.NewGauge("plantain_coordinator_members", func() float64 { return float64(len(committedVoters())) })
+	m.set.NewGauge("plantain_coordinator_is_voter", func() float64 { return float64(boolToInt(isVotingMember(committedVoters(), selfID))) })
+}
+
 // Metrics returns the metrics of this coordinator.
 func (c *Coordinator) Metrics() *metrics.Set { return c.metrics.set }
--- a/pkg/role/coordinator/replica.go
+++ b/pkg/role/coordinator/replica.go
@@ -70,6 +70,7 @@
 		return err
 	}
 	c.node = node
+	c.metrics.membership(o.Self.GetId(), func() []*wirepb.Voter { return node.Status().CommittedVoters })
 	c.transport.SetLeaderTermFunc(func() (uint64, bool) {
 		s := node.Status()
 		return s.Term, s.Leader == s.ID
