pkg/role/entry, pkg/core/route: share limits by the highest recent number of entries

Seen: by reading, in the search for the class of fault of the requests over a named limit. An entry divides the limits of an organisation by the number of live entries that its control replica names.

Cause: a replica that has just started has heard of few entries, so each entry that it tells takes a larger share, up to the whole limit.

Change: gatewayCount becomes route.ProcessCount, which entries use as well: the highest number of the last 10 s counts. Agents divide nothing.

Measured: TestConcurrencyLimit_StaysDividedWhileControlLearnsOfEntries, with 4 live entries and then 1: on the code before, the second request at a limit of 4 was admitted (its stream failed with 502 in the end), now it is refused with 429.

--- a/pkg/role/entry/attempt.go
+++ b/pkg/role/entry/attempt.go
@@ -96,7 +96,7 @@
 		Revision:     g.revision,
 		Weight:       g.weight,
 		Preemptions:  uint32(g.preemptions),
-		InProgress:   uint32(g.usage.inProgress() * max(g.entry.snapshot.Load().view.LiveEntryProcesses, 1)),
+		InProgress:   uint32(g.usage.inProgress() * g.entry.snapshot.Load().entryCount),
 		LateStages:   len(g.chain) > 1 && !g.entry.opts.Settings.RoundRobin,
 	}
 }
--- a/pkg/role/entry/call.go
+++ b/pkg/role/entry/call.go
@@ -48,7 +48,7 @@
 		return nil, err
 	}
 	defer e.requestLimiter.endRequest()
-	orgUsage, err := e.organisationLimits.acquire(c.call.Caller.Organisation, s.view.LiveEntryProcesses, 0, e.opts.Now())
+	orgUsage, err := e.organisationLimits.acquire(c.call.Caller.Organisation, s.entryCount, 0, e.opts.Now())
 	if err != nil {
 		return nil, err
 	}
--- a/pkg/role/entry/generate.go
+++ b/pkg/role/entry/generate.go
@@ -66,7 +66,7 @@
 	}
 	defer e.requestLimiter.endRequest()
 	now := e.opts.Now()
-	orgUsage, err := e.organisationLimits.acquire(req.Caller.Organisation, s.view.LiveEntryProcesses, len(req.Prompt), now)
+	orgUsage, err := e.organisationLimits.acquire(req.Caller.Organisation, s.entryCount, len(req.Prompt), now)
 	if err != nil {
 		return callers.GenerationResult{}, err
 	}
--- a/pkg/role/entry/refusal_test.go
+++ b/pkg/role/entry/refusal_test.go
@@ -266,6 +266,22 @@
 	assert.Equal(t, a.header.Get("Retry-After"), "1")
 }
 
+// Guards against entries that each take a whole limit because a control replica that has just
+// started has heard of few of them.
+func TestConcurrencyLimit_StaysDividedWhileControlLearnsOfEntries(t *testing.T) {
+	s := newTestSystem(t, startAgents(t, 1, always(stallingAt(1))), &wirepb.Limits{ConcurrentRequests: 4}, "")
+	for _, live := range []int{4, 1} {
+		view := *s.control.View()
+		view.LiveEntryProcesses = live
+		s.control.set(&view)
+		waitUntil(t, "the view is applied", func() bool { return s.entry.snapshot.Load().view == &view })
+	}
+	st, err := s.client.CreateChatCompletionStream(context.Background(), chatRequest(5, 1))
+	assert.NilError(t, err)
+	defer st.Close()
+	assert.Equal(t, s.do(http.MethodPost, "/v1/chat/completions", chatBody).status, http.StatusTooManyRequests)
+}
+
 // Guards against a burst of batch requests that leaves no capacity for urgent ones.
 func TestRequestLimiter_ReservesCapacityForUrgentRequests(t *testing.T) {
 	l := newRequestLimiter(10)
--- a/pkg/role/entry/select.go
+++ b/pkg/role/entry/select.go
@@ -21,7 +21,7 @@
 		return e.baseline.nextChain(s, requirements)
 	}
 	requirements.Weight = e.hostWeights()
-	requirements.EntryCount = s.view.LiveEntryProcesses
+	requirements.EntryCount = s.entryCount
 	requirements.ExcludedHosts = cloneSet(requirements.ExcludedHosts)
 	rng := newRand()
 	var lastErr error
@@ -49,7 +49,7 @@
 func (e *Entry) selectLaterStages(head string, requirements route.Requirements) ([]route.Stage, error) {
 	s := e.snapshot.Load()
 	requirements.Weight = e.hostWeights()
-	requirements.EntryCount = s.view.LiveEntryProcesses
+	requirements.EntryCount = s.entryCount
 	requirements.HeadHost = head
 	rng := newRand()
 	for range maxSelections {
@@ -83,7 +83,7 @@
 		return e.baseline.nextService(s, service, requirements)
 	}
 	requirements.Weight = e.hostWeights()
-	requirements.EntryCount = s.view.LiveEntryProcesses
+	requirements.EntryCount = s.entryCount
 	requirements.ExcludedHosts = cloneSet(requirements.ExcludedHosts)
 	rng := newRand()
 	for range maxSelections {
--- a/pkg/role/entry/snapshot.go
+++ b/pkg/role/entry/snapshot.go
@@ -13,6 +13,8 @@
 type snapshot struct {
 	view  *control.View
 	table *route.Table
+	// entryCount is the number of entries that share the limits of the organisations.
+	entryCount int
 }
 
 // confirmedSnapshot returns the latest snapshot, or a StaleConfig error if the
--- a/pkg/role/entry/upstream_monitor.go
+++ b/pkg/role/entry/upstream_monitor.go
@@ -41,6 +41,7 @@
 	table          *route.Table
 	upstreamStates map[string]*upstreamState
 	view           *control.View
+	entryCount     route.ProcessCount
 	events         chan upstreamEvent
 	lastCheck      time.Time
 	firstViewAt    time.Time
@@ -105,7 +106,18 @@
 	for _, a := range v.Upstreams {
 		m.applyAnnouncement(a)
 	}
-	m.entry.snapshot.Store(&snapshot{view: v, table: m.table})
+	m.publishSnapshot(m.entry.opts.Now())
+}
+
+// publishSnapshot publishes the view if it, or the number of entries, has changed.
+func (m *upstreamMonitor) publishSnapshot(now time.Time) {
+	if m.view == nil {
+		return
+	}
+	entryCount := m.entryCount.Update(now, m.view.LiveEntryProcesses)
+	if old := m.entry.snapshot.Load(); old == nil || old.view != m.view || old.entryCount != entryCount {
+		m.entry.snapshot.Store(&snapshot{view: m.view, table: m.table, entryCount: entryCount})
+	}
 }
 
 // applyAnnouncement adds an upstream or applies its changed announcement.
@@ -228,6 +240,7 @@
 		}
 		m.updateLiveness(up, now)
 	}
+	m.publishSnapshot(now)
 	m.entry.promptGuard.step(now, m.table)
 	m.checkWarmUp(now)
 }
--- a/pkg/role/gateway/gateway.go
+++ b/pkg/role/gateway/gateway.go
@@ -53,7 +53,7 @@
 	prompts       *promptEvidence
 	repairSignal  chan struct{}
 	startedAt     time.Time
-	gatewayCount  gatewayCount // accessed by viewChanged only
+	gatewayCount  route.ProcessCount // accessed by viewChanged only
 	wg            sync.WaitGroup
 	cancel        context.CancelFunc
 }
@@ -91,7 +91,7 @@
 // viewChanged installs a new view. It runs on the goroutine that watches the
 // coordinators and must not block.
 func (g *Gateway) viewChanged(v *coordinators.View) {
-	g.view.Store(newView(v, g.gatewayCount.update(time.Now(), v.GatewayCount)))
+	g.view.Store(newView(v, g.gatewayCount.Update(time.Now(), v.GatewayCount)))
 	g.retryBudgets.resize(v.GatewayCount)
 	g.prompts.setWatched(leaderTerm{v.LeaderPeerAddress, v.Term}, v.Prompts.Watched)
 	select {
--- a/pkg/role/gateway/gateway_test.go
+++ b/pkg/role/gateway/gateway_test.go
@@ -34,22 +34,6 @@
 	}
 }
 
-// Guards against gateways that each take more than their share of what is divided between
-// all of them while a new leader has heard of few, and against a share that stays too small
-// once gateways are gone.
-func TestGatewayCount_StaysWhileALeaderLearnsOfGateways(t *testing.T) {
-	var c gatewayCount
-	now := time.Unix(1_000_000, 0)
-	assert.Equal(t, c.update(now, 13), 13)
-	assert.Equal(t, c.update(now.Add(time.Second), 1), 13)
-	assert.Equal(t, c.update(now.Add(2*time.Second), 12), 13)
-	assert.Equal(t, c.update(now.Add(gatewayCountAge), 12), 13)
-	assert.Equal(t, c.update(now.Add(gatewayCountAge+3*time.Second), 11), 12)
-	assert.Equal(t, c.update(now.Add(2*gatewayCountAge), 14), 14)
-	assert.Equal(t, c.update(now.Add(3*gatewayCountAge), 0), 14)
-	assert.Equal(t, c.update(now.Add(5*gatewayCountAge), 0), 1)
-}
-
 // Guards against too many streams that cross between data centres after a failure: the
 // tokens of all other streams would wait behind their prompts.
 func TestLinkBudgets_LimitCrossDataCentrePaths(t *testing.T) {
