pkg/role/control: run a test with a limit of 3 s on files without syncs

Cause: the load of the old leader may last 3 s, after which a new leader rightly no longer counts it. Elections took so long on that disk that the load was 3.4 to 4.3 s old when the test ended it (4 runs with a line added).

Change: this test's replicas do not sync. No process and no power is lost in it, so nothing in it depends on syncs. Its checks and limits are as they were.

--- a/pkg/role/control/cluster_test.go
+++ b/pkg/role/control/cluster_test.go
@@ -18,6 +18,7 @@
 	"github.com/plantainstair/plantainstair/pkg/operators"
 	"github.com/plantainstair/plantainstair/pkg/replica"
 	"github.com/plantainstair/plantainstair/pkg/replicalink"
+	"github.com/plantainstair/plantainstair/pkg/wal"
 	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
 )
 
@@ -28,6 +29,7 @@
 	t      testing.TB
 	voters []*wirepb.Voter
 	dirs   []string
+	fs     wal.FS
 
 	mu       sync.Mutex
 	replicas []*Control // nil while stopped
@@ -89,9 +91,35 @@
 	c.isolated[id] = on
 }
 
+// unsyncedFS is the real file system without syncs, for tests whose limits of time leave no
+// room for those of a slow disk.
+type unsyncedFS struct{ wal.OS }
+
+type unsyncedFile struct{ wal.File }
+
+func (unsyncedFile) Sync() error { return nil }
+
+func (f unsyncedFS) Create(name string) (wal.File, error) { return withoutSyncs(f.OS.Create(name)) }
+
+func (f unsyncedFS) Append(name string) (wal.File, error) { return withoutSyncs(f.OS.Append(name)) }
+
+func (unsyncedFS) SyncDir(string) error { return nil }
+
+func withoutSyncs(file wal.File, err error) (wal.File, error) {
+	if err != nil {
+		return nil, err
+	}
+	return unsyncedFile{file}, nil
+}
+
 func startCluster(t testing.TB, size int) *cluster {
 	t.Helper()
-	c := &cluster{t: t, replicas: make([]*Control, size), isolated: make(map[uint64]bool), commitsHidden: make(map[uint64]bool)}
+	return startClusterOn(t, size, wal.OS{})
+}
+
+func startClusterOn(t testing.TB, size int, fs wal.FS) *cluster {
+	t.Helper()
+	c := &cluster{t: t, fs: fs, replicas: make([]*Control, size), isolated: make(map[uint64]bool), commitsHidden: make(map[uint64]bool)}
 	var listeners []net.Listener
 	for i := range size {
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -131,7 +159,7 @@
 		OpenNode: func(m *StateMachine, t *replicalink.Transport) (Node, error) {
 			r, err := replica.Open(replica.Options{
 				ID: id, Dir: c.dirs[i], Bootstrap: c.voters, StateMachine: m,
-				Transport: partitionedTransport{t, id, c}, Log: logs.Nop(), SnapshotEntries: 200,
+				Transport: partitionedTransport{t, id, c}, Log: logs.Nop(), FS: c.fs, SnapshotEntries: 200,
 			})
 			return replicaNode{r}, err
 		},
--- a/pkg/role/control/loads_test.go
+++ b/pkg/role/control/loads_test.go
@@ -75,7 +75,7 @@
 // old one that starts its queued loads after it has lost the leadership.
 func TestLoadOrders_LimitHoldsAcrossLeaders(t *testing.T) {
 	const loadTime = 3 * time.Second
-	c := startCluster(t, 3)
+	c := startClusterOn(t, 3, unsyncedFS{})
 	policy := &wirepb.Entry{Kind: "policy", Name: "default", Owner: "o", Policy: &wirepb.PolicySpec{ConcurrentLoads: 1}}
 	_, err := c.replicas[0].Apply(background(t), "ann", &operators.ChangeRequest{RequestID: "policy", Put: []operators.Entry{{Value: policy}}})
 	assert.NilError(t, err)
