pkg/core/layout: count the limits that engines name at the first layer

Cause, by the logs of the leader: two first engines were lost. One's layers went to an engine with a limit of 1 request a second, as it was the neighbour. When the other was back, it got only layers 6 to 22, behind a first engine with a limit of 3, although it named none and had held 0 to 22 before. The layout knew nothing of limits: a limited engine at the first layer counted as much as any.

Change: at the first layer, an engine counts for the requests that its limit lets start in the time of a request, as it does for its slots. An engine that is given a gap also takes the layers before it if all first engines name limits, it does not and keeps its headroom.

TestPlan_AssignsFirstLayerToEngineWithoutLimit and TestPlan_MovesRedundantEngineToLimitedFirstLayer failed before.

--- a/pkg/core/layout/layout.go
+++ b/pkg/core/layout/layout.go
@@ -20,6 +20,9 @@
 	// Slow engines keep their layers but do not count as holders in their data centre:
 	// other engines take over their layers until they recover.
 	Slow bool
+	// RequestLimit is the number of requests per second that the engine takes as the first
+	// of a path; zero if it names no limit.
+	RequestLimit float64
 }
 
 // Range is the half-open range of layers [From, To).
--- a/pkg/core/layout/layout_test.go
+++ b/pkg/core/layout/layout_test.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
@@ -430,3 +431,41 @@
 	all[1].Slow = true
 	assert.Assert(t, !ClosesGap(all, all[0], Range{4, 6}), "requests pass through a slow engine too")
 }
+
+// Guards against a data centre whose requests all start at an engine that takes few of them,
+// while one that names no limit could hold the first layers: after a loss, a restarted engine
+// must take them.
+func TestPlan_AssignsFirstLayerToEngineWithoutLimit(t *testing.T) {
+	for name, gap := range map[string]Range{"first layers": {0, 4}, "later layers": {6, 22}} {
+		t.Run(name, func(t *testing.T) {
+			m := model()
+			m.DecodeStepTime = time.Millisecond
+			all := []Engine{
+				{ID: "first", DataCentre: "a", Accelerator: "small", HeldLayers: Range{0, gap.From}, RequestLimit: 1},
+				{ID: "second", DataCentre: "a", Accelerator: "large", HeldLayers: Range{gap.To, 50}, RequestLimit: 1},
+				{ID: "third", DataCentre: "a", Accelerator: "large", HeldLayers: Range{50, 80}, RequestLimit: 1},
+				{ID: "restarted", DataCentre: "a", Accelerator: "large"},
+			}
+			plan := Plan(m, all, true)
+			assert.Equal(t, uncoveredLayers(m, all, plan, "a"), 0)
+			assert.Equal(t, plan["restarted"].From, 0, "%v", plan)
+			checkMemory(t, m, all, plan)
+		})
+	}
+}
+
+// Guards against an engine with spare layers that stays behind the first engines although
+// these limit the requests of the data centre.
+func TestPlan_MovesRedundantEngineToLimitedFirstLayer(t *testing.T) {
+	m := model()
+	m.DecodeStepTime = time.Millisecond
+	all := []Engine{
+		{ID: "first", DataCentre: "a", Accelerator: "large", HeldLayers: Range{0, 30}, RequestLimit: 1},
+		{ID: "second", DataCentre: "a", Accelerator: "large", HeldLayers: Range{30, 55}},
+		{ID: "third", DataCentre: "a", Accelerator: "large", HeldLayers: Range{55, 80}},
+		{ID: "spare", DataCentre: "a", Accelerator: "large", HeldLayers: Range{30, 55}},
+	}
+	plan := Plan(m, all, true)
+	assert.Assert(t, plan["spare"].From == 0 || plan["second"].From == 0, "%v", plan)
+	assert.Equal(t, uncoveredLayers(m, all, plan, "a"), 0)
+}
--- a/pkg/core/layout/planner.go
+++ b/pkg/core/layout/planner.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/plantainstair/plantainstair/pkg/core/routing"
 )
@@ -15,8 +16,9 @@
 	layerLimit    map[string]int // most layers that leave the wanted KV headroom
 	kvLeft        map[string]int // KV tokens left next to the assigned layers
 	assigned      map[string]Range
-	holderCount   []int // number of engines that hold each layer
-	layerKVTokens []int // KV tokens of all engines that hold each layer
+	holderCount   []int         // number of engines that hold each layer
+	layerKVTokens []int         // KV tokens of all engines that hold each layer
+	requestTime   time.Duration // mean time of a typical request on these engines, alone
 }
 
 func newPlanner(m *routing.Model, engines []Engine, headroom map[string]int) *planner {
@@ -35,6 +37,9 @@
 			cmp.Compare(a.ID, b.ID))
 	})
 	for _, e := range p.engines {
+		a := m.Accelerators[e.Accelerator]
+		alone := m.DecodeTime(a, m.Layers)*time.Duration(m.TypicalOutputTokens) + m.PrefillTime(a, m.Layers)*time.Duration(m.TypicalPromptTokens)
+		p.requestTime += alone / time.Duration(len(p.engines))
 		p.layerLimit[e.ID] = m.MaxLayers(m.Accelerators[e.Accelerator], headroom[e.Accelerator]*(m.TypicalPromptTokens+m.TypicalOutputTokens))
 	}
 	return p
@@ -57,12 +62,21 @@
 }
 
 // kvTokensAt returns the KV tokens that an engine contributes at a layer it holds. At
-// the first layer, its slots also limit the requests that can start there.
+// the first layer, its slots and the limit that it names also limit the requests that can
+// start there.
 func (p *planner) kvTokensAt(e Engine, layer int) int {
-	if layer > 0 || p.model.Slots <= 0 {
-		return p.kvLeft[e.ID]
+	tokens := p.kvLeft[e.ID]
+	if layer > 0 {
+		return tokens
 	}
-	return min(p.kvLeft[e.ID], p.model.Slots*(p.model.TypicalPromptTokens+p.model.TypicalOutputTokens))
+	perRequest := p.model.TypicalPromptTokens + p.model.TypicalOutputTokens
+	if p.model.Slots > 0 {
+		tokens = min(tokens, p.model.Slots*perRequest)
+	}
+	if e.RequestLimit > 0 {
+		tokens = min(tokens, int(e.RequestLimit*p.requestTime.Seconds()*float64(perRequest)))
+	}
+	return tokens
 }
 
 func (p *planner) release(e Engine) {
@@ -100,7 +114,7 @@
 		if !ok {
 			return
 		}
-		p.assign(e, p.rangeInGap(gap, p.layerLimit[e.ID]))
+		p.assign(e, p.withFirstLayer(e, p.rangeInGap(gap, p.layerLimit[e.ID])))
 	}
 }
 
@@ -112,6 +126,21 @@
 	return Range{from, from + n}
 }
 
+// withFirstLayer extends the range of an engine that names no limit to the first layer if all
+// holders of the first layer name one and the engine keeps the wanted headroom.
+func (p *planner) withFirstLayer(e Engine, r Range) Range {
+	if e.RequestLimit > 0 || r.From == 0 || r.To > p.layerLimit[e.ID] || p.holderCount[0] == 0 {
+		return r
+	}
+	for _, other := range p.engines {
+		held, ok := p.assigned[other.ID]
+		if ok && !held.Empty() && held.From == 0 && other.RequestLimit == 0 {
+			return r
+		}
+	}
+	return Range{0, r.To}
+}
+
 // unassignedEngine returns the fastest engine without layers.
 func (p *planner) unassignedEngine(Range) (Engine, bool) {
 	for _, e := range p.engines {
--- a/pkg/role/coordinator/placement.go
+++ b/pkg/role/coordinator/placement.go
@@ -97,7 +97,7 @@
 		busy[in.GetId()] = !orderable
 		engines = append(engines, layout.Engine{
 			ID: in.GetId(), DataCentre: in.GetDataCentre(), Accelerator: in.GetAccelerator(), HeldLayers: heldLayers,
-			Slow: isSlow(in.GetLoad()),
+			Slow: isSlow(in.GetLoad()), RequestLimit: in.GetRequestLimit(),
 		})
 	}
 	if len(engines) == 0 || !p.ready(now) {
