pkg/core/raft: replace a voter in one joint change of membership

A replacement was two changes: the new voter was added, then the old one removed. The removal of left-over voters by the next leader came too late when leaders lived for less than a second.

Now the new voter joins as a learner that names the voter it replaces. When it has caught up, a joint configuration needs a majority of the old voters and one of the new; once that is committed, the leader, or the next one, appends the configuration without the replaced voter. Coordinators and control replicas use it. A replica that joins answers reads only once its replacement is committed, since the old voters may be needed until then. The removal of a voter at whose address another one answers is dead and gone; a lost voter of an even number is still removed.

A process of an earlier build counts the joint configuration as four voters, whose majority contains both majorities.

--- a/pkg/core/raft/election.go
+++ b/pkg/core/raft/election.go
@@ -159,25 +159,16 @@
 // countVotes returns 1 if a quorum granted its vote, -1 if a quorum can no longer
 // be reached, and 0 otherwise.
 func (n *Node) countVotes() int {
-	granted, refused, voters := 0, 0, 0
-	for _, v := range n.Voters() {
-		if v.Learner {
-			continue
-		}
-		voters++
-		vote, known := n.votes[v.Id]
-		switch {
-		case known && vote:
-			granted++
-		case known:
-			refused++
-		}
+	c := n.voterSet()
+	granted := func(id uint64) bool { return n.votes[id] }
+	mayGrant := func(id uint64) bool {
+		vote, known := n.votes[id]
+		return vote || !known
 	}
-	quorum := voters/2 + 1
 	switch {
-	case granted >= quorum:
+	case c.quorumOf(granted):
 		return 1
-	case refused > voters-quorum:
+	case !c.quorumOf(mayGrant):
 		return -1
 	default:
 		return 0
@@ -205,7 +196,7 @@
 		p := n.progress[id]
 		return id == n.cfg.ID || (p != nil && p.active)
 	}
-	ok := n.quorumOf(active)
+	ok := n.voterSet().quorumOf(active)
 	for _, p := range n.progress {
 		p.active = false
 	}
@@ -231,7 +222,7 @@
 	best, match := None, uint64(0)
 	for _, v := range n.Voters() {
 		p := n.progress[v.Id]
-		if v.Learner || v.Id == n.cfg.ID || p == nil || p.state != replicating {
+		if v.Learner || v.Id == n.cfg.ID || v.Id == n.voterSet().outgoing || p == nil || p.state != replicating {
 			continue
 		}
 		if best == None || p.match > match {
--- a/pkg/core/raft/model_run_test.go
+++ b/pkg/core/raft/model_run_test.go
@@ -152,7 +152,7 @@
 }
 
 // allCaughtUp reports whether all nodes of the newest configuration know
-// everything that was committed.
+// everything that was committed, and no replacement of a voter is left unfinished.
 func (m *model) allCaughtUp() bool {
 	var newest *peer
 	for _, p := range m.peers {
@@ -160,6 +160,9 @@
 			newest = p
 		}
 	}
+	if newest.node.voterSet().isJoint() {
+		return false
+	}
 	for _, v := range newest.node.Voters() {
 		if m.peers[v.Id-1].node.log.commit != m.highestCommit {
 			return false
--- a/pkg/core/raft/node.go
+++ b/pkg/core/raft/node.go
@@ -43,7 +43,7 @@
 // disabledSafeguards selects safeguards to switch off, so that tests can check that
 // they detect a missing one. Only tests set it.
 type disabledSafeguards struct {
-	preVote, checkQuorum, readQuorum, learnerCatchUp, syncBeforeSend bool
+	preVote, checkQuorum, readQuorum, learnerCatchUp, syncBeforeSend, jointReplacement bool
 }
 
 // pendingWrite describes a Write that is not yet durable.
@@ -71,7 +71,7 @@
 		roleFSM:    newRoleFSM(),
 		log:        newEntryLog(cfg.Snapshot, cfg.Entries),
 	}
-	n.voterSets = []votersAt{{index: cfg.Snapshot.Index, voters: cfg.Snapshot.Voters}}
+	n.voterSets = []votersAt{newVotersAt(cfg.Snapshot.Index, cfg.Snapshot.Voters)}
 	for _, e := range cfg.Entries {
 		if e.Index > cfg.Snapshot.Index {
 			n.activateVoters(e)
--- a/pkg/core/raft/read.go
+++ b/pkg/core/raft/read.go
@@ -76,7 +76,7 @@
 		p := n.progress[id]
 		return id == n.cfg.ID || (p != nil && p.readAck >= r.round)
 	}
-	if len(r.running) == 0 || (!n.quorumOf(confirmed) && !n.disabled.readQuorum) {
+	if len(r.running) == 0 || (!n.voterSet().quorumOf(confirmed) && !n.disabled.readQuorum) {
 		return
 	}
 	done := r.running
--- a/pkg/core/raft/replicate.go
+++ b/pkg/core/raft/replicate.go
@@ -177,11 +177,12 @@
 	}
 	n.log.commit = index
 	n.startReadRound()
-	if !n.isVoter(n.cfg.ID) && n.voterSets[len(n.voterSets)-1].index <= index {
+	if !n.isVoter(n.cfg.ID) && n.voterSet().index <= index {
 		n.broadcastCommit()
 		n.becomeFollower(n.term, None)
 		return
 	}
+	n.completeReplacement()
 	n.promoteAll()
 	n.broadcastCommit()
 }
@@ -207,9 +208,20 @@
 
 // quorumMatch returns the highest index that a quorum holds durably.
 func (n *Node) quorumMatch() uint64 {
+	c := n.voterSet()
+	match := n.majorityMatch(c.incoming)
+	if c.isJoint() {
+		match = min(match, n.majorityMatch(c.outgoing))
+	}
+	return match
+}
+
+// majorityMatch returns the highest index that a majority of the voters but the
+// excluded one holds durably.
+func (n *Node) majorityMatch(excluded uint64) uint64 {
 	var matches []uint64
 	for _, v := range n.Voters() {
-		if !v.Learner {
+		if !v.Learner && v.Id != excluded {
 			matches = append(matches, n.progress[v.Id].match)
 		}
 	}
--- a/pkg/core/raft/snapshot.go
+++ b/pkg/core/raft/snapshot.go
@@ -38,7 +38,7 @@
 	n.log.reset(meta)
 	n.truncSeq = n.seq + 1
 	n.snapshot = meta
-	n.voterSets = []votersAt{{index: meta.Index, voters: meta.Voters}}
+	n.voterSets = []votersAt{newVotersAt(meta.Index, meta.Voters)}
 	n.votersChanged()
 }
 
--- a/pkg/operators/types.go
+++ b/pkg/operators/types.go
@@ -192,8 +192,8 @@
 	ReplaceVoter = "replace"
 )
 
-// VoterRequest changes the set of Raft voters. A replacement adds Voter and then
-// removes OldID.
+// VoterRequest changes the set of Raft voters. A replacement exchanges OldID for Voter
+// in one change.
 type VoterRequest struct {
 	RequestID string `json:"request_id"`
 	Action    string `json:"action"`
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -156,7 +156,17 @@
 // ChangeVoter removes v, or adds it as a learner and waits until it has caught up and
 // become a voter. A repeated call for a learner continues to wait.
 func (r *Replica) ChangeVoter(ctx context.Context, v *wirepb.Voter, remove bool) error {
-	c := &voterChange{id: v.Id, remove: remove, result: make(chan error, 1)}
+	return r.runVoterChange(ctx, &voterChange{id: v.Id, remove: remove}, v)
+}
+
+// ReplaceVoter replaces a voter by v in one change and waits until v votes and the
+// replaced one is no member. A repeated call continues to wait.
+func (r *Replica) ReplaceVoter(ctx context.Context, v *wirepb.Voter, replaced uint64) error {
+	return r.runVoterChange(ctx, &voterChange{id: v.Id, replaced: replaced}, v)
+}
+
+func (r *Replica) runVoterChange(ctx context.Context, c *voterChange, v *wirepb.Voter) error {
+	c.result = make(chan error, 1)
 	if err := r.call(ctx, func() { r.startVoterChange(c, v) }); err != nil {
 		return err
 	}
--- a/pkg/replica/requests.go
+++ b/pkg/replica/requests.go
@@ -198,11 +198,19 @@
 	}
 }
 
-// voterChange is one ChangeVoter call.
+// voterChange is one ChangeVoter or ReplaceVoter call.
 type voterChange struct {
-	id     uint64
-	remove bool
-	result chan error
+	id       uint64
+	remove   bool
+	replaced uint64 // id of the voter that is replaced, or raft.None
+	result   chan error
+}
+
+func (c *voterChange) start(n *raft.Node, v *wirepb.Voter) error {
+	if c.replaced != raft.None {
+		return n.ReplaceVoter(v, c.replaced)
+	}
+	return n.ChangeVoter(v, c.remove)
 }
 
 func (r *Replica) startVoterChange(c *voterChange, v *wirepb.Voter) {
@@ -214,7 +222,7 @@
 		c.result <- r.notLeaderOrBootstrappingError()
 		return
 	}
-	if err := r.node.ChangeVoter(v, c.remove); err != nil {
+	if err := c.start(r.node, v); err != nil {
 		c.result <- err
 		return
 	}
@@ -251,12 +259,18 @@
 }
 
 func (c *voterChange) satisfiedBy(voters []*wirepb.Voter) bool {
-	for _, v := range voters {
-		if v.Id == c.id {
-			return !c.remove && !v.Learner
-		}
+	has := func(id uint64, condition func(*wirepb.Voter) bool) bool {
+		return slices.ContainsFunc(voters, func(v *wirepb.Voter) bool { return v.Id == id && condition(v) })
+	}
+	isMember := func(*wirepb.Voter) bool { return true }
+	isVoter := func(v *wirepb.Voter) bool { return !v.Learner && v.Replaces == raft.None }
+	switch {
+	case c.remove:
+		return !has(c.id, isMember)
+	case c.replaced != raft.None && has(c.replaced, isMember):
+		return false
 	}
-	return c.remove
+	return has(c.id, isVoter)
 }
 
 // durationToTicks converts a duration to a number of ticks, at least one.
--- a/pkg/role/control/node.go
+++ b/pkg/role/control/node.go
@@ -15,6 +15,7 @@
 	Propose(ctx context.Context, data []byte) (any, error)
 	ReadIndex(ctx context.Context) (uint64, error)
 	ChangeVoter(ctx context.Context, v *wirepb.Voter, remove bool) error
+	ReplaceVoter(ctx context.Context, v *wirepb.Voter, replaced uint64) error
 	Step(m *wirepb.RaftMessage)
 	InstallSnapshot(meta *wirepb.SnapshotMeta, from, term uint64, data []byte) error
 	Status() NodeStatus
--- a/pkg/role/control/voters.go
+++ b/pkg/role/control/voters.go
@@ -23,38 +23,47 @@
 	return &operators.VotersReply{Leader: status.Leader, Voters: operators.WrapMessages(status.Voters)}, nil
 }
 
-// ChangeVoter adds, removes or replaces a voter and records the outcome. A
-// replacement adds the new voter first, so that the number of voters does not
-// decrease.
+// ChangeVoter adds, removes or replaces a voter and records the outcome.
 func (c *Control) ChangeVoter(ctx context.Context, operator string, req *operators.VoterRequest) (*operators.VotersReply, error) {
 	if err := c.requireLeader(); err != nil {
 		return nil, err
 	}
-	steps := []*wirepb.VoterChange{{Voter: req.Voter.Value, Remove: req.Action == operators.RemoveVoter}}
+	change := &wirepb.VoterChange{Voter: proto.CloneOf(req.Voter.Value), Remove: req.Action == operators.RemoveVoter}
+	change.Voter.Replaces = 0
 	if req.Action == operators.ReplaceVoter {
-		steps = append(steps, &wirepb.VoterChange{Voter: &wirepb.Voter{Id: req.OldID}, Remove: true})
+		change.Voter.Replaces = req.OldID
 	}
-	for _, step := range steps {
-		if err := c.changeVoter(ctx, operator, req.RequestID, step); err != nil {
-			return nil, err
-		}
+	if err := c.changeVoter(ctx, operator, req.RequestID, change); err != nil {
+		return nil, err
 	}
 	status := c.node.Status()
 	return &operators.VotersReply{Leader: status.Leader, Voters: operators.WrapMessages(status.Voters)}, nil
 }
 
-// changeVoter performs one step unless it has already taken effect, so that a
-// repeated request continues where the first one stopped.
-func (c *Control) changeVoter(ctx context.Context, operator, request string, step *wirepb.VoterChange) error {
-	current := c.node.Status().voter(step.GetVoter().GetId())
-	if step.GetRemove() && current == nil {
+// changeVoter makes a change unless it has already taken effect, so that a request may
+// be repeated. A replacement has two audit records, like an addition and a removal.
+func (c *Control) changeVoter(ctx context.Context, operator, request string, change *wirepb.VoterChange) error {
+	status := c.node.Status()
+	v := change.GetVoter()
+	current := status.voter(v.GetId())
+	replacedIsMember := v.GetReplaces() != 0 && status.voter(v.GetReplaces()) != nil
+	switch {
+	case change.GetRemove() && current == nil:
 		return nil
+	case !change.GetRemove() && current != nil && !current.GetLearner() && !replacedIsMember:
+		return checkSameAddresses(current, v)
+	}
+	var err error
+	if v.GetReplaces() != 0 && !change.GetRemove() {
+		err = c.node.ReplaceVoter(ctx, v, v.GetReplaces())
+	} else {
+		err = c.node.ChangeVoter(ctx, v, change.GetRemove())
 	}
-	if !step.GetRemove() && current != nil && !current.GetLearner() {
-		return checkSameAddresses(current, step.GetVoter())
+	c.recordVoterChange(operator, request, change, err)
+	if v.GetReplaces() != 0 && err == nil {
+		removed := &wirepb.VoterChange{Voter: &wirepb.Voter{Id: v.GetReplaces()}, Remove: true}
+		c.recordVoterChange(operator, request, removed, nil)
 	}
-	err := c.node.ChangeVoter(ctx, step.GetVoter(), step.GetRemove())
-	c.recordVoterChange(operator, request, step, err)
 	if fault.Is(err, fault.NotLeader) {
 		return c.leadershipLostError(err)
 	}
@@ -81,10 +90,10 @@
 
 // recordVoterChange writes the audit record with its own timeout, because the
 // deadline of the request may have passed.
-func (c *Control) recordVoterChange(operator, request string, step *wirepb.VoterChange, cause error) {
+func (c *Control) recordVoterChange(operator, request string, change *wirepb.VoterChange, cause error) {
 	ctx, cancel := context.WithTimeout(c.ctx, changeTimeout)
 	defer cancel()
-	record := proto.CloneOf(step)
+	record := proto.CloneOf(change)
 	suffix := "/add"
 	if record.Remove {
 		suffix = "/remove"
--- a/pkg/role/coordinator/membership.go
+++ b/pkg/role/coordinator/membership.go
@@ -25,11 +25,10 @@
 
 // memberState is a voter or learner as the leader sees it.
 type memberState struct {
-	id                 uint64
-	address            string
-	silence            time.Duration // time since its last message
-	learner            bool
-	answeredThisLeader bool // whether it sent a message since this leader was elected
+	id      uint64
+	address string
+	silence time.Duration // time since its last message
+	learner bool
 }
 
 // decideAdmission decides on a replica that asks to join. It returns the member that the
@@ -64,29 +63,17 @@
 	return 0, nil
 }
 
-// redundantVoter returns the voter to remove, or zero: a voter at whose address another
-// voter answers, because a host runs only one; or, if the number of voters is even and all
-// others answer, a voter that has been silent for removableSilence. Without that voter, the
-// cluster tolerates one more failure of the others. Such voters remain if the
-// leader fails between adding a voter and removing the one that it replaces.
+// redundantVoter returns the voter to remove, or zero. If the number of voters is even and
+// all others answer, it is one that has been silent for removableSilence: without it, the
+// cluster tolerates one more failure of the others.
 func redundantVoter(members []memberState) uint64 {
-	var voters []memberState
-	liveAtAddress := make(map[string]uint64) // id of the voter that answers at each address
+	var lost uint64
+	voters, doubtful := 0, 0
 	for _, m := range members {
 		if m.learner {
 			continue
 		}
-		voters = append(voters, m)
-		if m.answeredThisLeader && m.silence <= liveSilence {
-			liveAtAddress[m.address] = m.id
-		}
-	}
-	var lost uint64
-	doubtful := 0
-	for _, m := range voters {
-		if id, ok := liveAtAddress[m.address]; ok && id != m.id {
-			return m.id
-		}
+		voters++
 		if m.silence > liveSilence {
 			doubtful++
 		}
@@ -94,7 +81,7 @@
 			lost = m.id
 		}
 	}
-	if len(voters)%2 == 0 && doubtful == 1 {
+	if voters%2 == 0 && doubtful == 1 {
 		return lost
 	}
 	return 0
--- a/pkg/role/coordinator/replica.go
+++ b/pkg/role/coordinator/replica.go
@@ -162,10 +162,12 @@
 	return !slices.Contains(v.CoordinatorAddresses, c.opts.Self.GetPeerAddress())
 }
 
+// isVotingMember reports whether a replica is a voter and no replacement of another one
+// by it is in progress: until then, the cluster may need the voters of before.
 func isVotingMember(voters []*wirepb.Voter, id uint64) bool {
 	for _, v := range voters {
 		if v.GetId() == id {
-			return !v.GetLearner()
+			return !v.GetLearner() && v.GetReplaces() == 0
 		}
 	}
 	return false
@@ -211,7 +213,7 @@
 	}
 }
 
-// addVoter adds a voter and removes the member that it replaces.
+// addVoter adds a voter. If it replaces a member, both are one change.
 func (c *Coordinator) addVoter(ctx context.Context, joining *wirepb.Voter) error {
 	if !c.IsLeader() {
 		return c.notLeaderError()
@@ -226,22 +228,19 @@
 	if err != nil {
 		return err
 	}
-	if err := c.node.ChangeVoter(ctx, joining, false); err != nil {
+	if removedID != 0 {
+		err = c.node.ReplaceVoter(ctx, joining, removedID)
+	} else {
+		err = c.node.ChangeVoter(ctx, joining, false)
+	}
+	if err != nil {
 		return err
 	}
 	c.log.Info("Voter added.", logs.Uint("id", joining.GetId()), logs.Str("address", joining.GetPeerAddress()), logs.Uint("in_place_of", removedID))
-	if removedID == 0 {
-		return nil
-	}
-	if err := c.node.ChangeVoter(c.ctx, &wirepb.Voter{Id: removedID}, true); err != nil {
-		c.log.Warn("Replaced voter not removed.", logs.Uint("id", removedID), logs.Err(err))
-		return nil // the new voter is a member; the replaced one is removed later
-	}
-	c.log.Info("Voter removed.", logs.Uint("id", removedID))
 	return nil
 }
 
-// removeRedundantVoter removes a voter that only enlarges the quorum.
+// removeRedundantVoter removes a lost voter that only enlarges the quorum.
 func (c *Coordinator) removeRedundantVoter(s replica.Status) {
 	if !c.IsLeader() || !c.joining.TryLock() {
 		return
@@ -272,10 +271,10 @@
 	now := time.Now()
 	var out []memberState
 	for _, v := range members {
-		m := memberState{id: v.GetId(), address: v.GetPeerAddress(), learner: v.GetLearner(), answeredThisLeader: true}
+		m := memberState{id: v.GetId(), address: v.GetPeerAddress(), learner: v.GetLearner()}
 		if v.GetId() != c.opts.Self.GetId() {
 			lastMessage := c.lastRaftMessage[v.GetId()]
-			if m.answeredThisLeader = lastMessage.After(c.leaderSince); !m.answeredThisLeader {
+			if lastMessage.Before(c.leaderSince) {
 				lastMessage = c.leaderSince
 			}
 			m.silence = now.Sub(lastMessage)
--- a/pkg/role/coordinator/service.go
+++ b/pkg/role/coordinator/service.go
@@ -71,7 +71,7 @@
 // Get returns the newest configuration byte for byte as it was put. It fails when this
 // replica cannot confirm that its configuration is the newest.
 func (c *Coordinator) Get(ctx context.Context) ([]byte, error) {
-	if c.node == nil || !isVotingMember(c.node.Status().Voters, c.opts.Self.GetId()) {
+	if c.node == nil || !isVotingMember(c.node.Status().CommittedVoters, c.opts.Self.GetId()) {
 		return nil, c.notLeaderError()
 	}
 	if _, err := c.node.ReadIndex(ctx); err != nil {
