pkg/httpconn: close no connection whose request was begun to be read

A stop took a connection as idle while the server held the begin of a request: net/http reports it as active only once the whole header is read, and the socket is then empty. The entry's stop closed idle connections through http.Server.Shutdown and had the same gap, with unread bytes as well.

The tracker of connections moves from the gateway into a package that gateways and entries use. Its connections know whether bytes were read since the last write; the read of the socket, that mark and the decision to close share one lock.

TestCloseIdle_KeepsConnectionWithBegunRequest is TestConnections_KeepWhatIsBeingRead with the server on the tracker's listener, as the bytes are counted there now.

--- a/pkg/callers/server.go
+++ b/pkg/callers/server.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/plantainstair/plantainstair/pkg/fault"
+	"github.com/plantainstair/plantainstair/pkg/httpconn"
 )
 
 // Limits on connections.
@@ -18,8 +19,9 @@
 
 // Server serves the API on a listener.
 type Server struct {
-	ln   net.Listener
-	http *http.Server
+	ln    net.Listener
+	conns *httpconn.Tracker
+	http  *http.Server
 }
 
 // NewServer listens on addr, an IP address and port, and serves handler in the
@@ -29,22 +31,27 @@
 	if err != nil {
 		return nil, fault.Wrap(err, fault.Unavailable, "listen for callers").WithField(addr)
 	}
-	s := &Server{ln: ln, http: &http.Server{
+	conns := httpconn.NewTracker()
+	s := &Server{ln: ln, conns: conns, http: &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ConnState:         conns.OnStateChange,
 	}}
-	go func() { _ = s.http.Serve(ln) }()
+	go func() { _ = s.http.Serve(conns.Listener(ln)) }()
 	return s, nil
 }
 
 // Address returns the address that the server listens on.
 func (s *Server) Address() string { return s.ln.Addr().String() }
 
-// Shutdown stops accepting connections and waits for requests in progress. When
-// ctx ends first, it closes the remaining connections and returns an error.
+// Shutdown stops accepting connections and waits for requests in progress, those that
+// are being read included. When ctx ends first, it closes the remaining connections and
+// returns an error.
 func (s *Server) Shutdown(ctx context.Context) error {
+	_ = s.ln.Close() // Serve returns an error, which its goroutine ignores
+	s.conns.Drain(ctx)
 	if err := s.http.Shutdown(ctx); err != nil {
 		_ = s.http.Close()
 		return fault.Wrap(err, fault.Deadline, "stop the caller server")
--- a/pkg/role/gateway/gateway.go
+++ b/pkg/role/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/plantainstair/plantainstair/pkg/coordinators"
 	"github.com/plantainstair/plantainstair/pkg/core/route"
 	"github.com/plantainstair/plantainstair/pkg/fault"
+	"github.com/plantainstair/plantainstair/pkg/httpconn"
 	"github.com/plantainstair/plantainstair/pkg/instances"
 	"github.com/plantainstair/plantainstair/pkg/lifecycle"
 	"github.com/plantainstair/plantainstair/pkg/link"
@@ -45,7 +46,7 @@
 	lifecycle     *lifecycle.Lifecycle
 	view          atomic.Pointer[view]
 	streams       streams
-	callerConns   connections
+	callerConns   *httpconn.Tracker
 	load          loadTracker
 	retryBudgets  retryBudgets
 	linkBudgets   linkBudgets
@@ -63,12 +64,11 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	g := &Gateway{
 		opts: o, log: o.Log.Component("gateway"), metrics: newMetrics(), lifecycle: lifecycle.NewLifecycle(),
-		repairSignal: make(chan struct{}, 1), cancel: cancel, startedAt: time.Now(),
+		repairSignal: make(chan struct{}, 1), cancel: cancel, startedAt: time.Now(), callerConns: httpconn.NewTracker(),
 	}
 	g.load.init()
 	g.streams.init()
 	g.requestLimits.init()
-	g.callerConns.init()
 	g.retryBudgets.init(o.RetryBudget)
 	g.prompts = newPromptEvidence()
 	g.view.Store(&view{})
@@ -132,20 +132,20 @@
 	maxHeader = 1 << 20
 )
 
-// NewServer returns the HTTP server for callers.
+// NewServer returns the HTTP server for callers. It must serve a listener of
+// CallerConnections.
 func (g *Gateway) NewServer() *http.Server {
 	return &http.Server{
 		Handler:           alice.New(g.track).ThenFunc(g.serve),
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeader,
-		ConnState:         g.callerConns.onStateChange,
+		ConnState:         g.callerConns.OnStateChange,
 	}
 }
 
-// CloseIdleConnections closes the idle connections of callers and returns the number of
-// connections that stay open.
-func (g *Gateway) CloseIdleConnections() int { return g.callerConns.closeIdle() }
+// CallerConnections returns the tracker of the connections of callers.
+func (g *Gateway) CallerConnections() *httpconn.Tracker { return g.callerConns }
 
 // track counts requests in progress and asks callers to close their connections while
 // the process drains.
