pkg/core/selfreport, gateway: heed what upstreams state about themselves

A server that leaves says so in all its answers (Server-Leaving), and one that rejects with 503 may add Retry-After: it wants nothing from that host for so long. The gateway read neither; a server that said it leaves got new requests as long as its announcements said ready, and one that asked for time was avoided for 0.3 to 3 s, whatever it asked for.

One book in core code holds both for a process (id and start), with source, age and end. Requests, waiting ones included, streams, repaths and orders go by it; the time binds the engine that the refusal names. If none is left, the request is refused at once; if all ask for time, with the soonest end as Retry-After. Coordinators neither poll nor order an engine that asked for time, and take an engine that states in a report that it leaves as leaving.

--- a/pkg/core/registry/registry.go
+++ b/pkg/core/registry/registry.go
@@ -208,6 +208,7 @@
 	// RequestLimit is the limit that the engine names, in requests per second; zero if it
 	// names none.
 	RequestLimit float64
+	Leaving      bool // the engine states that it leaves
 }
 
 // ApplyPoll records the poll result of an instance. A result of another process with
@@ -220,6 +221,7 @@
 	next := proto.CloneOf(r.instance)
 	next.Layers, next.Loading, next.Orders, next.Load, next.Suspect = p.Layers, p.Loading, p.Orders, p.Load, false
 	next.RequestLimit = p.RequestLimit
+	next.Leaving = next.Leaving || p.Leaving
 	if len(p.Models) > 0 {
 		next.Models = p.Models
 	}
--- a/pkg/instances/dialect.go
+++ b/pkg/instances/dialect.go
@@ -90,6 +90,11 @@
 	// RequestLimit is the number of requests per second that the upstream takes from all
 	// callers together for now; zero if it names no limit.
 	RequestLimit float64
+	// Leaving is set if the upstream leaves: it wants no new requests.
+	Leaving bool
+	// RetryAfter is the time for which the upstream, or RefusingEngine if it is named,
+	// wants no requests; zero if it states none.
+	RetryAfter time.Duration
 	// Encoded is set if the body has a content encoding, so that it differs from what
 	// the upstream produced.
 	Encoded bool
--- a/pkg/instances/engine.go
+++ b/pkg/instances/engine.go
@@ -15,10 +15,14 @@
 type EngineClient struct {
 	pool    *Pool
 	dialect Dialect
+	onReply func(address string, m ReplyMetadata)
 }
 
-// NewEngineClient returns a client that uses the connections of pool.
-func NewEngineClient(pool *Pool, d Dialect) *EngineClient { return &EngineClient{pool, d} }
+// NewEngineClient returns a client that uses the connections of pool. It passes what each
+// reply states to onReply.
+func NewEngineClient(pool *Pool, d Dialect, onReply func(address string, m ReplyMetadata)) *EngineClient {
+	return &EngineClient{pool, d, onReply}
+}
 
 // Report returns the state of the engine at address.
 func (e *EngineClient) Report(ctx context.Context, address string, timeout time.Duration) (EngineState, error) {
@@ -33,6 +37,7 @@
 	}
 	state, err := e.dialect.DecodeReport(body)
 	state.RequestLimit = reply.Metadata.RequestLimit
+	state.Leaving = reply.Metadata.Leaving
 	return state, err
 }
 
@@ -76,6 +81,7 @@
 		return nil, nil, err
 	}
 	defer reply.Close()
+	e.onReply(address, reply.Metadata)
 	body, err := reply.ReadAll(maxEngineReplyBytes)
 	return reply, body, err
 }
--- a/pkg/role/coordinator/coordinator.go
+++ b/pkg/role/coordinator/coordinator.go
@@ -18,6 +18,7 @@
 	"github.com/plantainstair/plantainstair/pkg/core/registry"
 	"github.com/plantainstair/plantainstair/pkg/core/route"
 	"github.com/plantainstair/plantainstair/pkg/core/routing"
+	"github.com/plantainstair/plantainstair/pkg/core/selfreport"
 	"github.com/plantainstair/plantainstair/pkg/fault"
 	"github.com/plantainstair/plantainstair/pkg/instances"
 	"github.com/plantainstair/plantainstair/pkg/link"
@@ -89,6 +90,7 @@
 	polls           map[string]*pollState
 	prompts         *quarantine.Tracker
 	permits         *route.Permits
+	selfReports     selfreport.Book // pauses that engines asked for
 	// loggedQuarantines are those of prompts at loggedPromptRevision.
 	loggedQuarantines    quarantine.List
 	loggedPromptRevision uint64
@@ -115,7 +117,7 @@
 	c.seeds.Store(&seeds)
 	c.stateMachine = newStateMachine(c.configurationChanged)
 	c.conns = instances.NewPool(o.Dialect, c.metrics.connections.Inc)
-	c.engines = instances.NewEngineClient(c.conns, o.Dialect)
+	c.engines = instances.NewEngineClient(c.conns, o.Dialect, c.recordEngineReply)
 	c.placement = newPlacement(c)
 	c.prompts, c.permits = quarantine.NewTracker(promptDelays, nil), route.NewPermits()
 	if err := c.openReplica(); err != nil {
--- a/pkg/role/coordinator/placement.go
+++ b/pkg/role/coordinator/placement.go
@@ -94,7 +94,7 @@
 			continue
 		}
 		byID[in.GetId()] = in
-		busy[in.GetId()] = !orderable
+		busy[in.GetId()] = !orderable || p.c.isPaused(now, in)
 		engines = append(engines, layout.Engine{
 			ID: in.GetId(), DataCentre: in.GetDataCentre(), Accelerator: in.GetAccelerator(), HeldLayers: heldLayers,
 			Slow: isSlow(in.GetLoad()), RequestLimit: in.GetRequestLimit(),
--- a/pkg/role/coordinator/poll.go
+++ b/pkg/role/coordinator/poll.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/plantainstair/plantainstair/pkg/core/selfreport"
 	"github.com/plantainstair/plantainstair/pkg/fault"
 	"github.com/plantainstair/plantainstair/pkg/instances"
 	"github.com/plantainstair/plantainstair/pkg/logs"
@@ -58,7 +59,7 @@
 			p = &pollState{}
 			c.polls[in.GetId()] = p
 		}
-		if p.running || now.Before(p.next) {
+		if p.running || now.Before(p.next) || c.isPaused(now, in) {
 			continue
 		}
 		p.running = true
@@ -69,6 +70,7 @@
 		c.metrics.polls.Inc()
 		go c.pollEngine(in)
 	}
+	c.selfReports.Forget(now, func(p selfreport.Process) bool { return processOf(c.registry.Get(p.ID)) == p })
 	for id := range c.polls {
 		if c.registry.Get(id) == nil {
 			delete(c.polls, id)
@@ -93,6 +95,10 @@
 	if known == nil || known.GetBornUnixMs() != in.GetBornUnixMs() {
 		return
 	}
+	if err != nil && c.isPaused(time.Now(), known) {
+		p.misses = 0 // it answered that it wants no calls for some time
+		return
+	}
 	if err != nil {
 		p.misses++
 		p.next = time.Now() // retry at once
@@ -113,6 +119,10 @@
 			logs.Str("slowdown", strconv.FormatFloat(state.Load.GetSlowdown(), 'f', 2, 64)))
 	}
 	c.logRequestLimit(known, state.RequestLimit)
+	if state.Leaving && !known.GetLeaving() {
+		c.log.Info("Engine says that it leaves.", logs.Str("instance", in.GetId()), logs.Str("address", in.GetAddress()))
+		c.requestStep()
+	}
 	before, loads := c.registry.Revision(), c.registry.LoadRevision()
 	c.registry.ApplyPoll(time.Now(), in.GetId(), state.PollResult)
 	if c.registry.Revision() != before || c.registry.LoadRevision() != loads && c.loadInterval() == 0 {
@@ -147,3 +157,30 @@
 		}
 	}
 }
+
+func processOf(in *wirepb.Instance) selfreport.Process {
+	return selfreport.Process{ID: in.GetId(), StartUnixMs: in.GetBornUnixMs()}
+}
+
+// isPaused reports whether an engine asked for no calls from this process at a time.
+func (c *Coordinator) isPaused(now time.Time, in *wirepb.Instance) bool {
+	return c.selfReports.Blocked(now, processOf(in))
+}
+
+// recordEngineReply records the time for which the engine at an address wants no calls.
+func (c *Coordinator) recordEngineReply(address string, m instances.ReplyMetadata) {
+	if m.RetryAfter <= 0 {
+		return
+	}
+	c.postToOwner(func() {
+		for id := range c.polls {
+			in := c.registry.Get(id)
+			if in == nil || in.GetAddress() != address {
+				continue
+			}
+			if _, changed := c.selfReports.Record(time.Now(), processOf(in), selfreport.Report{Pause: m.RetryAfter}); changed {
+				c.log.Info("Engine asks for time.", logs.Str("instance", id), logs.Str("address", address), logs.Dur("for", m.RetryAfter))
+			}
+		}
+	})
+}
--- a/pkg/role/gateway/attempt.go
+++ b/pkg/role/gateway/attempt.go
@@ -52,6 +52,7 @@
 	}
 	defer reply.Close()
 	g.recordRequestLimit(firstStage.ID, reply)
+	g.recordPathReply(s.currentStages(), reply.Metadata)
 	if reply.Status >= http.StatusMultipleChoices {
 		return g.handleErrorReply(w, s, reply, firstStage, avoid)
 	}
--- a/pkg/role/gateway/gateway.go
+++ b/pkg/role/gateway/gateway.go
@@ -14,6 +14,7 @@
 
 	"github.com/plantainstair/plantainstair/pkg/coordinators"
 	"github.com/plantainstair/plantainstair/pkg/core/route"
+	"github.com/plantainstair/plantainstair/pkg/core/selfreport"
 	"github.com/plantainstair/plantainstair/pkg/fault"
 	"github.com/plantainstair/plantainstair/pkg/httpconn"
 	"github.com/plantainstair/plantainstair/pkg/instances"
@@ -51,6 +52,7 @@
 	retryBudgets  retryBudgets
 	linkBudgets   linkBudgets
 	requestLimits requestLimits
+	selfReports   selfreport.Book
 	prompts       *promptEvidence
 	repairSignal  chan struct{}
 	startedAt     time.Time
@@ -73,7 +75,7 @@
 	g.prompts = newPromptEvidence()
 	g.view.Store(&view{})
 	g.pool = instances.NewPool(o.Dialect, g.metrics.connections.Inc)
-	g.engines = instances.NewEngineClient(g.pool, o.Dialect)
+	g.engines = instances.NewEngineClient(g.pool, o.Dialect, g.recordOrderReply)
 	g.client = coordinators.NewClient(coordinators.Options{
 		Seeds: o.Coordinators, Host: o.Host, DataCentre: o.DataCentre, Link: o.Link,
 		Decode: o.Decode, Log: o.Log, OnChange: g.viewChanged,
--- a/pkg/role/gateway/gateway_test.go
+++ b/pkg/role/gateway/gateway_test.go
@@ -66,17 +66,17 @@
 	v := &view{byService: map[string][]*wirepb.Instance{"s": {in}}}
 	freeTokens := func(rank int) int {
 		q := &request{service: service, rank: rank, route: &routing.Route{TargetLatency: time.Nanosecond}}
-		return g.candidateEngines(v, q, nil)[0].FreeKVTokens
+		return g.candidateEngines(v, q, nil, g.isBlocked)[0].FreeKVTokens
 	}
 	assert.Assert(t, freeTokens(0) > freeTokens(1) && freeTokens(1) > freeTokens(2))
 	q := &request{service: service, route: &routing.Route{TargetLatency: time.Nanosecond}}
-	assert.Assert(t, g.candidateEngines(v, q, nil)[0].FreeSlots > 0)
+	assert.Assert(t, g.candidateEngines(v, q, nil, g.isBlocked)[0].FreeSlots > 0)
 	s := &stream{}
 	g.load.addWaiting("e", s)
 	time.Sleep(time.Millisecond)
-	assert.Equal(t, g.candidateEngines(v, q, nil)[0].FreeSlots, 0)
+	assert.Equal(t, g.candidateEngines(v, q, nil, g.isBlocked)[0].FreeSlots, 0)
 	g.load.removeWaiting("e", s)
-	assert.Assert(t, g.candidateEngines(v, q, nil)[0].FreeSlots > 0)
+	assert.Assert(t, g.candidateEngines(v, q, nil, g.isBlocked)[0].FreeSlots > 0)
 }
 
 // Guards against an engine that stays in backoff after a success.
--- a/pkg/role/gateway/plain.go
+++ b/pkg/role/gateway/plain.go
@@ -84,6 +84,11 @@
 	if q.route.Kind == routing.Stream {
 		retryAfter = streamRetryAfter/2 + rand.N(streamRetryAfter)
 	}
+	if q.service.Model == nil {
+		retryAfter = max(retryAfter, g.pauseWait(q, nil))
+	} else if e.Outcome == fault.NotRun {
+		retryAfter = max(retryAfter, g.pathPauseWait(g.view.Load(), q))
+	}
 	e.RetryAfter = max(e.RetryAfter, retryAfter)
 	return &e
 }
@@ -94,21 +99,24 @@
 func (g *Gateway) awaitUpstream(ctx context.Context, q *request, tried map[string]bool) (*wirepb.Instance, error) {
 	for {
 		in := g.pickUpstream(q, tried)
-		if in != nil && g.takePermit(ctx, in, q.rank) {
+		if in != nil && g.takePermit(ctx, in, q.rank) && !g.isBlocked(in) {
 			return in, nil
 		}
 		if ctx.Err() != nil {
 			return nil, nil
 		}
 		if in != nil {
-			continue // this one is now known to be at its limit
+			continue // this one is now known to be at its limit, or to want no requests
+		}
+		wait := g.limitWait(q, tried)
+		if pause := g.pauseWait(q, tried); wait == 0 || (pause > 0 && pause < wait) {
+			wait = pause
 		}
-		limitWait := g.limitWait(q, tried)
 		switch {
-		case limitWait > 0 && time.Since(q.arrived)+limitWait > time.Duration(pathWaitShare*float64(q.route.TargetLatency)):
-			return nil, notRunError(fault.Overloaded, "upstreams of the service are at the limits that they name").WithRetryAfter(limitWait)
-		case limitWait > 0:
-			if !delay.Wait(ctx, limitWait) {
+		case wait > 0 && time.Since(q.arrived)+wait > time.Duration(pathWaitShare*float64(q.route.TargetLatency)):
+			return nil, notRunError(fault.Overloaded, "upstreams of the service are at the limits that they name or ask for time").WithRetryAfter(wait)
+		case wait > 0:
+			if !delay.Wait(ctx, wait) {
 				return nil, nil
 			}
 		case len(tried) > 0 || time.Since(q.arrived) > g.startupWait() || !delay.Wait(ctx, viewRetryDelay):
@@ -122,6 +130,9 @@
 func (g *Gateway) limitWait(q *request, tried map[string]bool) time.Duration {
 	var shortest time.Duration
 	for _, in := range g.view.Load().byService[q.service.Name] {
+		if g.isBlocked(in) {
+			continue
+		}
 		if wait := g.requestLimits.wait(time.Now(), in); wait > 0 && !tried[in.GetId()] && (shortest == 0 || wait < shortest) {
 			shortest = wait
 		}
@@ -130,12 +141,13 @@
 }
 
 // pickUpstream returns the less loaded of two random upstreams. Upstreams that are in
-// backoff or leaving are used only if there are no others.
+// backoff or leaving are used only if there are no others, and those that stated that they
+// want no requests never.
 func (g *Gateway) pickUpstream(q *request, tried map[string]bool) *wirepb.Instance {
 	var healthy, degraded []*wirepb.Instance
 	for _, in := range g.view.Load().byService[q.service.Name] {
 		switch {
-		case tried[in.GetId()] || g.requestLimits.wait(time.Now(), in) > 0:
+		case tried[in.GetId()] || g.isBlocked(in) || g.requestLimits.wait(time.Now(), in) > 0:
 		case g.load.inBackoff(in.GetId()) || in.GetLeaving():
 			degraded = append(degraded, in)
 		default:
@@ -169,6 +181,7 @@
 	}
 	defer reply.Close()
 	g.recordRequestLimit(in.GetId(), reply)
+	g.recordReplyOf(processOf(in), reply.Metadata, "request")
 	body, err := reply.ReadAll(maxReplyBytes)
 	if err != nil {
 		g.recordAttemptError(ctx, q, in.GetId(), err)
--- a/pkg/role/gateway/repair.go
+++ b/pkg/role/gateway/repair.go
@@ -47,6 +47,7 @@
 	for _, in := range v.byID {
 		known[in.GetAddress()] = true
 	}
+	g.forgetSelfReports(v)
 	g.requestLimits.retain(func(id string) bool { return v.byID[id] != nil })
 	g.pool.CloseExpired(func(address string) bool { return known[address] })
 }
@@ -55,7 +56,7 @@
 	v := g.view.Load()
 	for _, s := range g.streams.list() {
 		stages, repairDue := s.repairState()
-		lost, leaving := v.pathStatus(stages)
+		lost, leaving := v.pathStatus(stages, g.leavesNow)
 		switch {
 		case lost == stages[0].ID:
 			g.resume(v, s, stages[0], lost, "first engine lost")
@@ -94,15 +95,20 @@
 	return time.Since(s.lastEventAt)
 }
 
+// leavesNow reports whether the engine of a stage stated that it leaves.
+func (g *Gateway) leavesNow(p path.PipelineStage) bool {
+	return g.selfReports.Get(stageProcess(p)).Leaving
+}
+
 // pathStatus returns the ID of a lost engine of a path, or else the ID of an engine
-// after the first that is leaving.
-func (v *view) pathStatus(stages []path.PipelineStage) (lost, leaving string) {
+// after the first that is leaving, as the view or leavesNow says.
+func (v *view) pathStatus(stages []path.PipelineStage, leavesNow func(path.PipelineStage) bool) (lost, leaving string) {
 	for i, p := range stages {
 		in := v.byID[p.ID]
 		switch {
 		case !serves(in, p):
 			return p.ID, ""
-		case i > 0 && (in.GetLeaving() || in.GetLeft()):
+		case i > 0 && (in.GetLeaving() || in.GetLeft() || leavesNow(p)):
 			leaving = p.ID
 		}
 	}
@@ -136,8 +142,11 @@
 // crossDataCentre, the path may cross between data centres.
 func (g *Gateway) repath(ctx context.Context, v *view, s *stream, stages []path.PipelineStage, avoid string, crossDataCentre bool) {
 	q := s.q
+	if time.Now().Before(g.selfReports.Get(stageProcess(stages[0])).PausedUntil) {
+		return // the first engine wants no orders either
+	}
 	tokens := q.metadata.PromptTokens + q.expectedOutputTokens()
-	choice, err := path.Choose(q.service.Model, g.candidateEngines(v, q, nil), path.Request{
+	choice, err := path.Choose(q.service.Model, g.candidateEngines(v, q, nil, g.isClosedTo(stages)), path.Request{
 		InputTokens: q.metadata.PromptTokens, ExpectedOutputTokens: q.expectedOutputTokens(), DataCentre: g.opts.DataCentre,
 		FirstStage: &stages[0], SingleDataCentre: !crossDataCentre, AllowFull: true, CostFactor: preferKeptEngines(stages, q.metadata.RequestID),
 	})
--- a/pkg/role/gateway/stream.go
+++ b/pkg/role/gateway/stream.go
@@ -11,6 +11,7 @@
 	"github.com/plantainstair/plantainstair/pkg/delay"
 	"github.com/plantainstair/plantainstair/pkg/fault"
 	"github.com/plantainstair/plantainstair/pkg/logs"
+	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
 )
 
 // stream is the state of a stream in progress.
@@ -143,6 +144,9 @@
 			}
 			return path.Choice{}, err
 		}
+		if err == nil && g.isPathBlocked(choice.Stages) {
+			continue // an engine has just stated that it wants no requests
+		}
 		if err == nil && g.linkBudgets.admitNewPath(q.service.Model, v.gatewayCount, tokens, choice) {
 			return choice, nil
 		}
@@ -173,7 +177,13 @@
 
 // bestPath returns the cheapest path without the engines in avoid.
 func (g *Gateway) bestPath(v *view, q *request, avoid map[string]bool) (path.Choice, error) {
-	return path.Choose(q.service.Model, g.candidateEngines(v, q, avoid), path.Request{
+	return g.bestPathAmong(v, q, avoid, g.isBlocked)
+}
+
+// bestPathAmong returns the cheapest path without the engines in avoid and those for which
+// excluded returns true.
+func (g *Gateway) bestPathAmong(v *view, q *request, avoid map[string]bool, excluded func(*wirepb.Instance) bool) (path.Choice, error) {
+	return path.Choose(q.service.Model, g.candidateEngines(v, q, avoid, excluded), path.Request{
 		InputTokens: q.metadata.PromptTokens, ExpectedOutputTokens: q.expectedOutputTokens(), DataCentre: g.opts.DataCentre, MaxCost: q.costLimit(),
 		CostFactor: spreadFactors(q.metadata.RequestID),
 	})
--- a/pkg/role/gateway/view.go
+++ b/pkg/role/gateway/view.go
@@ -62,9 +62,9 @@
 )
 
 // candidateEngines returns the engines of a service with the capacity that a path of
-// the request may use. Work in progress slows an engine down by the batch costs of the
+// the request may use, without those in avoid and those for which excluded returns true. Work in progress slows an engine down by the batch costs of the
 // model.
-func (g *Gateway) candidateEngines(v *view, q *request, exclude map[string]bool) []path.Engine {
+func (g *Gateway) candidateEngines(v *view, q *request, avoid map[string]bool, excluded func(*wirepb.Instance) bool) []path.Engine {
 	s := q.service
 	m := s.Model
 	margin := min(maxMargin, baseMargin+rankMargin*float64(q.rank))
@@ -73,7 +73,7 @@
 	for _, in := range v.byService[s.Name] {
 		accelerator := m.Accelerators[in.GetAccelerator()]
 		layers := int(in.GetLayers().GetTo()) - int(in.GetLayers().GetFrom())
-		if accelerator == nil || layers <= 0 || exclude[in.GetId()] {
+		if accelerator == nil || layers <= 0 || avoid[in.GetId()] || excluded(in) {
 			continue
 		}
 		e := g.estimateEngine(v, m, accelerator, in, layers)
