pkg/core/layout, path: ignore ranges of layers outside the model

An engine, or another writer under its name, may report layers 0 to 200 of a model of 80. layout.Plan then ended the leader with an index out of range, and each leader after it; a path search over engines that include one such range found no path at all. Such an engine now counts as one that holds nothing.

--- a/pkg/core/layout/capacity.go
+++ b/pkg/core/layout/capacity.go
@@ -42,12 +42,13 @@
 	prefill := make([]time.Duration, m.Layers)
 	hops := 0
 	for _, e := range engines {
+		e.HeldLayers = e.HeldLayers.within(m.Layers)
 		a := m.Accelerators[e.Accelerator]
 		kvLeft := m.KVCapacity(a, e.HeldLayers.Len())
 		if !e.HeldLayers.Empty() {
 			hops++
 		}
-		for l := max(0, e.HeldLayers.From); l < min(m.Layers, e.HeldLayers.To); l++ {
+		for l := e.HeldLayers.From; l < e.HeldLayers.To; l++ {
 			kvTokens[l] += kvLeft
 			if s := m.DecodeTime(a, 1); decode[l] == 0 || s < decode[l] {
 				decode[l], prefill[l] = s, m.PrefillTime(a, 1)
--- a/pkg/core/layout/layout.go
+++ b/pkg/core/layout/layout.go
@@ -34,6 +34,15 @@
 // Empty reports whether the range contains no layer.
 func (r Range) Empty() bool { return r.To <= r.From }
 
+// within returns the range, or the empty one if it is not within a model of this number of
+// layers. Engines report their ranges, and a faulty one may report any.
+func (r Range) within(layers int) Range {
+	if r.Empty() || r.From < 0 || r.To > layers {
+		return Range{}
+	}
+	return r
+}
+
 // Plan returns the range that each engine should hold. Engines keep their current
 // range unless a change closes a gap, which is a run of layers that no engine of the
 // data centre holds, or clearly improves the layout. Each data centre gets a full copy
@@ -48,6 +57,7 @@
 	byDataCentre := make(map[string][]Engine)
 	var slow []Range
 	for _, e := range engines {
+		e.HeldLayers = e.HeldLayers.within(m.Layers)
 		if e.Slow {
 			slow = append(slow, e.HeldLayers)
 			continue
--- a/pkg/core/layout/layout_test.go
+++ b/pkg/core/layout/layout_test.go
@@ -469,3 +469,28 @@
 	assert.Assert(t, plan["spare"].From == 0 || plan["second"].From == 0, "%v", plan)
 	assert.Equal(t, uncoveredLayers(m, all, plan, "a"), 0)
 }
+
+// Guards against engines that report layers outside the model, which another writer or a
+// faulty engine may do: the plan must neither fail nor place fewer layers because of them.
+func TestPlan_IgnoresRangesOutsideModel(t *testing.T) {
+	m := model()
+	rapid.Check(t, func(t *rapid.T) {
+		bound := rapid.IntRange(-100, 300)
+		all := append(engines("a", 1, 6, 6), engines("b", 1, 10, 4)...)
+		for i := range all {
+			if rapid.IntRange(0, 3).Draw(t, "reports") == 0 {
+				all[i].HeldLayers = Range{bound.Draw(t, "from"), bound.Draw(t, "to")}
+			}
+			all[i].Slow = rapid.IntRange(0, 9).Draw(t, "slow") == 0
+		}
+		plan := Plan(m, all, rapid.Bool().Draw(t, "complete"))
+		for id, r := range plan {
+			assert.Assert(t, r.Empty() || (r.From >= 0 && r.To <= m.Layers), "%s gets %v", id, r)
+		}
+		checkMemory(t, m, all, plan)
+		CapacityByDataCentre(m, all)
+		for _, e := range all {
+			ClosesGap(all, e, plan[e.ID])
+		}
+	})
+}
--- a/pkg/core/path/path.go
+++ b/pkg/core/path/path.go
@@ -95,7 +95,8 @@
 // the engines hold every layer but lack capacity, and Unavailable if a layer is
 // missing.
 func Choose(m *routing.Model, engines []Engine, r Request) (Choice, error) {
-	usable := slices.DeleteFunc(slices.Clone(engines), func(e Engine) bool { return e.To <= e.From })
+	// A faulty engine may report any range.
+	usable := slices.DeleteFunc(slices.Clone(engines), func(e Engine) bool { return e.To <= e.From || e.From < 0 || e.To > m.Layers })
 	withCapacity := slices.DeleteFunc(slices.Clone(usable), func(e Engine) bool { return !e.hasKVCapacityFor(r) })
 	if c, ok := chooseAmong(m, withCapacity, r); ok && c.HasCapacity {
 		return c, nil
--- a/pkg/core/path/path_test.go
+++ b/pkg/core/path/path_test.go
@@ -47,6 +47,18 @@
 	})
 }
 
+// Guards against an engine with a range outside the model that keeps the others from being
+// used.
+func TestChoose_IgnoresRangesOutsideModel(t *testing.T) {
+	m := model()
+	sound := []Engine{engine("0", "a", 0, 6), engine("1", "a", 6, 12)}
+	for _, odd := range []Engine{engine("2", "a", 0, 200), engine("2", "a", -5, 12), engine("2", "a", 100, 120), engine("2", "a", 9, 3)} {
+		c, err := Choose(m, append(sound, odd), typicalRequest)
+		assert.NilError(t, err, "beside an engine with [%d, %d)", odd.From, odd.To)
+		assert.Assert(t, ValidStages(m, c.Stages))
+	}
+}
+
 func engineIndex(id string) int {
 	var i int
 	_, _ = fmt.Sscan(id, &i)
