pkg/core/registry, coordinator, platform: check what enters the fleet's state

One odd announcement stopped the fleet. An id that is not valid UTF-8 was taken, and every update to watchers then failed to encode: no gateway followed the configuration any more, with no log line above debug. A data centre with a quote in its name made an invalid metric name, on which the leader ended, and each leader after it.

Announcements, those that other processes pass on and the instances of watchers are now checked in one place before they are recorded: lengths, UTF-8 and printable names, addresses and ports, start times, counts, layers. What fails is refused with the field that is wrong, logged and counted. Poll results are bounded, the registry is, in all and for each host, and an update leaves out an instance that cannot be encoded rather than none be sent.

--- a/pkg/core/registry/registry.go
+++ b/pkg/core/registry/registry.go
@@ -6,10 +6,12 @@
 	"cmp"
 	"math"
 	"slices"
+	"strings"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/plantainstair/plantainstair/pkg/fault"
 	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
 )
 
@@ -18,6 +20,7 @@
 type Registry struct {
 	records          map[string]*record
 	byAddress        map[string]string // id of the only instance at each address
+	perHost          map[string]int    // number of instances by the host of their address
 	revision         uint64
 	lastLoadRevision uint64
 	removed          []removal
@@ -42,7 +45,7 @@
 
 // New returns an empty registry.
 func New() *Registry {
-	return &Registry{records: make(map[string]*record), byAddress: make(map[string]string)}
+	return &Registry{records: make(map[string]*record), byAddress: make(map[string]string), perHost: make(map[string]int)}
 }
 
 // Revision returns the revision, which increases with every change other than a load
@@ -95,6 +98,8 @@
 	}
 	if r != nil && r.instance.GetAddress() != next.GetAddress() {
 		delete(g.byAddress, r.instance.GetAddress())
+		g.countHost(r.instance, -1)
+		g.countHost(next, 1)
 	}
 	g.takeAddress(next)
 	g.storeInstance(now, next)
@@ -136,6 +141,7 @@
 	if r == nil {
 		r = &record{}
 		g.records[in.GetId()] = r
+		g.countHost(in, 1)
 	}
 	r.lastHeard = now
 	old := r.instance
@@ -218,6 +224,7 @@
 	if r == nil || (p.StartUnixMs != 0 && p.StartUnixMs != r.instance.GetBornUnixMs()) {
 		return
 	}
+	p = p.bounded()
 	next := proto.CloneOf(r.instance)
 	next.Layers, next.Loading, next.Orders, next.Load, next.Suspect = p.Layers, p.Loading, p.Orders, p.Load, false
 	next.RequestLimit = p.RequestLimit
@@ -278,6 +285,7 @@
 	if g.byAddress[address] == id {
 		delete(g.byAddress, address)
 	}
+	g.countHost(g.records[id].instance, -1)
 	delete(g.records, id)
 	g.revision++
 	g.removed = append(g.removed, removal{id, g.revision})
@@ -287,10 +295,46 @@
 }
 
 // Merge records the instances that another process knew. They count as heard at now,
-// so that each has a full ttl to announce itself.
-func (g *Registry) Merge(now time.Time, instances []*wirepb.Instance) {
+// so that each has a full ttl to announce itself. It returns the first error of those that
+// are not usable, which it leaves out.
+func (g *Registry) Merge(now time.Time, instances []*wirepb.Instance) error {
+	var first error
 	for _, in := range instances {
-		g.Announce(now, in)
+		err := Check(now, in)
+		if err == nil {
+			err = g.CheckRoom(in)
+		}
+		if err == nil {
+			in = proto.CloneOf(in)
+			in.Load = PollResult{Load: in.GetLoad()}.bounded().Load
+			g.Announce(now, in)
+		} else if first == nil {
+			first = err
+		}
+	}
+	return first
+}
+
+// CheckRoom returns an error if an instance is new and the registry, or the part of it for
+// one host, is full.
+func (g *Registry) CheckRoom(in *wirepb.Instance) error {
+	if g.records[in.GetId()] != nil {
+		return nil
+	}
+	if len(g.records) >= maxInstances || g.perHost[hostOf(in)] >= maxInstancesPerHost {
+		return fault.New(fault.Overloaded, "no room for another instance: %d are known, %d of them at %s", len(g.records), g.perHost[hostOf(in)], hostOf(in)).WithOutcome(fault.NotRun)
+	}
+	return nil
+}
+
+func hostOf(in *wirepb.Instance) string {
+	return in.GetAddress()[:max(0, strings.LastIndexByte(in.GetAddress(), ':'))]
+}
+
+func (g *Registry) countHost(in *wirepb.Instance, n int) {
+	host := hostOf(in)
+	if g.perHost[host] += n; g.perHost[host] <= 0 {
+		delete(g.perHost, host)
 	}
 }
 
--- a/pkg/core/routing/model.go
+++ b/pkg/core/routing/model.go
@@ -53,14 +53,21 @@
 	if layers == 0 || free <= 0 || m.KVTokenBytes <= 0 {
 		return 0
 	}
-	return int(free * bytesPerMB / (m.KVTokenBytes / float64(m.Layers) * float64(layers)))
+	return int(min(maxKVTokens, free*bytesPerMB/(m.KVTokenBytes/float64(m.Layers)*float64(layers))))
 }
 
+// maxKVTokens bounds the KV cache of an engine, so that sums over engines do not overflow.
+const maxKVTokens = 1 << 40
+
 // MaxLayers returns the largest number of layers that leaves memory for the KV cache
 // of kvTokens tokens.
 func (m *Model) MaxLayers(a *Accelerator, kvTokens int) int {
 	perLayer := m.LayerMB + float64(kvTokens)*m.KVTokenBytes/float64(m.Layers)/bytesPerMB
-	return min(m.Layers, int(math.Floor(a.MemoryMB/perLayer)))
+	layers := math.Floor(a.MemoryMB / perLayer)
+	if !(layers >= 0) {
+		return 0 // sizes that are negative or missing
+	}
+	return int(min(float64(m.Layers), layers))
 }
 
 // DecodeTime returns the time of one decode step over the given number of layers,
--- a/pkg/role/coordinator/coordinator.go
+++ b/pkg/role/coordinator/coordinator.go
@@ -383,7 +383,7 @@
 		known = append(known, in)
 	}
 	c.registry = registry.New()
-	c.registry.Merge(now, known)
+	c.mergeInstances(now, known, c.opts.Self.GetHost())
 	c.placement = newPlacement(c)
 	c.polls = make(map[string]*pollState)
 	c.prompts = quarantine.NewTracker(promptDelays, view.Prompts.Quarantines)
--- a/pkg/role/coordinator/feed.go
+++ b/pkg/role/coordinator/feed.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"slices"
+	"strconv"
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/plantainstair/plantainstair/pkg/coordinators"
 	"github.com/plantainstair/plantainstair/pkg/core/registry"
 	"github.com/plantainstair/plantainstair/pkg/fault"
@@ -158,7 +162,7 @@
 			return err
 		}
 		_ = s.SetDeadline(time.Now().Add(updateTimeout))
-		if err := s.Write(&wirepb.Frame{Body: &wirepb.Frame_FleetUpdate{FleetUpdate: update}}); err != nil {
+		if err := c.writeUpdate(s, update); err != nil {
 			return err
 		}
 		if state.transferring && state.pending == nil {
@@ -174,6 +178,37 @@
 	}
 }
 
+// writeUpdate sends an update. An instance that cannot be encoded does not keep the others
+// from being sent.
+func (c *Coordinator) writeUpdate(s *wire.Stream, u *wirepb.FleetUpdate) error {
+	frame := &wirepb.Frame{Body: &wirepb.Frame_FleetUpdate{FleetUpdate: u}}
+	err := s.Write(frame)
+	if !fault.Is(err, fault.Protocol) {
+		return err
+	}
+	complete := len(u.Instances)
+	u.Instances = slices.DeleteFunc(slices.Clone(u.Instances), func(in *wirepb.Instance) bool {
+		_, e := proto.Marshal(in)
+		if e != nil {
+			c.metrics.droppedInstances.Inc()
+			c.log.Warn("Instance not sent to watchers.", logs.Str("instance", strconv.Quote(in.GetId())), logs.Err(e))
+		}
+		return e != nil
+	})
+	if len(u.Instances) == complete {
+		return err
+	}
+	return s.Write(frame)
+}
+
+// mergeInstances records the instances that a watcher knew. It runs on the owner.
+func (c *Coordinator) mergeInstances(now time.Time, instances []*wirepb.Instance, from string) {
+	if err := c.registry.Merge(now, instances); err != nil {
+		c.metrics.refusedInstances.Inc()
+		c.log.Warn("Instance of a watcher refused.", logs.Str("watcher", from), logs.Err(err))
+	}
+}
+
 func (c *Coordinator) beginTransfer(state *watcherState) bool {
 	select {
 	case c.transferSlots <- struct{}{}:
@@ -212,7 +247,7 @@
 	err := c.runOnOwnerIfLeader(ctx, func() {
 		now := time.Now()
 		if state.firstUpdate && now.Sub(c.leaderSince) < takeOverTime {
-			c.registry.Merge(now, w.GetInstances())
+			c.mergeInstances(now, w.GetInstances(), w.GetHost())
 			c.prompts.Merge(coordinators.DecodeQuarantines(now, w.GetQuarantines()))
 		}
 		c.collectUpdate(now, u, state)
--- a/pkg/role/coordinator/metrics.go
+++ b/pkg/role/coordinator/metrics.go
@@ -1,6 +1,8 @@
 package coordinator
 
 import (
+	"strconv"
+
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
@@ -19,6 +21,8 @@
 	relayedAnnouncements       *metrics.Counter
 	quarantines                *metrics.Counter
 	deniedPermits              *metrics.Counter
+	refusedInstances           *metrics.Counter
+	droppedInstances           *metrics.Counter
 }
 
 func newMetrics() *metricSet {
@@ -35,12 +39,14 @@
 		relayedAnnouncements:       s.NewCounter("plantain_coordinator_announcements_relayed_total"),
 		quarantines:                s.NewCounter("plantain_coordinator_quarantines_total"),
 		deniedPermits:              s.NewCounter("plantain_coordinator_permits_denied_total"),
+		refusedInstances:           s.NewCounter("plantain_coordinator_instances_refused_total"),
+		droppedInstances:           s.NewCounter("plantain_coordinator_instances_dropped_total"),
 	}
 }
 
 // capacity sets the gauge of the rate of typical requests that a data centre can serve.
 func (m *metricSet) capacity(dataCentre string, perSecond float64) {
-	m.set.GetOrCreateGauge(`plantain_coordinator_capacity_requests_per_second{data_centre="`+dataCentre+`"}`, nil).Set(perSecond)
+	m.set.GetOrCreateGauge(`plantain_coordinator_capacity_requests_per_second{data_centre=`+strconv.Quote(dataCentre)+`}`, nil).Set(perSecond)
 }
 
 // membership adds gauges of the committed membership, which tell whether a replacement of a
--- a/pkg/role/coordinator/permits.go
+++ b/pkg/role/coordinator/permits.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"math"
 	"time"
 
 	"github.com/plantainstair/plantainstair/pkg/logs"
@@ -37,7 +38,8 @@
 // on the owner.
 func (c *Coordinator) recordRequestLimit(r *wirepb.RequestLimitReport) *wirepb.Frame {
 	known := c.registry.Get(r.GetInstanceId())
-	if known != nil && known.GetBornUnixMs() == r.GetBornUnixMs() && known.GetRequestLimit() != r.GetPerSecond() {
+	usable := r.GetPerSecond() >= 0 && !math.IsInf(r.GetPerSecond(), 0)
+	if usable && known != nil && known.GetBornUnixMs() == r.GetBornUnixMs() && known.GetRequestLimit() != r.GetPerSecond() {
 		c.logRequestLimit(known, r.GetPerSecond())
 		c.registry.SetRequestLimit(known.GetId(), r.GetPerSecond())
 		c.watchers.signalChange()
--- a/pkg/role/coordinator/serve.go
+++ b/pkg/role/coordinator/serve.go
@@ -83,7 +83,11 @@
 func (c *Coordinator) serveAnnouncement(s *wire.Stream, announcement *wirepb.InstanceBeat) {
 	ctx, cancel := context.WithTimeout(c.ctx, forwardTimeout)
 	defer cancel()
-	if err := c.acceptAnnouncement(ctx, announcement.GetInstance()); err != nil {
+	err := c.checkAnnouncement(announcement.GetInstance())
+	if err == nil {
+		err = c.acceptAnnouncement(ctx, announcement.GetInstance())
+	}
+	if err != nil {
 		_ = s.WriteError(err)
 		return
 	}
--- a/pkg/role/coordinator/service.go
+++ b/pkg/role/coordinator/service.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"net"
+	"strconv"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
 	"github.com/plantainstair/plantainstair/pkg/coordinators"
 	"github.com/plantainstair/plantainstair/pkg/core/document"
+	"github.com/plantainstair/plantainstair/pkg/core/registry"
 	"github.com/plantainstair/plantainstair/pkg/core/routing"
 	"github.com/plantainstair/plantainstair/pkg/fault"
 	"github.com/plantainstair/plantainstair/pkg/logs"
@@ -106,6 +108,9 @@
 // Announce returns the address of this process, to which the next announcement goes.
 func (c *Coordinator) Announce(ctx context.Context, in *wirepb.Instance) (string, error) {
 	own := c.opts.Self.GetAdminAddress()
+	if err := c.checkAnnouncement(in); err != nil {
+		return "", err
+	}
 	err := c.acceptAnnouncement(ctx, in)
 	if !fault.Is(err, fault.NotLeader) {
 		return own, err
@@ -135,12 +140,29 @@
 	return c.otherCoordinators()
 }
 
+// checkAnnouncement returns an error if an announcement, or the notice that an instance has
+// left, names no usable instance. Such entries come from other writers and reach no state.
+func (c *Coordinator) checkAnnouncement(in *wirepb.Instance) error {
+	var err error
+	if in.GetLeft() {
+		err = registry.CheckID(in.GetId())
+	} else {
+		err = registry.Check(time.Now(), in)
+	}
+	if err != nil {
+		c.metrics.refusedInstances.Inc()
+		c.log.Debug("Announcement refused.", logs.Str("instance", strconv.Quote(in.GetId())), logs.Err(err))
+	}
+	return err
+}
+
 func (c *Coordinator) acceptAnnouncement(ctx context.Context, in *wirepb.Instance) error {
 	if !c.IsLeader() {
 		return c.notLeaderError()
 	}
 	now := time.Now()
 	leading := false
+	var roomErr error
 	err := c.runOnOwner(ctx, func() {
 		if leading = c.IsLeader(); !leading {
 			return
@@ -148,12 +170,21 @@
 		if !c.leading {
 			c.step(now)
 		}
-		c.applyAnnouncement(now, in)
+		if roomErr = c.registry.CheckRoom(in); roomErr == nil || in.GetLeft() {
+			c.applyAnnouncement(now, in)
+		}
 	})
-	if err == nil && !leading {
-		err = c.notLeaderError()
+	switch {
+	case err != nil:
+		return err
+	case !leading:
+		return c.notLeaderError()
+	case roomErr != nil && !in.GetLeft():
+		c.metrics.refusedInstances.Inc()
+		c.log.Warn("Announcement refused.", logs.Str("instance", in.GetId()), logs.Err(roomErr))
+		return roomErr
 	}
-	return err
+	return nil
 }
 
 // applyAnnouncement records an announcement in the registry. An instance is leaving once it
--- a/pkg/role/gateway/prompts.go
+++ b/pkg/role/gateway/prompts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"time"
 
@@ -263,7 +264,8 @@
 		return
 	}
 	g.prompts.recordBroken(time.Now(), &wirepb.BrokenReply{
-		RequestId: s.q.metadata.RequestID, InstanceId: firstStage.ID, BornUnixMs: firstStage.StartUnixMs,
+		// One identifier that cannot be encoded would keep the others from being sent.
+		RequestId: strings.ToValidUTF8(s.q.metadata.RequestID, "?"), InstanceId: firstStage.ID, BornUnixMs: firstStage.StartUnixMs,
 		ReplyBegan: replyBegan, HasEvent: writes > 0, Parts: s.q.promptParts,
 	})
 }
