pkg/instances: believe a refusal only if it answers this request

A faulty upstream may write an earlier refusal once more on a kept connection. One without a request id was taken for the reply to the next call, and one with the id of a request that is sent there a second time for the reply to its repeat: a request that ran, or was running, counted as not run, and its caller was told to try again or it was sent elsewhere.

A reply without an id now ends the call as "may have run" and closes the connection, unless nothing else was sent on it and it claims nothing about what ran. A connection that carried the refusal of a request is not used for that request again.

--- a/pkg/instances/pool.go
+++ b/pkg/instances/pool.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -37,7 +38,9 @@
 	// call, including informational ones and replies to earlier requests.
 	maxResponsesRead   = 4
 	maxStaleReplyBytes = 1 << 20
-	readBufferSize     = 4 << 10
+	// maxRefusals bounds the refusals on a connection, after which it is closed.
+	maxRefusals    = 32
+	readBufferSize = 4 << 10
 	// maxHeadBytes bounds the head of a response: an upstream in trouble may send bytes
 	// without end.
 	maxHeadBytes = 64 << 10
@@ -85,12 +88,17 @@
 
 type conn struct {
 	net.Conn
-	pool       *Pool
-	address    string
-	input      *headLimiter
-	reader     *bufio.Reader // of input
-	maxIdle    time.Duration // longest idle time, 0 if the connection must not be reused
-	idleSince  time.Time
+	pool      *Pool
+	address   string
+	input     *headLimiter
+	reader    *bufio.Reader // of input
+	maxIdle   time.Duration // longest idle time, 0 if the connection must not be reused
+	idleSince time.Time
+	sends     int // calls written to it
+	// refused holds the IDs of the requests that were refused on it. A faulty upstream may
+	// write a refusal once more, which would be taken for the reply to a repeat of the
+	// same request.
+	refused    []string
 	stopCancel func() bool // stops the AfterFunc that closes the connection with the context
 }
 
@@ -109,7 +117,7 @@
 // outcome NotRun only if no connection could be established for the last send; a call
 // that may be repeated may have been sent before on a reused connection.
 func (p *Pool) Do(ctx context.Context, address string, call Call) (*Reply, error) {
-	c, reused, err := p.get(ctx, address, call.NonRepeatable)
+	c, reused, err := p.get(ctx, address, call)
 	if err != nil {
 		return nil, err
 	}
@@ -125,14 +133,15 @@
 }
 
 // get returns an idle connection or a new one.
-func (p *Pool) get(ctx context.Context, address string, nonRepeatable bool) (*conn, bool, error) {
+func (p *Pool) get(ctx context.Context, address string, call Call) (*conn, bool, error) {
 	for {
 		c := p.popIdle(address)
 		if c == nil {
 			break
 		}
 		idle := time.Since(c.idleSince)
-		if idle < c.maxIdle && (!nonRepeatable || idle < maxNonRepeatableIdle) && c.inputEmpty() {
+		fresh := idle < c.maxIdle && (!call.NonRepeatable || idle < maxNonRepeatableIdle)
+		if fresh && !slices.Contains(c.refused, call.RequestID) && c.inputEmpty() {
 			return c, true, nil
 		}
 		_ = c.Close()
@@ -242,6 +251,7 @@
 }
 
 func (c *conn) writeCall(call Call) error {
+	c.sends++
 	var b strings.Builder
 	b.WriteString(call.Method + " " + call.Target + " HTTP/1.1\r\nHost: " + call.Host + "\r\n")
 	if err := call.Header.Write(&b); err != nil {
@@ -257,7 +267,9 @@
 }
 
 // awaitReply returns the reply to the call. It skips informational responses, and
-// replies to earlier requests, which it recognises by their request ID.
+// replies to earlier requests, which it recognises by their request ID. A reply without
+// one is that to the call only if nothing else was sent on the connection, and even then
+// it proves nothing about what ran.
 func (c *conn) awaitReply(call Call) (*http.Response, ReplyMetadata, error) {
 	for range maxResponsesRead {
 		resp, err := c.readHead(call.Method)
@@ -268,7 +280,10 @@
 			continue
 		}
 		metadata := c.pool.dialect.ReadReplyMetadata(resp.StatusCode, resp.Header)
-		unidentified := metadata.RequestID == "" && resp.StatusCode >= http.StatusMultipleChoices
+		unidentified := metadata.RequestID == "" && call.RequestID != "" && resp.StatusCode >= http.StatusMultipleChoices
+		if unidentified && (c.sends > 1 || metadata.NotRun) {
+			return resp, metadata, fault.New(fault.Protocol, "reply of %s with status %d names no request", c.address, resp.StatusCode)
+		}
 		if metadata.RequestID == call.RequestID || unidentified {
 			if metadata.Encoded {
 				return resp, metadata, fault.New(fault.Protocol, "reply of %s has a content encoding", c.address)
@@ -316,7 +331,10 @@
 // upstream does not close the connection. Otherwise it closes the connection.
 func (r *Reply) Close() {
 	c := r.conn
-	if !c.stopCancel() || !r.bodyRead || r.resp.Close || c.reader.Buffered() > 0 || c.maxIdle == 0 {
+	if r.Metadata.NotRun && r.Metadata.RequestID != "" {
+		c.refused = append(c.refused, r.Metadata.RequestID)
+	}
+	if !c.stopCancel() || len(c.refused) > maxRefusals || !r.bodyRead || r.resp.Close || c.reader.Buffered() > 0 || c.maxIdle == 0 {
 		_ = c.Close()
 		return
 	}
--- a/pkg/instances/pool_test.go
+++ b/pkg/instances/pool_test.go
@@ -28,6 +28,17 @@
 type scriptedUpstream struct {
 	net.Listener
 	requests chan string // request lines
+	scripts  chan string
+}
+
+// drop removes the next script.
+func (s *scriptedUpstream) drop(t *testing.T) {
+	t.Helper()
+	select {
+	case <-s.scripts:
+	default:
+		t.Fatal("no script is left")
+	}
 }
 
 func startScriptedUpstream(t *testing.T, scripts ...string) *scriptedUpstream {
@@ -35,8 +46,8 @@
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = ln.Close() })
-	s := &scriptedUpstream{Listener: ln, requests: make(chan string, 16)}
 	next := make(chan string, len(scripts))
+	s := &scriptedUpstream{Listener: ln, requests: make(chan string, 16), scripts: next}
 	for _, script := range scripts {
 		next <- script
 	}
@@ -121,6 +132,66 @@
 	assert.Equal(t, dials, 2)
 }
 
+func refusalText(id string) string {
+	text := "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n"
+	if id != "" {
+		text += "Id: " + id + "\r\n"
+	}
+	return text + "\r\n"
+}
+
+// Guards against an earlier refusal that the upstream writes once more on a kept
+// connection: the request that runs there would count as not run.
+func TestPool_RepeatedRefusalIsNotTakenForTheReply(t *testing.T) {
+	for name, tc := range map[string]struct {
+		firstID, repeated string
+		dials             int
+	}{
+		"to the same request, sent once more": {"2", refusalText("2"), 2},
+		"to another request":                  {"1", refusalText("1"), 1},
+		"without an id":                       {"1", refusalText(""), 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := startScriptedUpstream(t, refusalText(tc.firstID), tc.repeated+replyText("2", "two"), replyText("2", "two"))
+			dials := 0
+			p := NewPool(echoDialect{}, func() { dials++ })
+			send := func(id string) (*Reply, error) {
+				ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+				defer cancel()
+				reply, err := p.Do(ctx, s.Addr().String(), Call{Method: "POST", Target: "/", Host: "h", Header: http.Header{}, RequestID: id, NonRepeatable: true})
+				if err == nil {
+					_, err = reply.ReadAll(100)
+					reply.Close()
+				}
+				return reply, err
+			}
+			reply, err := send(tc.firstID)
+			assert.NilError(t, err)
+			assert.Assert(t, reply.Metadata.NotRun)
+			if tc.firstID == "2" {
+				// The connection on which the refusal may be repeated is not used for it.
+				<-s.requests
+				s.drop(t)
+			}
+			reply, err = send("2")
+			if err != nil {
+				assert.Equal(t, fault.As(err).Outcome, fault.MayHaveRun)
+			} else {
+				assert.Assert(t, !reply.Metadata.NotRun, "a request that ran counts as not run")
+			}
+			assert.Equal(t, dials, tc.dials)
+		})
+	}
+}
+
+// Guards against a refusal that names no request and is believed on a new connection.
+func TestPool_RefusalWithoutIDPromisesNothing(t *testing.T) {
+	s := startScriptedUpstream(t, refusalText(""))
+	_, err := get(t, NewPool(echoDialect{}, func() {}), s.Addr().String(), "1")
+	assert.Assert(t, fault.Is(err, fault.Upstream), "%v", err)
+	assert.Equal(t, fault.As(err).Outcome, fault.MayHaveRun)
+}
+
 // Guards against a truncated reply that is taken for a complete one.
 func TestPool_ReportsTruncatedReplies(t *testing.T) {
 	s := startScriptedUpstream(t, "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 9\r\n\r\nhalf"+closeMarker)
