pkg/role/agent, upstreams: heed what an agent's upstream states about itself

The product's own agents read neither a refusal's Retry-After nor that an upstream leaves: calls went on to a service that had asked for time, and to one that left as long as its announcements went on. The agent now keeps the same book as the gateways, for the run of its upstream: it refuses new work, queued work included, as not run with the time that is left, and announces an upstream that says it leaves as draining.

Stand-in services can shed and leave in this way.

--- a/pkg/core/selfreport/selfreport.go
+++ b/pkg/core/selfreport/selfreport.go
@@ -4,6 +4,9 @@
 package selfreport
 
 import (
+	"net/http"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -132,3 +135,25 @@
 	}
 	return soonest, !soonest.IsZero()
 }
+
+// ParseRetryAfter returns the time that the header Retry-After of a refusal states: seconds,
+// which may have a fraction, or a date, which is compared with the header Date. It returns
+// zero if it states none or none that can be read, and MaxPause at most.
+func ParseRetryAfter(now time.Time, h http.Header) time.Duration {
+	text := strings.TrimSpace(h.Get("Retry-After"))
+	if seconds, err := strconv.ParseFloat(text, 64); err == nil || seconds > 0 { // infinite beside an error of range
+		if !(seconds > 0) {
+			return 0
+		}
+		return time.Duration(min(seconds, MaxPause.Seconds()) * float64(time.Second))
+	}
+	at, err := http.ParseTime(text)
+	if err != nil {
+		return 0
+	}
+	// The clock of this host may be off, that of the sender is the one it meant.
+	if sent, err := http.ParseTime(h.Get("Date")); err == nil {
+		now = sent
+	}
+	return min(max(0, at.Sub(now)), MaxPause)
+}
--- a/pkg/role/agent/admit.go
+++ b/pkg/role/agent/admit.go
@@ -28,10 +28,9 @@
 		done()
 		return nil, nil, err
 	}
-	up = a.upstream.currentUpstream()
-	if up == nil {
+	if up, err = a.takingUpstream(); err != nil {
 		done()
-		return nil, nil, errNoUpstream()
+		return nil, nil, err
 	}
 	if !a.orders.isSynced() {
 		done()
--- a/pkg/role/agent/agent.go
+++ b/pkg/role/agent/agent.go
@@ -106,8 +106,8 @@
 		pendingClaims:      make(chan struct{}, settings.MaxPendingClaims),
 		refusalReadSlots:   make(chan struct{}, maxRefusalReads),
 		pool:               link.NewPool(opts.Link),
-		client:             upstreams.NewClient(upstreams.Options{LineTimeout: settings.StepTimeout, MaxLineBytes: settings.MaxLine}),
 	}
+	a.client = upstreams.NewClient(upstreams.Options{LineTimeout: settings.StepTimeout, MaxLineBytes: settings.MaxLine, OnSelfReport: a.recordSelfReport})
 	a.baseCtx, a.cancelBase = context.WithCancel(context.Background())
 	a.freed.now = opts.Now
 	a.queue = newQueue(sched.Config{
--- a/pkg/role/agent/call.go
+++ b/pkg/role/agent/call.go
@@ -79,10 +79,10 @@
 		done()
 		return nil, err
 	}
-	c := &admittedCall{up: a.upstream.currentUpstream(), slot: slot, done: done}
-	if c.up == nil {
+	c := &admittedCall{slot: slot, done: done}
+	if c.up, err = a.takingUpstream(); err != nil {
 		c.release()
-		return nil, errNoUpstream()
+		return nil, err
 	}
 	return c, nil
 }
--- a/pkg/role/agent/generate.go
+++ b/pkg/role/agent/generate.go
@@ -48,8 +48,8 @@
 	defer slot.release()
 	ctx, stop := slot.preemptibleContext(ctx)
 	defer stop()
-	if up = a.upstream.currentUpstream(); up == nil {
-		return nil, errNoUpstream()
+	if up, err = a.takingUpstream(); err != nil {
+		return nil, err
 	}
 	g := &generation{agent: a, ctx: ctx, req: req, up: up, slot: slot, tokenStream: tokenStream, emittedTokens: uint32(len(req.Emitted)), lastTokenAt: a.now()}
 	return g.run()
--- a/pkg/role/agent/stage.go
+++ b/pkg/role/agent/stage.go
@@ -34,8 +34,8 @@
 	defer slot.release()
 	ctx, stop := slot.preemptibleContext(ctx)
 	defer stop()
-	if up = a.upstream.currentUpstream(); up == nil {
-		return withFailedStage(errNoUpstream(), int(open.Index))
+	if up, err = a.takingUpstream(); err != nil {
+		return withFailedStage(err, int(open.Index))
 	}
 	a.upstream.notePrefixes(open.Prefixes)
 	open.DeadlineMs = slot.remainingTimeout(open.DeadlineMs)
--- a/pkg/role/agent/upstream.go
+++ b/pkg/role/agent/upstream.go
@@ -9,6 +9,7 @@
 
 	"github.com/looplab/fsm"
 
+	"github.com/plantainstair/plantainstair/pkg/core/selfreport"
 	"github.com/plantainstair/plantainstair/pkg/fault"
 	"github.com/plantainstair/plantainstair/pkg/logs"
 	"github.com/plantainstair/plantainstair/pkg/upstreams"
@@ -70,6 +71,7 @@
 
 	announcedBefore bool
 	draining        atomic.Bool // an operator's drain is in force
+	selfReports     selfreport.Book
 }
 
 func newUpstreamState(baseAnnouncement *wirepb.Announcement, heartbeatTimeout time.Duration, now func() time.Time, log logs.Logger, onSlotsChanged func(int)) *upstreamState {
@@ -137,9 +139,20 @@
 func (u *upstreamState) setDraining(on bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if u.draining.Swap(on) == on {
-		return
+	if u.draining.Swap(on) != on {
+		u.announceAgain()
 	}
+}
+
+// refreshAnnouncement announces the upstream anew with its present state.
+func (u *upstreamState) refreshAnnouncement() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.announceAgain()
+}
+
+// announceAgain does so for a caller that holds mu.
+func (u *upstreamState) announceAgain() {
 	if v := u.current.Load(); v != nil {
 		u.current.Store(&upstreamSnapshot{announced: v.announced, wire: u.wireAnnouncement(v.announced)})
 	}
@@ -193,7 +206,7 @@
 		Kind: a.Kind, Services: a.Services, Accelerator: a.Accelerator, Slots: a.Slots, KvTokens: a.KVTokens,
 		ChecksFencing: a.ChecksFencing, State: stateServing,
 	}
-	if u.draining.Load() {
+	if u.draining.Load() || u.selfReports.Get(processOf(a)).Leaving {
 		w.State = stateDraining
 	}
 	copyAgentFields(w, &u.baseAnnouncement)
--- a/pkg/standin/faults.go
+++ b/pkg/standin/faults.go
@@ -17,6 +17,8 @@
 	AnswerTwice   = "twice"    // sends the response twice on the connection
 	AnswerOtherID = "other_id" // sends a request ID that is not the caller's
 	AnswerDrop    = "drop"     // executes the call, then closes the connection
+	AnswerLeaving = "leaving"  // states that the service leaves
+	AnswerShed    = "shed"     // does not execute the call and asks for AnswerDelayMs without calls
 )
 
 const maxFaultBodyBytes = 4 << 10
--- a/pkg/standin/service.go
+++ b/pkg/standin/service.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/plantainstair/plantainstair/pkg/fault"
@@ -84,6 +85,12 @@
 		Path:         r.URL.RequestURI(),
 		Body:         string(body),
 	}
+	if faults := s.injector.get(); faults.Answer == AnswerShed {
+		w.Header().Set(upstreams.HeaderRequestID, reply.RequestID)
+		w.Header().Set("Retry-After", strconv.FormatFloat(float64(faults.AnswerDelayMs)/1000, 'f', 3, 64))
+		upstreams.WriteError(w, fault.New(fault.Unavailable, "the service asks for time"))
+		return
+	}
 	reply.Execution = s.records.recordCall(reply.Key, reply.RequestID)
 	s.injector.sleep(r.Context(), s.opts.Latency)
 	s.answer(w, r, reply)
@@ -99,6 +106,8 @@
 		id = "other-" + id
 	case AnswerDrop:
 		panic(http.ErrAbortHandler)
+	case AnswerLeaving:
+		w.Header().Set(upstreams.HeaderLeaving, "1")
 	case AnswerTwice:
 		writeTwice(w, id, reply)
 		return
--- a/pkg/upstreams/client.go
+++ b/pkg/upstreams/client.go
@@ -12,6 +12,7 @@
 	"syscall"
 	"time"
 
+	"github.com/plantainstair/plantainstair/pkg/core/selfreport"
 	"github.com/plantainstair/plantainstair/pkg/defaults"
 	"github.com/plantainstair/plantainstair/pkg/fault"
 )
@@ -40,6 +41,9 @@
 	MaxLineBytes     int           // of one NDJSON line
 	MaxKVBytes       int64         // of an exported KV state
 	MaxResponseBytes int64         // of the body of a service response
+	// OnSelfReport is called with what an answer of the upstream at an address states
+	// about it, if it states anything.
+	OnSelfReport func(address string, r selfreport.Report)
 }
 
 func (o Options) withDefaults() Options {
@@ -49,6 +53,9 @@
 	defaults.Set(&o.MaxLineBytes, DefaultMaxLineBytes)
 	defaults.Set(&o.MaxKVBytes, DefaultMaxKVBytes)
 	defaults.Set(&o.MaxResponseBytes, DefaultMaxResponseBytes)
+	if o.OnSelfReport == nil {
+		o.OnSelfReport = func(string, selfreport.Report) {}
+	}
 	return o
 }
 
@@ -68,9 +75,9 @@
 	h2.SetUnencryptedHTTP2(true)
 	return &Client{
 		opts:      opts,
-		engine:    newHTTPClient(&http.Transport{DialContext: dialer(opts), Protocols: h2}),
-		pooled:    newHTTPClient(&http.Transport{DialContext: dialer(opts), MaxIdleConnsPerHost: maxIdleConns}),
-		singleUse: newHTTPClient(&http.Transport{DialContext: dialer(opts), DisableKeepAlives: true}),
+		engine:    newHTTPClient(opts, &http.Transport{DialContext: dialer(opts), Protocols: h2}),
+		pooled:    newHTTPClient(opts, &http.Transport{DialContext: dialer(opts), MaxIdleConnsPerHost: maxIdleConns}),
+		singleUse: newHTTPClient(opts, &http.Transport{DialContext: dialer(opts), DisableKeepAlives: true}),
 	}
 }
 
@@ -81,16 +88,38 @@
 
 // newHTTPClient returns a client that follows no redirects: a redirect would
 // send the request again, to an address that the upstream did not announce.
-func newHTTPClient(t *http.Transport) *http.Client {
+func newHTTPClient(opts Options, t *http.Transport) *http.Client {
 	t.DisableCompression = true
 	t.MaxResponseHeaderBytes = maxResponseHeaderBytes
 	t.Proxy = nil
 	return &http.Client{
-		Transport:     t,
+		Transport:     selfReportReader{t, opts.OnSelfReport},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
 
+// selfReportReader passes on what answers state about the upstream that sent them.
+type selfReportReader struct {
+	*http.Transport
+	onReport func(address string, r selfreport.Report)
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t selfReportReader) RoundTrip(req *http.Request) (*http.Response, error) {
+	resp, err := t.Transport.RoundTrip(req)
+	if err != nil {
+		return nil, err
+	}
+	r := selfreport.Report{Leaving: resp.Header.Get(HeaderLeaving) == "1", Source: req.Method + " " + req.URL.Path}
+	if resp.StatusCode == http.StatusServiceUnavailable {
+		r.Pause = selfreport.ParseRetryAfter(time.Now(), resp.Header)
+	}
+	if r.Leaving || r.Pause > 0 {
+		t.onReport(req.URL.Host, r)
+	}
+	return resp, nil
+}
+
 // dialError marks a connection failure, which precedes the first byte of the
 // request.
 type dialError struct{ cause error }
--- a/pkg/upstreams/messages.go
+++ b/pkg/upstreams/messages.go
@@ -23,6 +23,9 @@
 	HeaderIdempotencyKey = "Idempotency-Key"
 	HeaderOrganisation   = "Plantain-Organisation"
 	HeaderFencingEpoch   = "Fencing-Epoch"
+	// HeaderLeaving is "1" in the answers of an upstream that leaves. One that asks for
+	// time adds Retry-After to a 503.
+	HeaderLeaving = "Upstream-Leaving"
 )
 
 // Kinds of upstreams.
