--- a/pkg/role/gateway/attempt.go
+++ b/pkg/role/gateway/attempt.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/plantainstair/plantainstair/pkg/core/path"
+	"github.com/plantainstair/plantainstair/pkg/core/stopping"
 	"github.com/plantainstair/plantainstair/pkg/fault"
 	"github.com/plantainstair/plantainstair/pkg/instances"
 )
@@ -60,6 +61,7 @@
 	g.recordBrokenReply(ctx, s, firstStage, err)
 	if err == nil {
 		g.recordAnswered(s, true)
+		s.recordPace(&g.pace)
 		for _, p := range s.currentStages() {
 			g.load.onSuccess(p.ID)
 		}
@@ -184,6 +186,13 @@
 	}
 }
 
+// recordPace records the pace of a complete stream.
+func (s *stream) recordPace(p *stopping.Pace) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p.Record(s.firstEventAt.Sub(s.q.arrived), s.lastEventAt.Sub(s.firstEventAt), s.eventWrites)
+}
+
 // remaining estimates the time until the last event from the expected length and the
 // mean time per write so far, taking each write as one event. Before the second write
 // it returns the time to the deadline.
--- a/pkg/role/gateway/gateway.go
+++ b/pkg/role/gateway/gateway.go
@@ -14,7 +14,9 @@
 
 	"github.com/plantainstair/plantainstair/pkg/coordinators"
 	"github.com/plantainstair/plantainstair/pkg/core/route"
+	"github.com/plantainstair/plantainstair/pkg/core/routing"
 	"github.com/plantainstair/plantainstair/pkg/core/selfreport"
+	"github.com/plantainstair/plantainstair/pkg/core/stopping"
 	"github.com/plantainstair/plantainstair/pkg/fault"
 	"github.com/plantainstair/plantainstair/pkg/httpconn"
 	"github.com/plantainstair/plantainstair/pkg/instances"
@@ -53,6 +55,8 @@
 	linkBudgets   linkBudgets
 	requestLimits requestLimits
 	selfReports   selfreport.Book
+	pace          stopping.Pace
+	stopsAt       atomic.Pointer[time.Time] // end of the grace period, nil before a stop
 	prompts       *promptEvidence
 	repairSignal  chan struct{}
 	startedAt     time.Time
@@ -149,6 +153,30 @@
 // CallerConnections returns the tracker of the connections of callers.
 func (g *Gateway) CallerConnections() *httpconn.Tracker { return g.callerConns }
 
+// BeginStop makes the gateway not ready and ask callers to close their connections. From
+// now on it refuses streams that would not end by the given time.
+func (g *Gateway) BeginStop(end time.Time) {
+	g.stopsAt.Store(&end)
+	g.lifecycle.Drain()
+}
+
+// checkStop refuses a stream that the end of this process would cut.
+func (g *Gateway) checkStop(q *request) error {
+	end := g.stopsAt.Load()
+	if end == nil || q.route.Kind != routing.Stream || q.service.Model == nil {
+		return nil
+	}
+	events := q.expectedOutputTokens() / max(1, q.service.Model.StepsPerPass)
+	if g.pace.Takes(time.Until(*end), events) {
+		return nil
+	}
+	g.metrics.refusedByStop.Inc()
+	return notRunError(fault.Draining, "the process stops before a stream of %d events would end", events).WithRetryAfter(stopRetryAfter)
+}
+
+// stopRetryAfter is the Retry-After of a stream that another process can take at once.
+const stopRetryAfter = 50 * time.Millisecond
+
 // track counts requests in progress and asks callers to close their connections while
 // the process drains.
 func (g *Gateway) track(next http.Handler) http.Handler {
--- a/pkg/role/gateway/handler.go
+++ b/pkg/role/gateway/handler.go
@@ -142,6 +142,9 @@
 	if q.service.Model != nil {
 		q.promptParts = quarantine.NewParts(metadata.SharedPromptParts)
 	}
+	if err := g.checkStop(q); err != nil {
+		return err
+	}
 	return g.checkQuarantine(q)
 }
 
--- a/pkg/role/gateway/metrics.go
+++ b/pkg/role/gateway/metrics.go
@@ -17,6 +17,7 @@
 	quarantined    *metrics.Counter
 	leavingReports *metrics.Counter
 	pauseReports   *metrics.Counter
+	refusedByStop  *metrics.Counter
 	inProgress     *metrics.Counter
 	firstByte      *metrics.Histogram
 	requestTime    *metrics.Histogram
@@ -33,6 +34,7 @@
 		quarantined:    s.NewCounter("plantain_gateway_quarantined_requests_total"),
 		leavingReports: s.NewCounter(`plantain_gateway_self_reports_total{state="leaving"}`),
 		pauseReports:   s.NewCounter(`plantain_gateway_self_reports_total{state="paused"}`),
+		refusedByStop:  s.NewCounter("plantain_gateway_refused_by_stop_total"),
 		inProgress:     s.NewCounter("plantain_gateway_requests_in_progress"),
 		firstByte:      s.NewHistogram("plantain_gateway_first_byte_seconds"),
 		requestTime:    s.NewHistogram("plantain_gateway_request_seconds"),
