pkg/core/registry, coordinators: keep servers that left out after a restart

The leader forgets an instance after five announcement intervals, and all of them when it ends. An announcement that arrived late, sent before the instance left, then brought it back: gateways sent it requests.

The registry keeps a tombstone of what it forgot for a minute: an announcement from before counts for nothing, and none of a process that said it is gone. Watchers remember the instances that left and tell a new leader.

--- a/pkg/coordinators/client.go
+++ b/pkg/coordinators/client.go
@@ -80,8 +80,22 @@
 	seeds             []string
 	namedCoordinators []string // coordinators that the leader named last
 	selfAnnounced     []string // coordinators that announced themselves, the latest last
+	left              map[string]leftInstance
 }
 
+// leftInstance is an instance that said that it is gone and is no longer in the view.
+type leftInstance struct {
+	instance *wirepb.Instance // its id, start and sequence
+	at       time.Time        // when it went from the view
+}
+
+const (
+	// leftAge is several times as long as an announcement may be late.
+	leftAge = time.Minute
+	// maxLeft bounds the instances that are remembered because they left.
+	maxLeft = 1024
+)
+
 // NewClient returns a client with an empty view. Run keeps the view up to date.
 func NewClient(o Options) *Client {
 	o.Link.MaxFrameBytes = MaxFrameBytes
@@ -92,7 +106,7 @@
 	if o.Paused == nil {
 		o.Paused = func() bool { return false }
 	}
-	c := &Client{opts: o, log: o.Log.Component("coordinators"), seeds: o.Seeds}
+	c := &Client{opts: o, log: o.Log.Component("coordinators"), seeds: o.Seeds, left: make(map[string]leftInstance)}
 	c.view.Store(&View{})
 	return c
 }
@@ -219,6 +233,7 @@
 		for _, in := range v.Instances {
 			request.Instances = append(request.Instances, in)
 		}
+		request.Left = c.LeftInstances()
 	}
 	return stream.Write(&wirepb.Frame{Body: &wirepb.Frame_FleetWatch{FleetWatch: request}})
 }
@@ -251,6 +266,7 @@
 	}
 	if u.GetFull() || len(u.GetInstances())+len(u.GetRemoved()) > 0 {
 		next.Instances = mergeInstances(old.Instances, u, sentIDs)
+		c.rememberLeft(time.Now(), old.Instances, next.Instances)
 	}
 	if u.GetPromptParts() != nil {
 		next.Prompts = DecodePromptParts(time.Now(), u.GetPromptParts())
@@ -263,6 +279,35 @@
 	return nil
 }
 
+// rememberLeft remembers the instances that said that they are gone and are no longer in the
+// view.
+func (c *Client) rememberLeft(now time.Time, before, after map[string]*wirepb.Instance) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for id, l := range c.left {
+		if now.Sub(l.at) > leftAge || after[id] != nil {
+			delete(c.left, id)
+		}
+	}
+	for id, in := range before {
+		if in.GetLeft() && after[id] == nil && len(c.left) < maxLeft {
+			c.left[id] = leftInstance{&wirepb.Instance{Id: id, BornUnixMs: in.GetBornUnixMs(), Sequence: in.GetSequence(), Left: true}, now}
+		}
+	}
+}
+
+// LeftInstances returns the instances that said that they are gone and went from the view a
+// short time ago.
+func (c *Client) LeftInstances() []*wirepb.Instance {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []*wirepb.Instance
+	for _, l := range c.left {
+		out = append(out, l.instance)
+	}
+	return out
+}
+
 func (c *Client) decode(compressed []byte) (*routing.Configuration, error) {
 	data, err := document.Decompress(compressed, MaxDocumentBytes)
 	if err != nil {
--- a/pkg/core/registry/registry.go
+++ b/pkg/core/registry/registry.go
@@ -24,8 +24,25 @@
 	revision         uint64
 	lastLoadRevision uint64
 	removed          []removal
+	forgotten        map[string]tombstone // by id, of instances that were removed
 }
 
+// tombstone is what is kept of an instance that was removed, so that an announcement that
+// arrives late does not bring it back.
+type tombstone struct {
+	startUnixMs int64
+	sequence    uint64
+	left        bool // it said that it is gone
+	at          time.Time
+}
+
+const (
+	// tombstoneAge is several times as long as an announcement may be late.
+	tombstoneAge = time.Minute
+	// maxTombstones bounds the tombstones. Without room, late announcements are accepted.
+	maxTombstones = 4096
+)
+
 type record struct {
 	instance           *wirepb.Instance
 	lastHeard          time.Time // time of the last announcement or poll result
@@ -45,7 +62,7 @@
 
 // New returns an empty registry.
 func New() *Registry {
-	return &Registry{records: make(map[string]*record), byAddress: make(map[string]string), perHost: make(map[string]int)}
+	return &Registry{records: make(map[string]*record), byAddress: make(map[string]string), perHost: make(map[string]int), forgotten: make(map[string]tombstone)}
 }
 
 // Revision returns the revision, which increases with every change other than a load
@@ -73,9 +90,10 @@
 	if r != nil && !newer(r.instance, in) {
 		return false
 	}
-	if g.addressTaken(in) {
+	if g.isLate(in) || g.addressTaken(in) {
 		return false
 	}
+	delete(g.forgotten, in.GetId())
 	next := proto.CloneOf(in)
 	// An instance announces its departure as Draining. The registry records it as
 	// Leaving; DrainLeaving sets Draining after the grace period.
@@ -106,6 +124,42 @@
 	return true
 }
 
+// isLate reports whether an announcement was sent before the instance was removed, or
+// by a process that has said that it is gone.
+func (g *Registry) isLate(in *wirepb.Instance) bool {
+	t, ok := g.forgotten[in.GetId()]
+	if !ok || in.GetBornUnixMs() > t.startUnixMs {
+		return false
+	}
+	return in.GetBornUnixMs() < t.startUnixMs || t.left || in.GetSequence() <= t.sequence
+}
+
+// bury keeps what is needed to recognise late announcements of an instance.
+func (g *Registry) bury(now time.Time, in *wirepb.Instance) {
+	if len(g.forgotten) < maxTombstones {
+		g.forgotten[in.GetId()] = tombstone{startUnixMs: in.GetBornUnixMs(), sequence: in.GetSequence(), left: in.GetLeft(), at: now}
+	}
+}
+
+// RecordLeft records processes that said that they are gone, as another process knew: late
+// announcements do not bring them back, and one that was accepted already counts no more.
+func (g *Registry) RecordLeft(now time.Time, left []*wirepb.Instance) {
+	for _, in := range left {
+		if CheckID(in.GetId()) != nil {
+			continue
+		}
+		r := g.records[in.GetId()]
+		switch {
+		case r == nil:
+			g.bury(now, &wirepb.Instance{Id: in.GetId(), BornUnixMs: in.GetBornUnixMs(), Sequence: in.GetSequence(), Left: true})
+		case r.instance.GetBornUnixMs() <= in.GetBornUnixMs() && !r.instance.GetLeft():
+			next := proto.CloneOf(r.instance)
+			next.Left, next.Leaving = true, true
+			g.storeInstance(r.lastHeard, next)
+		}
+	}
+}
+
 // Refresh records an announcement that repeats known content: it updates the sequence
 // number and postpones expiry. It returns false if the process is not known.
 func (g *Registry) Refresh(now time.Time, id string, startUnixMs int64, sequence uint64) bool {
@@ -273,9 +327,15 @@
 	for id, r := range g.records {
 		if now.Sub(r.lastHeard) > ttl {
 			out = append(out, id)
+			g.bury(now, r.instance)
 			g.remove(id)
 		}
 	}
+	for id, t := range g.forgotten {
+		if now.Sub(t.at) > tombstoneAge {
+			delete(g.forgotten, id)
+		}
+	}
 	slices.Sort(out)
 	return out
 }
--- a/pkg/role/coordinator/coordinator.go
+++ b/pkg/role/coordinator/coordinator.go
@@ -384,6 +384,7 @@
 	}
 	c.registry = registry.New()
 	c.mergeInstances(now, known, c.opts.Self.GetHost())
+	c.registry.RecordLeft(now, c.leaderWatch.LeftInstances())
 	c.placement = newPlacement(c)
 	c.polls = make(map[string]*pollState)
 	c.prompts = quarantine.NewTracker(promptDelays, view.Prompts.Quarantines)
--- a/pkg/role/coordinator/feed.go
+++ b/pkg/role/coordinator/feed.go
@@ -248,6 +248,7 @@
 		now := time.Now()
 		if state.firstUpdate && now.Sub(c.leaderSince) < takeOverTime {
 			c.mergeInstances(now, w.GetInstances(), w.GetHost())
+			c.registry.RecordLeft(now, w.GetLeft())
 			c.prompts.Merge(coordinators.DecodeQuarantines(now, w.GetQuarantines()))
 		}
 		c.collectUpdate(now, u, state)
