--- a/pkg/core/selfreport/selfreport.go
+++ b/pkg/core/selfreport/selfreport.go
@@ -9,6 +9,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
 )
 
 const (
@@ -29,6 +31,11 @@
 	StartUnixMs int64
 }
 
+// ProcessOf returns the process of an instance.
+func ProcessOf(in *wirepb.Instance) Process {
+	return Process{ID: in.GetId(), StartUnixMs: in.GetBornUnixMs()}
+}
+
 // Report is what one answer states about the process that sent it.
 type Report struct {
 	Leaving bool          // the process gets no new requests from now on
--- a/pkg/role/coordinator/poll.go
+++ b/pkg/role/coordinator/poll.go
@@ -70,7 +70,7 @@
 		c.metrics.polls.Inc()
 		go c.pollEngine(in)
 	}
-	c.selfReports.Forget(now, func(p selfreport.Process) bool { return processOf(c.registry.Get(p.ID)) == p })
+	c.selfReports.Forget(now, func(p selfreport.Process) bool { return selfreport.ProcessOf(c.registry.Get(p.ID)) == p })
 	for id := range c.polls {
 		if c.registry.Get(id) == nil {
 			delete(c.polls, id)
@@ -158,13 +158,9 @@
 	}
 }
 
-func processOf(in *wirepb.Instance) selfreport.Process {
-	return selfreport.Process{ID: in.GetId(), StartUnixMs: in.GetBornUnixMs()}
-}
-
 // isPaused reports whether an engine asked for no calls from this process at a time.
 func (c *Coordinator) isPaused(now time.Time, in *wirepb.Instance) bool {
-	return c.selfReports.Blocked(now, processOf(in))
+	return c.selfReports.Blocked(now, selfreport.ProcessOf(in))
 }
 
 // recordEngineReply records the time for which the engine at an address wants no calls.
@@ -178,7 +174,7 @@
 			if in == nil || in.GetAddress() != address {
 				continue
 			}
-			if _, changed := c.selfReports.Record(time.Now(), processOf(in), selfreport.Report{Pause: m.RetryAfter}); changed {
+			if _, changed := c.selfReports.Record(time.Now(), selfreport.ProcessOf(in), selfreport.Report{Pause: m.RetryAfter}); changed {
 				c.log.Info("Engine asks for time.", logs.Str("instance", id), logs.Str("address", address), logs.Dur("for", m.RetryAfter))
 			}
 		}
--- a/pkg/role/gateway/plain.go
+++ b/pkg/role/gateway/plain.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/plantainstair/plantainstair/pkg/core/routing"
+	"github.com/plantainstair/plantainstair/pkg/core/selfreport"
 	"github.com/plantainstair/plantainstair/pkg/delay"
 	"github.com/plantainstair/plantainstair/pkg/fault"
 	"github.com/plantainstair/plantainstair/pkg/instances"
@@ -181,7 +182,7 @@
 	}
 	defer reply.Close()
 	g.recordRequestLimit(in.GetId(), reply)
-	g.recordReplyOf(processOf(in), reply.Metadata, "request")
+	g.recordReplyOf(selfreport.ProcessOf(in), reply.Metadata, "request")
 	body, err := reply.ReadAll(maxReplyBytes)
 	if err != nil {
 		g.recordAttemptError(ctx, q, in.GetId(), err)
--- a/pkg/role/gateway/self_report.go
+++ b/pkg/role/gateway/self_report.go
@@ -10,10 +10,6 @@
 	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
 )
 
-func processOf(in *wirepb.Instance) selfreport.Process {
-	return selfreport.Process{ID: in.GetId(), StartUnixMs: in.GetBornUnixMs()}
-}
-
 func stageProcess(p path.PipelineStage) selfreport.Process {
 	return selfreport.Process{ID: p.ID, StartUnixMs: p.StartUnixMs}
 }
@@ -44,7 +40,7 @@
 	}
 	for _, in := range g.view.Load().byID {
 		if in.GetAddress() == address {
-			g.recordReplyOf(processOf(in), m, "order")
+			g.recordReplyOf(selfreport.ProcessOf(in), m, "order")
 		}
 	}
 }
@@ -72,7 +68,7 @@
 
 // isBlocked reports whether an instance stated that it wants no new requests.
 func (g *Gateway) isBlocked(in *wirepb.Instance) bool {
-	return g.selfReports.Blocked(time.Now(), processOf(in))
+	return g.selfReports.Blocked(time.Now(), selfreport.ProcessOf(in))
 }
 
 // isClosedTo returns a function that reports whether an engine is not to be on the next
@@ -84,7 +80,7 @@
 		case in.GetId() == stages[0].ID:
 			return false
 		case passesThrough(stages, in.GetId()):
-			return g.selfReports.Get(processOf(in)).Leaving
+			return g.selfReports.Get(selfreport.ProcessOf(in)).Leaving
 		}
 		return g.isBlocked(in)
 	}
@@ -108,7 +104,7 @@
 	var untried []selfreport.Process
 	for _, in := range g.view.Load().byService[q.service.Name] {
 		if !tried[in.GetId()] {
-			untried = append(untried, processOf(in))
+			untried = append(untried, selfreport.ProcessOf(in))
 		}
 	}
 	return g.waitFor(untried)
@@ -128,7 +124,7 @@
 // has no path without them.
 func (g *Gateway) pathPauseWait(v *view, q *request) time.Duration {
 	now := time.Now()
-	choice, err := g.bestPathAmong(v, q, nil, func(in *wirepb.Instance) bool { return g.selfReports.Get(processOf(in)).Leaving })
+	choice, err := g.bestPathAmong(v, q, nil, func(in *wirepb.Instance) bool { return g.selfReports.Get(selfreport.ProcessOf(in)).Leaving })
 	if err != nil {
 		return 0
 	}
