--- a/pkg/core/selfreport/selfreport.go
+++ b/pkg/core/selfreport/selfreport.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
@@ -57,6 +58,9 @@
 // Book holds the states of processes. Its zero value is empty and ready for use. It is
 // safe for concurrent use.
 type Book struct {
+	// count is the number of states. Most of the time there is none, and every search for
+	// a path asks for the states of all engines.
+	count  atomic.Int32
 	mu     sync.RWMutex
 	states map[Process]State
 }
@@ -90,6 +94,7 @@
 		b.states = make(map[Process]State)
 	}
 	b.states[p] = s
+	b.count.Store(int32(len(b.states)))
 	return s, true
 }
 
@@ -106,11 +111,17 @@
 
 // Get returns the state of a process, the zero State if it has reported nothing.
 func (b *Book) Get(p Process) State {
+	if b.IsEmpty() {
+		return State{}
+	}
 	b.mu.RLock()
 	defer b.mu.RUnlock()
 	return b.states[p]
 }
 
+// IsEmpty reports whether no state is held.
+func (b *Book) IsEmpty() bool { return b.count.Load() == 0 }
+
 // Blocked reports whether a process gets no new requests.
 func (b *Book) Blocked(now time.Time, p Process) bool { return b.Get(p).Blocked(now) }
 
@@ -124,6 +135,7 @@
 			delete(b.states, p)
 		}
 	}
+	b.count.Store(int32(len(b.states)))
 }
 
 // SoonestEnd returns when the first of the processes may get requests again, and false if
--- a/pkg/role/gateway/self_report.go
+++ b/pkg/role/gateway/self_report.go
@@ -68,7 +68,7 @@
 
 // isBlocked reports whether an instance stated that it wants no new requests.
 func (g *Gateway) isBlocked(in *wirepb.Instance) bool {
-	return g.selfReports.Blocked(time.Now(), selfreport.ProcessOf(in))
+	return !g.selfReports.IsEmpty() && g.selfReports.Blocked(time.Now(), selfreport.ProcessOf(in))
 }
 
 // isClosedTo returns a function that reports whether an engine is not to be on the next
@@ -89,6 +89,9 @@
 // isPathBlocked reports whether an engine of a path stated since the path was chosen that
 // it wants no new requests.
 func (g *Gateway) isPathBlocked(stages []path.PipelineStage) bool {
+	if g.selfReports.IsEmpty() {
+		return false
+	}
 	now := time.Now()
 	for _, s := range stages {
 		if g.selfReports.Blocked(now, stageProcess(s)) {
@@ -101,6 +104,9 @@
 // pauseWait returns the time until the first of the untried upstreams of a service that
 // all ask for time takes requests again, zero if none of them asks for time.
 func (g *Gateway) pauseWait(q *request, tried map[string]bool) time.Duration {
+	if g.selfReports.IsEmpty() {
+		return 0
+	}
 	var untried []selfreport.Process
 	for _, in := range g.view.Load().byService[q.service.Name] {
 		if !tried[in.GetId()] {
@@ -123,6 +129,9 @@
 // zero if there would be no path with them either. It is the Retry-After of a stream that
 // has no path without them.
 func (g *Gateway) pathPauseWait(v *view, q *request) time.Duration {
+	if g.selfReports.IsEmpty() {
+		return 0
+	}
 	now := time.Now()
 	choice, err := g.bestPathAmong(v, q, nil, func(in *wirepb.Instance) bool { return g.selfReports.Get(selfreport.ProcessOf(in)).Leaving })
 	if err != nil {
