pkg/replica, pkg/wal: go on once a full disk has room again

A replica whose disk took no more bytes stopped for good: it neither acknowledged nor led, but stayed a voter that never answers until somebody started its process again, and the next loss cost the quorum.

It now looks for room each second, opens its log again and goes on from what is durable, as after a restart. The state machine stays and skips what it has applied. A failed sync is still final, because what the file holds is then unknown.

--- a/pkg/replica/applier.go
+++ b/pkg/replica/applier.go
@@ -151,6 +151,9 @@
 	}
 	tasks := make([]applierTask, 0, len(entries))
 	for _, e := range entries {
+		if r.isApplied(e.Index) {
+			continue
+		}
 		t := applierTask{entry: e}
 		if p := r.pendingProposals[e.Index]; p != nil && p.term == e.Term {
 			t.proposal = p
--- a/pkg/replica/faulty_test.go
+++ b/pkg/replica/faulty_test.go
@@ -12,6 +12,8 @@
 	wal.OS
 	heldSyncs    atomic.Pointer[chan struct{}] // syncs wait until it is closed
 	failSyncs    atomic.Bool
+	full         atomic.Bool  // writes fail for lack of room
+	fullWrites   atomic.Int32 // writes that failed so
 	blockedSyncs atomic.Int32 // syncs that are blocked now
 	syncs        atomic.Int64
 }
@@ -32,6 +34,15 @@
 	return &faultyFile{File: file, fs: f}, nil
 }
 
+func (f *faultyFile) Write(b []byte) (int, error) {
+	if f.fs.full.Load() {
+		f.fs.fullWrites.Add(1)
+		n, _ := f.File.Write(b[:len(b)/2]) // a part may still fit
+		return n, syscall.ENOSPC
+	}
+	return f.File.Write(b)
+}
+
 func (f *faultyFile) Sync() error {
 	f.fs.syncs.Add(1)
 	if c := f.fs.heldSyncs.Load(); c != nil {
--- a/pkg/replica/loop.go
+++ b/pkg/replica/loop.go
@@ -32,9 +32,12 @@
 		return
 	}
 	r.startWorkers()
-	defer r.stopWorkers()
+	defer func() { r.stopWorkers() }()
 	for r.step(ticks) {
 		r.processOutput()
+		if r.diskFull() && !r.restartOnceThereIsRoom(ticks) {
+			return
+		}
 	}
 }
 
@@ -48,8 +51,12 @@
 }
 
 func (r *Replica) stopWorkers() {
+	if r.writer == nil {
+		return
+	}
 	r.writer.close()
 	r.applier.close()
+	r.writer = nil
 	r.failPendingRequests(fault.New(fault.UnknownOutcome, "replica was closed before the proposal was committed").WithOutcome(fault.MayHaveRun))
 }
 
@@ -165,7 +172,8 @@
 }
 
 // fail makes the replica reject all requests and send no more messages until it is
-// closed, so that the other replicas elect a new leader.
+// closed, or restarted because its disk has room again. The other replicas elect a new
+// leader.
 func (r *Replica) fail(err error) {
 	if r.failure.Load() != nil {
 		return
--- a/pkg/replica/recover.go
+++ b/pkg/replica/recover.go
@@ -105,11 +105,13 @@
 		return err
 	}
 	if meta != nil {
-		if err := r.opts.StateMachine.Restore(data); err != nil {
-			return fault.Wrap(err, fault.Corrupt, "restore snapshot %d", meta.Index)
-		}
 		r.latestSnapshot = snapshot{meta: meta, data: data}
-		r.applied = meta.Index
+		if meta.Index > r.applied {
+			if err := r.opts.StateMachine.Restore(data); err != nil {
+				return fault.Wrap(err, fault.Corrupt, "restore snapshot %d", meta.Index)
+			}
+			r.applied = meta.Index
+		}
 	} else {
 		meta = &wirepb.SnapshotMeta{Voters: state.HardState.InitialVoters}
 	}
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -28,7 +28,8 @@
 	Voters            []*wirepb.Voter
 	CommittedVoters   []*wirepb.Voter // voters of the last committed change of membership
 	Bootstrapping     bool
-	// FatalError is the failure that stopped the replica permanently, or nil.
+	// FatalError is the failure that stopped the replica, or nil. Only a full disk is a
+	// failure that ends: the replica goes on once there is room.
 	FatalError error
 }
 
--- a/pkg/role/control/control.go
+++ b/pkg/role/control/control.go
@@ -200,8 +200,8 @@
 		status := c.node.Status()
 		if status.FatalError != nil && !failed {
 			c.log.Error("replica stopped", logs.Err(status.FatalError))
-			failed = true
 		}
+		failed = status.FatalError != nil // ends where a full disk has room again
 		if status.Leader != leader && status.Leader != 0 {
 			c.metrics.leaderChanges.Inc()
 			c.log.Info("leader changed", logs.Uint("leader", status.Leader), logs.Uint("term", status.Term))
--- a/pkg/role/control/node.go
+++ b/pkg/role/control/node.go
@@ -33,7 +33,7 @@
 	Commit     uint64
 	Applied    uint64
 	Voters     []*wirepb.Voter
-	FatalError error // set once the node has stopped permanently
+	FatalError error // why the node has stopped; a full disk may get room again
 }
 
 // leader returns the current leader, or nil if it is unknown.
--- a/pkg/wal/fs.go
+++ b/pkg/wal/fs.go
@@ -1,6 +1,7 @@
 package wal
 
 import (
+	"errors"
 	"io"
 	"os"
 	"path/filepath"
@@ -138,3 +139,40 @@
 func diskError(err error, action, name string) error {
 	return fault.Wrap(err, fault.Disk, "%s %s", action, filepath.Base(name)).WithField(name)
 }
+
+// errNotSynced marks a failed sync of the log: what its file holds is then unknown, whatever
+// a later sync reports.
+var errNotSynced = errors.New("log was not synced")
+
+// IsFull reports whether an operation failed because the disk has no room. The data in the
+// directory is then as it was, and may be opened again.
+func IsFull(err error) bool {
+	return (errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT)) && !errors.Is(err, errNotSynced)
+}
+
+// minRoom is the room on a disk, in bytes, from which a log may be written again. It is
+// enough for the commands of some seconds.
+const minRoom = 64 << 10
+
+// CheckRoom returns an error if a directory does not take minRoom bytes.
+func CheckRoom(fs FS, dir string) error {
+	name := filepath.Join(dir, "room"+tempSuffix)
+	file, err := fs.Create(name)
+	if err != nil {
+		return diskError(err, "create", name)
+	}
+	_, err = file.Write(make([]byte, minRoom))
+	if err == nil {
+		err = file.Sync()
+	}
+	if e := file.Close(); err == nil {
+		err = e
+	}
+	if e := fs.Remove(name); err == nil {
+		err = e
+	}
+	if err != nil {
+		return diskError(err, "write", name)
+	}
+	return nil
+}
--- a/pkg/wal/wal.go
+++ b/pkg/wal/wal.go
@@ -3,6 +3,7 @@
 package wal
 
 import (
+	"errors"
 	"io"
 	"math/rand/v2"
 	"path/filepath"
@@ -175,7 +176,7 @@
 		return diskError(err, "write", name)
 	}
 	if err := l.file.Sync(); err != nil {
-		return diskError(err, "sync", name)
+		return diskError(errors.Join(errNotSynced, err), "sync", name)
 	}
 	l.activeSegment.size += uint64(len(buf))
 	l.activeSegment.lastIndex = max(l.activeSegment.lastIndex, last)
