pkg/role/gateway, platform: test ids of callers that are not UTF-8

The mend for a request id and for prompt parts that are not UTF-8, which kept a gateway's evidence of crashes from the leader, had no test of its own.

--- a/pkg/role/gateway/prompts_test.go
+++ b/pkg/role/gateway/prompts_test.go
@@ -5,9 +5,13 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
+	"github.com/plantainstair/plantainstair/pkg/core/path"
 	"github.com/plantainstair/plantainstair/pkg/core/quarantine"
+	"github.com/plantainstair/plantainstair/pkg/fault"
+	"github.com/plantainstair/plantainstair/pkg/instances"
 	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
 )
 
@@ -55,3 +59,16 @@
 	e.recordBroken(now.Add(brokenReplyAge+time.Second), &wirepb.BrokenReply{RequestId: "new"})
 	assert.Equal(t, len(e.broken), 1)
 }
+
+// Guards against a request id that cannot be encoded and keeps all evidence of this gateway
+// from the leader.
+func TestRecordBrokenReply_ReportWithAnyRequestIDCanBeEncoded(t *testing.T) {
+	g := &Gateway{prompts: newPromptEvidence()}
+	g.prompts.setWatched(leaderTerm{"a", 1}, nil)
+	s := &stream{q: &request{metadata: instances.RequestMetadata{RequestID: "\xff\xfe"}, promptParts: quarantine.Parts{"a"}}}
+	g.recordBrokenReply(t.Context(), s, path.PipelineStage{ID: "e"}, fault.New(fault.Upstream, "broken").WithOutcome(fault.MayHaveRun))
+	report, _ := g.prompts.next(time.Now())
+	assert.Equal(t, len(report.GetBroken()), 1)
+	_, err := proto.Marshal(report)
+	assert.NilError(t, err)
+}
