pkg/coordinators, registry, gateway, replica: drop repeated work and copies

A gateway looked through all instances after each update with loads for some that had left, though instances go from its view only with a full update or a removal. Whether a request limit is a rate, and whether names are valid, was written in three and two places. Behaviour stays as it is.

--- a/pkg/coordinators/client.go
+++ b/pkg/coordinators/client.go
@@ -266,6 +266,8 @@
 	}
 	if u.GetFull() || len(u.GetInstances())+len(u.GetRemoved()) > 0 {
 		next.Instances = mergeInstances(old.Instances, u, sentIDs)
+	}
+	if u.GetFull() || len(u.GetRemoved()) > 0 {
 		c.rememberLeft(time.Now(), old.Instances, next.Instances)
 	}
 	if u.GetPromptParts() != nil {
@@ -285,7 +287,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for id, l := range c.left {
-		if now.Sub(l.at) > leftAge || after[id] != nil {
+		if now.Sub(l.at) > leftAge {
 			delete(c.left, id)
 		}
 	}
@@ -303,7 +305,9 @@
 	defer c.mu.Unlock()
 	var out []*wirepb.Instance
 	for _, l := range c.left {
-		out = append(out, l.instance)
+		if time.Since(l.at) <= leftAge {
+			out = append(out, l.instance)
+		}
 	}
 	return out
 }
--- a/pkg/core/registry/check.go
+++ b/pkg/core/registry/check.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"net/netip"
+	"slices"
 	"time"
 	"unicode"
 	"unicode/utf8"
@@ -63,17 +64,17 @@
 		return invalidField("layers")
 	case len(in.GetModels()) > maxModels:
 		return invalidField("models")
-	case !(in.GetRequestLimit() >= 0) || math.IsInf(in.GetRequestLimit(), 0):
+	case !ValidRequestLimit(in.GetRequestLimit()):
 		return invalidField("request limit")
-	}
-	for _, m := range in.GetModels() {
-		if !validName(m) {
-			return invalidField("models")
-		}
+	case !validNames(in.GetModels()):
+		return invalidField("models")
 	}
 	return nil
 }
 
+// ValidRequestLimit reports whether a limit, in requests per second, is a rate or zero.
+func ValidRequestLimit(limit float64) bool { return limit >= 0 && !math.IsInf(limit, 0) }
+
 func invalidField(name string) error {
 	return fault.New(fault.Invalid, "instance has a missing or invalid %s", name).WithField(name).WithOutcome(fault.NotRun)
 }
@@ -92,6 +93,10 @@
 	return true
 }
 
+func validNames(names []string) bool {
+	return !slices.ContainsFunc(names, func(name string) bool { return !validName(name) })
+}
+
 func validAddress(address string) bool {
 	a, err := netip.ParseAddrPort(address)
 	return err == nil && a.Port() > 0 && a.Addr().Zone() == "" && !a.Addr().IsUnspecified() && !a.Addr().IsMulticast()
@@ -109,13 +114,10 @@
 	if len(p.Models) > maxModels {
 		p.Models = p.Models[:maxModels]
 	}
-	for _, m := range p.Models {
-		if !validName(m) {
-			p.Models = nil
-			break
-		}
+	if !validNames(p.Models) {
+		p.Models = nil
 	}
-	if !(p.RequestLimit >= 0) || math.IsInf(p.RequestLimit, 0) {
+	if !ValidRequestLimit(p.RequestLimit) {
 		p.RequestLimit = 0
 	}
 	if l := p.Load; l != nil {
--- a/pkg/replica/applier.go
+++ b/pkg/replica/applier.go
@@ -151,8 +151,8 @@
 	}
 	tasks := make([]applierTask, 0, len(entries))
 	for _, e := range entries {
-		if r.isApplied(e.Index) {
-			continue
+		if e.Index <= r.applied {
+			continue // a node that continues from the log hands out applied entries again
 		}
 		t := applierTask{entry: e}
 		if p := r.pendingProposals[e.Index]; p != nil && p.term == e.Term {
--- a/pkg/replica/restart.go
+++ b/pkg/replica/restart.go
@@ -81,7 +81,3 @@
 	r.startWorkers()
 	return nil
 }
-
-// isApplied reports whether the state machine has applied a committed entry already, which
-// a node that was replaced hands out once more.
-func (r *Replica) isApplied(index uint64) bool { return index <= r.applied }
--- a/pkg/role/coordinator/permits.go
+++ b/pkg/role/coordinator/permits.go
@@ -1,9 +1,9 @@
 package coordinator
 
 import (
-	"math"
 	"time"
 
+	"github.com/plantainstair/plantainstair/pkg/core/registry"
 	"github.com/plantainstair/plantainstair/pkg/logs"
 	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
 )
@@ -38,8 +38,7 @@
 // on the owner.
 func (c *Coordinator) recordRequestLimit(r *wirepb.RequestLimitReport) *wirepb.Frame {
 	known := c.registry.Get(r.GetInstanceId())
-	usable := r.GetPerSecond() >= 0 && !math.IsInf(r.GetPerSecond(), 0)
-	if usable && known != nil && known.GetBornUnixMs() == r.GetBornUnixMs() && known.GetRequestLimit() != r.GetPerSecond() {
+	if registry.ValidRequestLimit(r.GetPerSecond()) && known != nil && known.GetBornUnixMs() == r.GetBornUnixMs() && known.GetRequestLimit() != r.GetPerSecond() {
 		c.logRequestLimit(known, r.GetPerSecond())
 		c.registry.SetRequestLimit(known.GetId(), r.GetPerSecond())
 		c.watchers.signalChange()
--- a/pkg/role/coordinator/service.go
+++ b/pkg/role/coordinator/service.go
@@ -170,7 +170,10 @@
 		if !c.leading {
 			c.step(now)
 		}
-		if roomErr = c.registry.CheckRoom(in); roomErr == nil || in.GetLeft() {
+		if !in.GetLeft() {
+			roomErr = c.registry.CheckRoom(in)
+		}
+		if roomErr == nil {
 			c.applyAnnouncement(now, in)
 		}
 	})
@@ -179,7 +182,7 @@
 		return err
 	case !leading:
 		return c.notLeaderError()
-	case roomErr != nil && !in.GetLeft():
+	case roomErr != nil:
 		c.metrics.refusedInstances.Inc()
 		c.log.Warn("Announcement refused.", logs.Str("instance", in.GetId()), logs.Err(roomErr))
 		return roomErr
--- a/pkg/role/gateway/self_report.go
+++ b/pkg/role/gateway/self_report.go
@@ -89,9 +89,6 @@
 // isPathBlocked reports whether an engine of a path stated since the path was chosen that
 // it wants no new requests.
 func (g *Gateway) isPathBlocked(stages []path.PipelineStage) bool {
-	if g.selfReports.IsEmpty() {
-		return false
-	}
 	now := time.Now()
 	for _, s := range stages {
 		if g.selfReports.Blocked(now, stageProcess(s)) {
