review: after an exchange of its machines the core bears no loss any more

Case 1 now exchanges the three machines with a disk, 8 s apart, and loses one 20 s after the last: two of the three machines that count run on, and no change is acknowledged and no read answered any more (CONFIG).

--- a/review/kit/quorum.go
+++ b/review/kit/quorum.go
@@ -5,19 +5,26 @@
 	"time"
 )
 
-// catchUp is catchUpS of the sheet: a machine counts as lost until then after its start.
-const catchUp = 4 * time.Second
+const (
+	// catchUp is catchUpS of the sheet: a machine counts as lost until then after its start.
+	catchUp = 4 * time.Second
+	// exchangeGap is the time between two machines that are removed. It covers the end of
+	// both processes of a machine and catchUpS after that.
+	exchangeGap = 8 * time.Second
+	// calmTime is the time from the last exchange to the loss.
+	calmTime = 12 * time.Second
+)
 
-// playQuorum replaces a machine with a disk as planned: the new one starts first, then the
-// old one gets SIGTERM. Some seconds after both of its processes ended, another machine with
-// a disk is lost for good, and an empty one comes at another address. Without the trouble,
-// only the planned replacement takes place.
+// playQuorum exchanges the three machines with a disk as planned: three new ones start
+// first, then the old ones get SIGTERM, one after the other. Later one machine is lost for
+// good, and an empty one comes at another address. Without the trouble, only the exchange
+// takes place.
 func playQuorum(p *platform, trouble bool) int {
-	core, err := startCore(p, 284)
+	old, err := startCore(p, 284)
 	if err != nil {
 		return couldNot
 	}
-	running := core
+	running := append([]*machine(nil), old...)
 	op := newOperator(p.record, func() []string { return seedsOf(running...) })
 	conf := func(version int) map[string]any {
 		return configuration(version, "desk", 260, route("r-desk", "/desk/", "desk", "safe", 1000+version, 150, 2))
@@ -25,52 +32,52 @@
 	if !op.put(conf(1), 20*time.Second) {
 		return couldNot
 	}
-	time.Sleep(4 * time.Second)
+	time.Sleep(2 * time.Second)
 
-	replace := func(old *machine, planned bool, name string) *machine {
-		next := p.machine(name, old.zone, true, 284)
-		var rest []*machine
-		for _, m := range running {
-			if m != old {
-				rest = append(rest, m)
-			}
-		}
-		next.seeds = seedsOf(append(rest, next)...)
-		stop := func(s syscall.Signal) {
-			old.coordinator.stopForGood(s)
-			old.gateway.stopForGood(s)
+	var next []*machine
+	for _, zone := range []string{"a", "b", "c"} {
+		m := p.machine("edge-"+zone+"-2", zone, true, 284)
+		m.seeds = seedsOf(old...)
+		next = append(next, m)
+		if startRoles(p, m) != nil {
+			return couldNot
 		}
-		if planned {
-			p.record.line("platform: %s comes in place of %s", next.name, old.name)
-			_ = startRoles(p, next)
-			running = append(append([]*machine(nil), running...), next)
-			time.Sleep(catchUp) // from here on, the new one counts as running
-			p.record.line("platform: SIGTERM to %s, which is removed", old.name)
-			stop(syscall.SIGTERM)
-			<-old.coordinator.done
-			<-old.gateway.done
-			p.record.line("platform: both processes of %s have ended", old.name)
-		} else {
-			p.record.line("platform: %s is lost for good", old.name)
-			stop(syscall.SIGKILL)
-			time.Sleep(time.Second)
-			p.record.line("platform: %s comes in place of %s", next.name, old.name)
-			_ = startRoles(p, next)
-		}
-		running = append(rest, next)
-		return next
 	}
-	started := time.Now()
-	replace(core[0], true, "edge-a-2")
-	time.Sleep(time.Second)
-	p.record.line("platform: %v since the new machine started, 1 s since the old one has ended", time.Since(started).Round(time.Millisecond))
+	running = append(running, next...)
+	time.Sleep(catchUp + 2*time.Second)
+	for _, m := range old {
+		p.record.line("platform: SIGTERM to %s, which is removed", m.name)
+		removedAt := time.Now()
+		m.coordinator.stopForGood(syscall.SIGTERM)
+		m.gateway.stopForGood(syscall.SIGTERM)
+		running = running[1:]
+		<-m.coordinator.done
+		<-m.gateway.done
+		p.record.line("platform: both processes of %s have ended", m.name)
+		time.Sleep(time.Until(removedAt.Add(exchangeGap)))
+	}
+	time.Sleep(calmTime)
+	if !op.put(conf(2), 8*time.Second) {
+		return couldNot
+	}
 	if trouble {
-		replace(core[1], false, "edge-b-2")
+		lost := next[0]
+		p.record.line("platform: %s is lost for good", lost.name)
+		lost.coordinator.stopForGood(syscall.SIGKILL)
+		lost.gateway.stopForGood(syscall.SIGKILL)
+		time.Sleep(time.Second)
+		empty := p.machine("edge-a-3", "a", true, 284)
+		empty.seeds = seedsOf(next[1], next[2], empty)
+		running = []*machine{next[1], next[2], empty}
+		if startRoles(p, empty) != nil {
+			return couldNot
+		}
+		p.record.line("platform: %s comes in its place", empty.name)
 	}
 	time.Sleep(catchUp + time.Second)
-	newest := 1
-	if op.put(conf(2), 45*time.Second) {
-		newest = 2
+	newest := 2
+	if op.put(conf(3), 25*time.Second) {
+		newest = 3
 	}
 	version := op.read(5 * time.Second) // at least contactMs
 	p.record.line("check: newest acknowledged version: %d; read back: %d (0: it doesn't come)", newest, version)
