--- a/review/kit/memory.go
+++ b/review/kit/memory.go
@@ -11,12 +11,12 @@
 const (
 	memoryLimitMB = 206     // of a machine of the edge class without a disk
 	bodyBytes     = 4194304 // the configuration's maxBodyBytes
-	uploadTime    = 2 * time.Second
-	workTime      = 2 * time.Second
-	usualRate     = 8.0 // requests a second
+	uploadTime    = 3 * time.Second
+	workTime      = 3 * time.Second
+	usualRate     = 5.0 // requests a second
 	burstFactor   = 2.5
 	burstTime     = 5300 * time.Millisecond
-	usualTime     = 12 * time.Second
+	usualTime     = 14 * time.Second
 )
 
 // slowUpload is a body that arrives at an even pace, as over a client's own link.
