pkg/role/coordinator: log what a new leader takes over

The logs could not tell whether the new leader did not know of the departure, or knew it and restarted the time for which a leaving server still gets work. "Leads now." says how many of the instances leave, and how old the view is that they come from.

--- a/pkg/role/coordinator/coordinator.go
+++ b/pkg/role/coordinator/coordinator.go
@@ -378,9 +378,17 @@
 func (c *Coordinator) startLeading(now time.Time) {
 	c.leaderSince, c.lastStep = now, now
 	view := c.leaderWatch.View()
+	var viewAge time.Duration // zero if no leader was watched before
+	if !view.ReceivedAt.IsZero() {
+		viewAge = now.Sub(view.ReceivedAt)
+	}
 	var known []*wirepb.Instance
+	leaving := 0
 	for _, in := range view.Instances {
 		known = append(known, in)
+		if in.GetLeaving() {
+			leaving++
+		}
 	}
 	c.registry = registry.New()
 	c.mergeInstances(now, known, c.opts.Self.GetHost())
@@ -390,7 +398,7 @@
 	c.prompts = quarantine.NewTracker(promptDelays, view.Prompts.Quarantines)
 	c.permits = route.NewPermits()
 	c.loggedQuarantines, c.loggedPromptRevision = c.prompts.Quarantines(), c.prompts.Revision()
-	c.log.Info("Leads now.", logs.Uint("term", c.node.Status().Term), logs.Int("instances", len(known)))
+	c.log.Info("Leads now.", logs.Uint("term", c.node.Status().Term), logs.Int("instances", len(known)), logs.Int("leaving", leaving), logs.Dur("view_age", viewAge))
 }
 
 // Close ends all streams and stops the replica.
