pkg/role/coordinator: acknowledge a departure once it is durable at a quorum

Cause: the leader acknowledged a departure that stood in its own memory only. Watchers get it up to 40 ms later.

Change: a departure is a command of the replicated log. The leader applies it to its registry at once, and acknowledges it when it is durable. A new leader has it before it leads, and gives the instance no new work whatever its watchers know. The registry remembers departures apart from its records, so that an instance which was forgotten, or is not known to a new leader yet, gets no work either when it is heard of.

Why it works: an entry that a quorum holds is in the log of every replica that can win an election.

--- a/pkg/core/document/document.go
+++ b/pkg/core/document/document.go
@@ -1,11 +1,14 @@
-// Package document is the replicated state machine of the configuration: the complete
-// configuration with the highest version, and the audit trail of submitted changes.
+// Package document is the replicated state machine of the coordinators: the complete
+// configuration with the highest version, the audit trail of submitted changes, and the
+// instances that said a short time ago that they leave.
 package document
 
 import (
 	"bytes"
 	"compress/zlib"
 	"io"
+	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
@@ -14,8 +17,25 @@
 	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
 )
 
-// maxRecords is the number of audit records kept.
-const maxRecords = 1000
+const (
+	// maxRecords is the number of audit records kept.
+	maxRecords = 1000
+	// departureAge is how long a departure is kept, until the next one is recorded. It is many
+	// times as long as an instance serves on after it said that it leaves, so that differences
+	// between the clocks of leaders do not matter.
+	departureAge = 10 * time.Minute
+	// maxDepartures bounds the departures. The oldest are dropped first.
+	maxDepartures = 4096
+)
+
+// Effect is what a change did to the state.
+type Effect int
+
+const (
+	NoEffect Effect = iota // superseded, repeated or not valid
+	DocumentStored
+	DepartureRecorded
+)
 
 // Store is the state of the state machine. It is not safe for concurrent use.
 type Store struct{ state *wirepb.DocumentState }
@@ -32,16 +52,58 @@
 // AuditRecords returns the audit trail, oldest first.
 func (s *Store) AuditRecords() []*wirepb.DocumentRecord { return s.state.GetRecords() }
 
-// Apply stores the document if its version is higher than the current one and reports
-// whether it did. Any other version is only recorded in the audit trail.
-func (s *Store) Apply(data []byte) (accepted bool) {
+// Departures returns the recorded departures, oldest first. They are not modified later.
+func (s *Store) Departures() []*wirepb.Departure { return s.state.GetDepartures() }
+
+// HasDeparted reports whether a departure is recorded that holds for the process of an
+// instance that started at bornUnixMs.
+func (s *Store) HasDeparted(instanceID string, bornUnixMs int64) bool {
+	return slices.ContainsFunc(s.state.GetDepartures(), func(d *wirepb.Departure) bool {
+		return d.GetInstanceId() == instanceID && d.GetBornUnixMs() >= bornUnixMs
+	})
+}
+
+// Apply applies an encoded wirepb.DocumentChange. A change that does not parse has no effect,
+// on every replica alike.
+func (s *Store) Apply(data []byte) Effect {
 	change := &wirepb.DocumentChange{}
-	// A change that does not parse is ignored, on every replica alike.
-	if err := proto.Unmarshal(data, change); err != nil || change.GetVersion() == 0 {
-		return false
+	if err := proto.Unmarshal(data, change); err != nil {
+		return NoEffect
 	}
-	accepted = change.GetVersion() > s.state.GetVersion()
-	if accepted {
+	switch {
+	case change.GetDeparture() != nil:
+		return s.recordDeparture(change.GetDeparture())
+	case change.GetVersion() != 0:
+		return s.storeDocument(change)
+	}
+	return NoEffect
+}
+
+// recordDeparture replaces the departure of an earlier process of the instance.
+func (s *Store) recordDeparture(d *wirepb.Departure) Effect {
+	if s.HasDeparted(d.GetInstanceId(), d.GetBornUnixMs()) {
+		return NoEffect
+	}
+	oldest := d.GetTimeUnixMs() - departureAge.Milliseconds()
+	var kept []*wirepb.Departure // a new slice, as Departures has returned the old one
+	for _, old := range s.state.Departures {
+		if old.GetTimeUnixMs() >= oldest && old.GetInstanceId() != d.GetInstanceId() {
+			kept = append(kept, old)
+		}
+	}
+	if extra := len(kept) + 1 - maxDepartures; extra > 0 {
+		kept = kept[extra:]
+	}
+	s.state.Departures = append(kept, d)
+	return DepartureRecorded
+}
+
+// storeDocument stores the document if its version is higher than the current one. Any other
+// version is only recorded in the audit trail.
+func (s *Store) storeDocument(change *wirepb.DocumentChange) Effect {
+	effect := NoEffect
+	if change.GetVersion() > s.state.GetVersion() {
+		effect = DocumentStored
 		s.state.Version = change.GetVersion()
 		s.state.Document = change.GetDocument()
 	}
@@ -51,13 +113,13 @@
 		Version:    change.GetVersion(),
 		Host:       change.GetHost(),
 		TimeUnixMs: change.GetTimeUnixMs(),
-		Accepted:   accepted,
+		Accepted:   effect == DocumentStored,
 		Digest:     xxhash.Sum64(change.GetDocument()),
 	})
 	if extra := len(s.state.Records) - maxRecords; extra > 0 {
 		s.state.Records = s.state.Records[extra:]
 	}
-	return accepted
+	return effect
 }
 
 // Snapshot returns the encoded state. Equal states have equal encodings.
--- a/pkg/core/registry/registry.go
+++ b/pkg/core/registry/registry.go
@@ -25,6 +25,14 @@
 	lastLoadRevision uint64
 	removed          []removal
 	forgotten        map[string]tombstone // by id, of instances that were removed
+	departed         map[string]departure // by id, of instances that said that they leave or are gone
+}
+
+// departure outlives the record of an instance, so that it gets no new work when it is heard
+// of again.
+type departure struct {
+	startUnixMs int64 // holds for processes that started until then
+	at          time.Time
 }
 
 // tombstone is what is kept of an instance that was removed, so that an announcement that
@@ -37,9 +45,11 @@
 }
 
 const (
-	// tombstoneAge is several times as long as an announcement may be late.
+	// tombstoneAge is several times as long as an announcement may be late. Departures are
+	// kept for as long.
 	tombstoneAge = time.Minute
-	// maxTombstones bounds the tombstones. Without room, late announcements are accepted.
+	// maxTombstones bounds the tombstones, and the departures. Without room, late announcements
+	// are accepted.
 	maxTombstones = 4096
 )
 
@@ -62,7 +72,7 @@
 
 // New returns an empty registry.
 func New() *Registry {
-	return &Registry{records: make(map[string]*record), byAddress: make(map[string]string), perHost: make(map[string]int), forgotten: make(map[string]tombstone)}
+	return &Registry{records: make(map[string]*record), byAddress: make(map[string]string), perHost: make(map[string]int), forgotten: make(map[string]tombstone), departed: make(map[string]departure)}
 }
 
 // Revision returns the revision, which increases with every change other than a load
@@ -100,6 +110,12 @@
 	if next.Draining && !next.Leaving {
 		next.Leaving, next.Draining = true, r != nil && r.instance.GetDraining()
 	}
+	if (r == nil || r.instance.GetBornUnixMs() != next.GetBornUnixMs()) && g.hasDeparted(next) {
+		next.Leaving, next.Draining = true, true // its grace period is over, or was under another leader
+	}
+	if next.GetLeaving() {
+		g.depart(now, next.GetId(), next.GetBornUnixMs())
+	}
 	if r != nil && r.instance.GetBornUnixMs() == in.GetBornUnixMs() {
 		next.Left = next.Left || r.instance.GetLeft()
 		next.Leaving = next.Leaving || r.instance.GetLeaving()
@@ -124,6 +140,35 @@
 	return true
 }
 
+// depart remembers that an instance leaves, for its processes that started until startUnixMs.
+func (g *Registry) depart(now time.Time, id string, startUnixMs int64) {
+	known, ok := g.departed[id]
+	if ok || len(g.departed) < maxTombstones {
+		g.departed[id] = departure{startUnixMs: max(startUnixMs, known.startUnixMs), at: now}
+	}
+}
+
+func (g *Registry) hasDeparted(in *wirepb.Instance) bool {
+	d, ok := g.departed[in.GetId()]
+	return ok && in.GetBornUnixMs() <= d.startUnixMs
+}
+
+// RecordDepartures records departures that another leader has acknowledged. The instances get
+// no new work from now on. A departure that this registry knows changes nothing.
+func (g *Registry) RecordDepartures(now time.Time, departures []*wirepb.Departure) {
+	for _, d := range departures {
+		if known, ok := g.departed[d.GetInstanceId()]; ok && known.startUnixMs >= d.GetBornUnixMs() {
+			continue
+		}
+		g.depart(now, d.GetInstanceId(), d.GetBornUnixMs())
+		if r := g.records[d.GetInstanceId()]; r != nil && r.instance.GetBornUnixMs() <= d.GetBornUnixMs() {
+			next := proto.CloneOf(r.instance)
+			next.Leaving, next.Draining = true, true
+			g.storeInstance(r.lastHeard, next)
+		}
+	}
+}
+
 // isLate reports whether an announcement was sent before the instance was removed, or
 // by a process that has said that it is gone.
 func (g *Registry) isLate(in *wirepb.Instance) bool {
@@ -220,15 +265,21 @@
 	return proto.Equal(x, b)
 }
 
-// RecordLeave marks an instance that reported its departure. The instance stays known
-// until it expires, so that a delayed announcement does not revive it. An instance that
-// was already leaving gets no new work from now on. Any other becomes leaving and stays
-// usable until DrainLeaving marks it as draining.
+// RecordLeave records that an instance said that it is gone. The instance stays known until it
+// expires, so that a delayed announcement does not revive it. An instance that was already
+// leaving gets no new work from now on. Any other becomes leaving and stays usable until
+// DrainLeaving marks it as draining. If the instance is not known, the departure holds for its
+// processes that started by now.
 func (g *Registry) RecordLeave(now time.Time, id string) {
 	r := g.records[id]
-	if r == nil || r.instance.GetLeft() {
+	if r == nil {
+		g.depart(now, id, now.UnixMilli())
+		return
+	}
+	if r.instance.GetLeft() {
 		return
 	}
+	g.depart(now, id, r.instance.GetBornUnixMs())
 	next := proto.CloneOf(r.instance)
 	if next.Leaving {
 		next.Left = true
@@ -336,6 +387,11 @@
 			delete(g.forgotten, id)
 		}
 	}
+	for id, d := range g.departed {
+		if now.Sub(d.at) > tombstoneAge {
+			delete(g.departed, id)
+		}
+	}
 	slices.Sort(out)
 	return out
 }
--- a/pkg/core/registry/registry_test.go
+++ b/pkg/core/registry/registry_test.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -238,3 +239,66 @@
 		assert.Assert(t, Usable(g.Get("i")))
 	}
 }
+
+// Guards against an instance that is used again although it said that it leaves: by a new leader
+// that learns of it from others, before or after it knows the departure, or after it was silent
+// for so long that it was forgotten.
+func TestRecordDepartures_DepartedGetsNoNewWork(t *testing.T) {
+	departures := []*wirepb.Departure{{InstanceId: "i", BornUnixMs: 10}}
+	known := announcement("i", 10, 4)
+	known.Address = "10.0.0.1:80"
+	for name, meet := range map[string]func(g *Registry){
+		"departure first": func(g *Registry) {
+			g.RecordDepartures(start, departures)
+			assert.NilError(t, g.Merge(start, []*wirepb.Instance{known}))
+		},
+		"instance first": func(g *Registry) {
+			assert.NilError(t, g.Merge(start, []*wirepb.Instance{known}))
+			g.RecordDepartures(start, departures)
+		},
+		"gone before it is known": func(g *Registry) {
+			g.RecordLeave(start, "i")
+			assert.NilError(t, g.Merge(start, []*wirepb.Instance{known}))
+		},
+		"forgotten meanwhile": func(g *Registry) {
+			leaving := announcement("i", 10, 4)
+			leaving.Draining = true
+			g.Announce(start, leaving)
+			g.Expire(start.Add(2*time.Second), time.Second)
+			leaving.Sequence = 5
+			assert.Assert(t, g.Announce(start.Add(3*time.Second), leaving))
+		},
+	} {
+		g := New()
+		meet(g)
+		assert.Assert(t, g.Get("i") != nil && !Usable(g.Get("i")), name)
+		g.Announce(start, announcement("i", 10, 9))
+		assert.Assert(t, !Usable(g.Get("i")), name)
+		next := announcement("i", start.UnixMilli()+1, 1)
+		assert.Assert(t, g.Announce(start, next) && Usable(g.Get("i")), "%s: the next process under the id gets no work", name)
+		g.RecordDepartures(start, departures)
+		assert.Assert(t, Usable(g.Get("i")), name)
+	}
+}
+
+// Guards against a departure that ends the grace period of the leader that recorded it.
+func TestRecordDepartures_KnownDepartureChangesNothing(t *testing.T) {
+	g := New()
+	g.Announce(start, announcement("i", 10, 1))
+	g.RecordLeave(start, "i")
+	revision := g.Revision()
+	g.RecordDepartures(start, []*wirepb.Departure{{InstanceId: "i", BornUnixMs: 10}})
+	assert.Assert(t, Usable(g.Get("i")))
+	assert.Equal(t, g.Revision(), revision)
+}
+
+// Guards against departures that are kept for ever.
+func TestExpire_ForgetsDepartures(t *testing.T) {
+	g := New()
+	for i := range maxTombstones + 5 {
+		g.RecordLeave(start, fmt.Sprint(i))
+	}
+	assert.Equal(t, len(g.departed), maxTombstones)
+	g.Expire(start.Add(2*tombstoneAge), time.Second)
+	assert.Equal(t, len(g.departed), 0)
+}
--- a/pkg/role/coordinator/coordinator.go
+++ b/pkg/role/coordinator/coordinator.go
@@ -115,7 +115,7 @@
 	}
 	seeds := withoutAddress(voterAddresses, o.Self.GetPeerAddress())
 	c.seeds.Store(&seeds)
-	c.stateMachine = newStateMachine(c.configurationChanged)
+	c.stateMachine = newStateMachine(c.configurationChanged, c.requestStep)
 	c.conns = instances.NewPool(o.Dialect, c.metrics.connections.Inc)
 	c.engines = instances.NewEngineClient(c.conns, o.Dialect, c.recordEngineReply)
 	c.placement = newPlacement(c)
@@ -358,6 +358,7 @@
 	}
 	c.lastStep = now
 	before := c.registry.Revision()
+	c.registry.RecordDepartures(now, c.stateMachine.departures())
 	for _, id := range c.registry.Expire(now, maxMissedAnnouncements*c.opts.AnnouncementInterval) {
 		c.log.Info("Instance forgotten.", logs.Str("instance", id), logs.Str("reason", "no announcement"))
 	}
@@ -391,6 +392,8 @@
 		}
 	}
 	c.registry = registry.New()
+	departures := c.stateMachine.departures()
+	c.registry.RecordDepartures(now, departures)
 	c.mergeInstances(now, known, c.opts.Self.GetHost())
 	c.registry.RecordLeft(now, c.leaderWatch.LeftInstances())
 	c.placement = newPlacement(c)
@@ -398,7 +401,7 @@
 	c.prompts = quarantine.NewTracker(promptDelays, view.Prompts.Quarantines)
 	c.permits = route.NewPermits()
 	c.loggedQuarantines, c.loggedPromptRevision = c.prompts.Quarantines(), c.prompts.Revision()
-	c.log.Info("Leads now.", logs.Uint("term", c.node.Status().Term), logs.Int("instances", len(known)), logs.Int("leaving", leaving), logs.Dur("view_age", viewAge))
+	c.log.Info("Leads now.", logs.Uint("term", c.node.Status().Term), logs.Int("instances", len(known)), logs.Int("leaving", leaving), logs.Int("departures", len(departures)), logs.Dur("view_age", viewAge))
 }
 
 // Close ends all streams and stops the replica.
--- a/pkg/role/coordinator/metrics.go
+++ b/pkg/role/coordinator/metrics.go
@@ -23,6 +23,7 @@
 	deniedPermits              *metrics.Counter
 	refusedInstances           *metrics.Counter
 	droppedInstances           *metrics.Counter
+	unconfirmedDepartures      *metrics.Counter
 }
 
 func newMetrics() *metricSet {
@@ -41,6 +42,7 @@
 		deniedPermits:              s.NewCounter("plantain_coordinator_permits_denied_total"),
 		refusedInstances:           s.NewCounter("plantain_coordinator_instances_refused_total"),
 		droppedInstances:           s.NewCounter("plantain_coordinator_instances_dropped_total"),
+		unconfirmedDepartures:      s.NewCounter("plantain_coordinator_departures_unconfirmed_total"),
 	}
 }
 
--- a/pkg/role/coordinator/service.go
+++ b/pkg/role/coordinator/service.go
@@ -56,13 +56,13 @@
 	if err != nil {
 		return fault.Wrap(err, fault.Internal, "encode the configuration change")
 	}
-	accepted, err := c.node.Propose(ctx, command)
+	effect, err := c.node.Propose(ctx, command)
 	if err != nil {
 		c.log.Warn("Configuration not confirmed.", logs.Uint("version", conf.Version), logs.Err(err))
 		return err
 	}
 	outcome := "in_force"
-	if accepted != true {
+	if effect != document.DocumentStored {
 		outcome = "superseded"
 	}
 	c.metrics.acknowledgedConfigurations.Inc()
@@ -156,6 +156,9 @@
 	return err
 }
 
+// acceptAnnouncement records an announcement on the leader. It returns nil once a departure is
+// durable at a quorum, so that the next leader knows it as well. Anything else is announced
+// again.
 func (c *Coordinator) acceptAnnouncement(ctx context.Context, in *wirepb.Instance) error {
 	if !c.IsLeader() {
 		return c.notLeaderError()
@@ -163,6 +166,7 @@
 	now := time.Now()
 	leading := false
 	var roomErr error
+	var departure *wirepb.Departure
 	err := c.runOnOwner(ctx, func() {
 		if leading = c.IsLeader(); !leading {
 			return
@@ -174,7 +178,7 @@
 			roomErr = c.registry.CheckRoom(in)
 		}
 		if roomErr == nil {
-			c.applyAnnouncement(now, in)
+			departure = c.applyAnnouncement(now, in)
 		}
 	})
 	switch {
@@ -187,24 +191,54 @@
 		c.log.Warn("Announcement refused.", logs.Str("instance", in.GetId()), logs.Err(roomErr))
 		return roomErr
 	}
+	return c.replicateDeparture(ctx, departure)
+}
+
+// replicateDeparture returns nil once the departure is durable at a quorum, or if there is none.
+func (c *Coordinator) replicateDeparture(ctx context.Context, d *wirepb.Departure) error {
+	if d == nil || c.stateMachine.hasDeparted(d) {
+		return nil
+	}
+	command, err := proto.MarshalOptions{Deterministic: true}.Marshal(&wirepb.DocumentChange{
+		Departure: d, Host: c.opts.Self.GetHost(), TimeUnixMs: d.GetTimeUnixMs(),
+	})
+	if err != nil {
+		return fault.Wrap(err, fault.Internal, "encode the departure")
+	}
+	if _, err := c.node.Propose(ctx, command); err != nil {
+		c.metrics.unconfirmedDepartures.Inc()
+		c.log.Warn("Departure not confirmed.", logs.Str("instance", d.GetInstanceId()), logs.Err(err))
+		return err
+	}
 	return nil
 }
 
 // applyAnnouncement records an announcement in the registry. An instance is leaving once it
 // announced that it drains, gets no new requests from DrainDelay later on, and has left once
-// it said so. applyAnnouncement runs on the owner.
-func (c *Coordinator) applyAnnouncement(now time.Time, in *wirepb.Instance) {
+// it said so. applyAnnouncement returns the departure that the next leader has to know, or nil.
+// It runs on the owner.
+func (c *Coordinator) applyAnnouncement(now time.Time, in *wirepb.Instance) *wirepb.Departure {
 	known := c.registry.Get(in.GetId())
 	if in.GetLeft() {
 		c.registry.RecordLeave(now, in.GetId())
-		c.log.Info("Instance left.", logs.Str("instance", in.GetId()), logs.Int("announced", boolToInt(known.GetLeaving())))
+		c.log.Info("Instance left.", logs.Str("instance", in.GetId()), logs.Int("known", boolToInt(known != nil)), logs.Int("announced", boolToInt(known.GetLeaving())))
 		c.requestStep()
 		c.watchers.signalChange()
-		return
+		switch {
+		case known != nil:
+			return departureOf(now, in.GetId(), known.GetBornUnixMs())
+		case now.Sub(c.leaderSince) < takeOverTime: // a watcher may still know it
+			return departureOf(now, in.GetId(), now.UnixMilli())
+		}
+		return nil
+	}
+	var departure *wirepb.Departure
+	if in.GetDraining() {
+		departure = departureOf(now, in.GetId(), in.GetBornUnixMs())
 	}
 	if !c.registry.Announce(now, in) {
 		c.log.Debug("Outdated announcement ignored.", logs.Str("instance", in.GetId()), logs.Uint("sequence", in.GetSequence()))
-		return
+		return departure
 	}
 	switch {
 	case known == nil:
@@ -214,10 +248,15 @@
 	case in.GetDraining() && !known.GetLeaving():
 		c.log.Info("Instance leaves.", logs.Str("instance", in.GetId()), logs.Uint("sequence", in.GetSequence()))
 	default:
-		return
+		return departure
 	}
 	c.watchers.signalChange()
 	c.requestStep()
+	return departure
+}
+
+func departureOf(now time.Time, id string, bornUnixMs int64) *wirepb.Departure {
+	return &wirepb.Departure{InstanceId: id, BornUnixMs: bornUnixMs, TimeUnixMs: now.UnixMilli()}
 }
 
 // Ready returns nil if this replica can serve, and otherwise the reason why it cannot.
--- a/pkg/role/coordinator/state_machine.go
+++ b/pkg/role/coordinator/state_machine.go
@@ -7,27 +7,31 @@
 	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
 )
 
-// stateMachine holds the replicated configuration. It implements replica.StateMachine.
+// stateMachine holds the replicated configuration and departures. It implements
+// replica.StateMachine. The functions that it calls after a change must not block.
 type stateMachine struct {
 	mu                    sync.RWMutex
 	store                 *document.Store
-	onConfigurationChange func() // called after each change; must not block
+	onConfigurationChange func()
+	onDeparture           func()
 }
 
-func newStateMachine(onConfigurationChange func()) *stateMachine {
-	return &stateMachine{store: document.New(), onConfigurationChange: onConfigurationChange}
+func newStateMachine(onConfigurationChange, onDeparture func()) *stateMachine {
+	return &stateMachine{store: document.New(), onConfigurationChange: onConfigurationChange, onDeparture: onDeparture}
 }
 
-// Apply implements replica.StateMachine. It returns true if the change is now in force,
-// and false if a newer version already is.
+// Apply implements replica.StateMachine. It returns the document.Effect of the change.
 func (m *stateMachine) Apply(_ uint64, data []byte) any {
 	m.mu.Lock()
-	accepted := m.store.Apply(data)
+	effect := m.store.Apply(data)
 	m.mu.Unlock()
-	if accepted {
+	switch effect {
+	case document.DocumentStored:
 		m.onConfigurationChange()
+	case document.DepartureRecorded:
+		m.onDeparture()
 	}
-	return accepted
+	return effect
 }
 
 // Snapshot implements replica.StateMachine.
@@ -47,6 +51,7 @@
 	m.store = restored
 	m.mu.Unlock()
 	m.onConfigurationChange()
+	m.onDeparture()
 	return nil
 }
 
@@ -61,3 +66,15 @@
 	defer m.mu.RUnlock()
 	return append([]*wirepb.DocumentRecord(nil), m.store.AuditRecords()...)
 }
+
+func (m *stateMachine) departures() []*wirepb.Departure {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.store.Departures()
+}
+
+func (m *stateMachine) hasDeparted(d *wirepb.Departure) bool {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.store.HasDeparted(d.GetInstanceId(), d.GetBornUnixMs())
+}
