pkg/instances, gateway: bound the memory of replies that are read whole

What callers would see, as other operators reported it: a server sends bodies without end, the gateway that called it runs out of memory, and the requests of all its other callers end with it.

Cause: a body of a plain service was bounded by 8 MiB for each call, and by nothing for the process; each was copied whenever it outgrew its buffer.

Short replies need none of the budget, so that those of sound servers go on.

--- a/pkg/role/gateway/attempt.go
+++ b/pkg/role/gateway/attempt.go
@@ -107,7 +107,8 @@
 		g.load.onFailure(firstStage.ID)
 		return fault.New(fault.Upstream, "engine responded with status %d", reply.Status).WithOutcome(fault.MayHaveRun)
 	}
-	g.writeReply(w, reply, body)
+	writeReplyHeader(w, reply)
+	_, _ = w.Write(body)
 	return nil
 }
 
--- a/pkg/role/gateway/gateway.go
+++ b/pkg/role/gateway/gateway.go
@@ -35,7 +35,10 @@
 	Decode       coordinators.Decoder
 	// RetryBudget bounds the retries of all gateways together.
 	RetryBudget route.FleetRetryBudget
-	Log         logs.Logger
+	// ReplyMemoryBytes bounds the memory of the replies of plain services that are read whole,
+	// apart from the first part of each.
+	ReplyMemoryBytes int64
+	Log              logs.Logger
 }
 
 // Gateway routes requests to upstreams. The process that starts it owns the listeners.
@@ -44,6 +47,7 @@
 	log           logs.Logger
 	client        *coordinators.Client
 	pool          *instances.Pool
+	replyMemory   *instances.ReplyMemory
 	engines       *instances.EngineClient
 	metrics       *metricSet
 	lifecycle     *lifecycle.Lifecycle
@@ -78,6 +82,7 @@
 	g.retryBudgets.init(o.RetryBudget)
 	g.prompts = newPromptEvidence()
 	g.view.Store(&view{})
+	g.replyMemory = instances.NewReplyMemory(o.ReplyMemoryBytes)
 	g.pool = instances.NewPool(o.Dialect, g.metrics.connections.Inc)
 	g.engines = instances.NewEngineClient(g.pool, o.Dialect, g.recordOrderReply)
 	g.client = coordinators.NewClient(coordinators.Options{
--- a/pkg/role/gateway/plain.go
+++ b/pkg/role/gateway/plain.go
@@ -46,10 +46,13 @@
 		tried[in.GetId()] = true
 		reply, body, err := g.attemptPlain(ctx, q, in)
 		if err == nil && !g.shouldRetry(q, reply, tried) {
-			g.writeReply(w, reply, body)
+			writeReplyHeader(w, reply)
+			_, _ = body.WriteTo(w)
+			body.Release()
 			return
 		}
 		if err == nil {
+			body.Release()
 			err = fault.New(fault.Upstream, "upstream responded with status %d", reply.Status).WithOutcome(fault.MayHaveRun)
 		}
 		lastErr = err
@@ -168,8 +171,9 @@
 	return a
 }
 
-// attemptPlain sends the request to an upstream and reads the whole reply.
-func (g *Gateway) attemptPlain(ctx context.Context, q *request, in *wirepb.Instance) (*instances.Reply, []byte, error) {
+// attemptPlain sends the request to an upstream and reads the whole reply. The caller releases
+// the body.
+func (g *Gateway) attemptPlain(ctx context.Context, q *request, in *wirepb.Instance) (*instances.Reply, *instances.ReplyBody, error) {
 	defer g.load.begin(in.GetId())()
 	q.attempts++
 	q.upstream = in.GetId()
@@ -183,12 +187,13 @@
 	defer reply.Close()
 	g.recordRequestLimit(in.GetId(), reply)
 	g.recordReplyOf(selfreport.ProcessOf(in), reply.Metadata, "request")
-	body, err := reply.ReadAll(maxReplyBytes)
+	body, err := reply.ReadBody(maxReplyBytes, g.replyMemory)
 	if err != nil {
 		g.recordAttemptError(ctx, q, in.GetId(), err)
 		return nil, nil, err
 	}
 	if reply.Metadata.NotRun {
+		body.Release()
 		g.load.onFailure(in.GetId())
 		return nil, nil, notRunError(fault.Overloaded, "upstream %s refused with status %d", in.GetId(), reply.Status)
 	}
@@ -213,11 +218,10 @@
 		q.attempts < q.route.MaxAttempts && g.pickUpstream(q, tried) != nil
 }
 
-// writeReply sends an upstream's reply to the caller.
-func (g *Gateway) writeReply(w http.ResponseWriter, reply *instances.Reply, body []byte) {
+// writeReplyHeader sends the status and the header of an upstream's reply to the caller.
+func writeReplyHeader(w http.ResponseWriter, reply *instances.Reply) {
 	copyHeader(w.Header(), reply.Header)
 	w.WriteHeader(reply.Status)
-	_, _ = w.Write(body)
 }
 
 func copyHeader(to, from http.Header) {
