pkg/role/gateway: ask callers to close in every answer while the process stops

What callers saw: during a planned stop, answers of servers left without "Connection: close". Callers kept their connections and sent on, also late in the grace period.

Cause: the field was set when a request arrived. copyHeader then wrote the header of the upstream's reply over it and removed all hop-by-hop fields from the result. A request that had arrived before the stop never got it.

Change: the field is set when the status is written, after all other headers.

Evidence: TestFleet_StoppingGatewayAsksCallersToClose failed before ("the answer to a later one keeps the connection") and passes now; it plays a request in progress, a later one and an error of the gateway itself.

--- a/pkg/role/gateway/gateway.go
+++ b/pkg/role/gateway/gateway.go
@@ -182,15 +182,11 @@
 // stopRetryAfter is the Retry-After of a stream that another process can take at once.
 const stopRetryAfter = 50 * time.Millisecond
 
-// track counts requests in progress and asks callers to close their connections while
-// the process drains.
+// track counts requests in progress.
 func (g *Gateway) track(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		g.metrics.inProgress.Add(1)
 		defer g.metrics.inProgress.Add(-1)
-		if g.lifecycle.State() == lifecycle.Draining {
-			w.Header().Set("Connection", "close")
-		}
 		next.ServeHTTP(w, r)
 	})
 }
--- a/pkg/role/gateway/handler.go
+++ b/pkg/role/gateway/handler.go
@@ -59,7 +59,7 @@
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
 	q := &request{arrived: time.Now()}
 	g.awaitView(r.Context(), q)
-	recorder := &statusRecorder{ResponseWriter: w}
+	recorder := &statusRecorder{ResponseWriter: w, closesConns: g.lifecycle.DrainStarted()}
 	defer g.record(q, recorder)
 	if err := g.admit(q, r); err != nil {
 		writeError(recorder, q, err)
@@ -271,9 +271,11 @@
 	}
 }
 
-// statusRecorder records the status of a response and the time of its first body byte.
+// statusRecorder records the status of a response and the time of its first body byte. It asks
+// callers to close their connections while the process drains.
 type statusRecorder struct {
 	http.ResponseWriter
+	closesConns <-chan struct{} // closed once the process drains
 	status      int
 	firstByteAt time.Time
 }
@@ -282,6 +284,11 @@
 	if s.status == 0 {
 		s.status = status
 	}
+	select {
+	case <-s.closesConns:
+		s.Header().Set("Connection", "close") // after the header of an upstream's reply was copied
+	default:
+	}
 	s.ResponseWriter.WriteHeader(status)
 }
 
