pkg/core/stopping, gateway: take no request that a stop would cut, answer the rest

What callers saw, as other operators reported it: in a planned stop, requests that came late in the grace period were passed on and then cut without an answer, among them requests that may not be repeated.

Cause: the decision on what a stopping process still takes knew streams of engines only, and requests in progress at the end of the grace period ended with the process.

Change: plain requests are taken if their deadline lies before the end, or if the recent times of calls say that they end; streams that may not be repeated with a margin of 99 in 100. Others are refused as not run, with the time to come back. At its end the gateway answers what is left: 502 for what may have run, 503 for what was not sent.

Evidence: TestFleet_StopLeavesNoRequestWithoutAnswer failed before: an order that ran ended with "unexpected EOF". Now the late one is refused and does not run, and the one in progress gets 502 within the grace period.

--- a/pkg/role/gateway/gateway.go
+++ b/pkg/role/gateway/gateway.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -60,6 +61,7 @@
 	requestLimits requestLimits
 	selfReports   selfreport.Book
 	pace          stopping.Pace
+	callTimes     stopping.CallTimes
 	stopsAt       atomic.Pointer[time.Time] // end of the grace period, nil before a stop
 	prompts       *promptEvidence
 	repairSignal  chan struct{}
@@ -67,6 +69,8 @@
 	gatewayCount  route.ProcessCount // accessed by viewChanged only
 	wg            sync.WaitGroup
 	cancel        context.CancelFunc
+	requests      context.Context // parent of the contexts of all requests
+	endRequests   context.CancelCauseFunc
 }
 
 // Start returns a Gateway that watches the coordinators until Close is called.
@@ -76,6 +80,7 @@
 		opts: o, log: o.Log.Component("gateway"), metrics: newMetrics(), lifecycle: lifecycle.NewLifecycle(),
 		repairSignal: make(chan struct{}, 1), cancel: cancel, startedAt: time.Now(), callerConns: httpconn.NewTracker(),
 	}
+	g.requests, g.endRequests = context.WithCancelCause(context.Background())
 	g.load.init()
 	g.streams.init()
 	g.requestLimits.init()
@@ -152,6 +157,7 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeader,
 		ConnState:         g.callerConns.OnStateChange,
+		BaseContext:       func(net.Listener) context.Context { return g.requests },
 	}
 }
 
@@ -159,27 +165,41 @@
 func (g *Gateway) CallerConnections() *httpconn.Tracker { return g.callerConns }
 
 // BeginStop makes the gateway not ready and ask callers to close their connections. From
-// now on it refuses streams that would not end by the given time.
+// now on it refuses requests that would not end by the given time.
 func (g *Gateway) BeginStop(end time.Time) {
 	g.stopsAt.Store(&end)
 	g.lifecycle.Drain()
 }
 
-// checkStop refuses a stream that the end of this process would cut.
+// EndRequests ends the requests in progress: those to which no answer has begun are answered
+// with what is known about them. Streams break.
+func (g *Gateway) EndRequests() {
+	g.endRequests(fault.New(fault.Draining, "the process has stopped").WithOutcome(fault.MayHaveRun))
+}
+
+// checkStop refuses a request that the end of this process would cut.
 func (g *Gateway) checkStop(q *request) error {
 	end := g.stopsAt.Load()
-	if end == nil || q.route.Kind != routing.Stream || q.service.Model == nil {
+	if end == nil {
 		return nil
 	}
-	events := q.expectedOutputTokens() / max(1, q.service.Model.StepsPerPass)
-	if g.pace.Takes(time.Until(*end), events) {
+	remaining := time.Until(*end)
+	if q.timeLeft() <= remaining {
+		return nil // it gets its final answer before
+	}
+	if q.route.Kind == routing.Stream && q.service.Model != nil {
+		events := q.expectedOutputTokens() / max(1, q.service.Model.StepsPerPass)
+		if g.pace.Takes(remaining, events, q.route.MayRepeat()) {
+			return nil
+		}
+	} else if g.callTimes.Takes(remaining) {
 		return nil
 	}
 	g.metrics.refusedByStop.Inc()
-	return notRunError(fault.Draining, "the process stops before a stream of %d events would end", events).WithRetryAfter(stopRetryAfter)
+	return notRunError(fault.Draining, "the process stops before the request would end").WithRetryAfter(stopRetryAfter)
 }
 
-// stopRetryAfter is the Retry-After of a stream that another process can take at once.
+// stopRetryAfter is the Retry-After of a request that another process can take at once.
 const stopRetryAfter = 50 * time.Millisecond
 
 // track counts requests in progress.
--- a/pkg/role/gateway/plain.go
+++ b/pkg/role/gateway/plain.go
@@ -46,6 +46,7 @@
 		tried[in.GetId()] = true
 		reply, body, err := g.attemptPlain(ctx, q, in)
 		if err == nil && !g.shouldRetry(q, reply, tried) {
+			g.callTimes.Record(time.Since(q.arrived))
 			writeReplyHeader(w, reply)
 			_, _ = body.WriteTo(w)
 			body.Release()
@@ -73,11 +74,16 @@
 // finalError returns the error for the caller after the last attempt, which failed with
 // lastErr.
 func (g *Gateway) finalError(ctx context.Context, q *request, lastErr error) error {
+	stopped, isStopped := context.Cause(ctx).(*fault.Error) // of EndRequests
 	switch {
 	case lastErr == nil:
 		return notRunError(fault.Unavailable, "no upstream of the service is known").WithRetryAfter(refusalRetryAfter)
 	case context.Cause(ctx) == context.Canceled:
 		return fault.Wrap(lastErr, fault.Cancelled, "caller disconnected")
+	case isStopped:
+		e := fault.Wrap(lastErr, stopped.Kind, "%s", stopped.Message)
+		e.Outcome = fault.As(lastErr).Outcome
+		return e.WithRetryAfter(stopRetryAfter)
 	case q.timeLeft() <= 0:
 		e := fault.Wrap(lastErr, fault.Deadline, "time limit exceeded")
 		e.Outcome = fault.As(lastErr).Outcome
