--- a/pkg/role/gateway/attempt.go
+++ b/pkg/role/gateway/attempt.go
@@ -122,16 +122,12 @@
 		w.WriteHeader(reply.Status)
 		s.started = true
 	}
-	s.splitter.DiscardPending()
+	s.splitter.Resume()
 	buffer := make([]byte, streamBufferSize)
 	for {
 		n, err := reply.Body.Read(buffer)
 		if n > 0 {
-			complete, e := s.splitter.Feed(buffer[:n])
-			if e != nil {
-				g.load.onFailure(firstEngineID)
-				return fault.As(e).WithOutcome(fault.MayHaveRun)
-			}
+			complete, invalid := s.splitter.Feed(buffer[:n])
 			if len(complete) > 0 {
 				g.load.removeWaiting(firstEngineID, s)
 				s.recordEvent(time.Now())
@@ -143,6 +139,10 @@
 					return fault.Wrap(e, fault.Cancelled, "caller disconnected")
 				}
 			}
+			if invalid != nil {
+				g.load.onFailure(firstEngineID)
+				return fault.As(invalid).WithOutcome(fault.MayHaveRun)
+			}
 		}
 		switch {
 		case err == io.EOF && !reply.Framed && !s.hasEvents():
