pkg/role/coordinator: let watchers drop what a new leader never heard of

A leader tells a watcher to drop the instances that it was not sent only with a full update, and sends none while it takes over, as instances may still announce themselves. None followed afterwards: a gateway whose knowledge was not among what the leader merged kept an instance for as long as it watched, although it had crashed or departed.

Change: the first update after the take-over says that all instances were sent. It carries nothing else again.

Evidence: TestCollectUpdate_WatcherDropsWhatNewLeaderNeverHeardOf failed before (0 full updates in place of 1) for registries of one and of several parts, and passes now.

--- a/pkg/role/coordinator/feed.go
+++ b/pkg/role/coordinator/feed.go
@@ -141,7 +141,10 @@
 	// sent until all of it has been sent. transferring is set while the watcher holds one of
 	// the transfer slots.
 	needsTransfer, transferring bool
-	promptRevision              uint64
+	// sentWhileTakingOver is set from when all known instances were sent until takeOverTime has
+	// passed, when the watcher is told to drop the others.
+	sentWhileTakingOver bool
+	promptRevision      uint64
 	// pending holds the instances of a transfer that are not sent yet. Later changes follow
 	// after them.
 	pending []*wirepb.Instance
@@ -292,8 +295,13 @@
 			state.pending = nil
 		}
 	}
-	if now.Sub(c.leaderSince) < takeOverTime {
-		u.Full = false // instances that have not announced themselves to this leader yet may still exist
+	switch {
+	case now.Sub(c.leaderSince) < takeOverTime:
+		// Instances that have not announced themselves to this leader yet may still exist.
+		state.sentWhileTakingOver = state.sentWhileTakingOver || u.Full
+		u.Full = false
+	case state.sentWhileTakingOver && state.pending == nil:
+		u.Full, state.sentWhileTakingOver = true, false
 	}
 }
 
--- a/pkg/role/coordinator/feed_test.go
+++ b/pkg/role/coordinator/feed_test.go
@@ -103,3 +103,30 @@
 	c.collectUpdate(now, u, state)
 	assert.Assert(t, !u.Full && len(u.Instances) == 1 && u.Instances[0].GetSuspect(), "%v", u)
 }
+
+// Guards against a watcher that keeps an instance which a new leader does not know for as long as
+// it watches, and against one that drops it before it could announce itself to that leader.
+func TestCollectUpdate_WatcherDropsWhatNewLeaderNeverHeardOf(t *testing.T) {
+	for _, instances := range []int{1, 3, 2*maxInstancesPerUpdate + 1} {
+		start := time.Now()
+		c := &Coordinator{registry: registry.New(), polls: make(map[string]*pollState), leaderSince: start}
+		c.watchers.init()
+		id := func(i int) string { return fmt.Sprintf("i%04d", i) }
+		for i := range instances {
+			c.registry.Announce(start, &wirepb.Instance{Id: id(i), BornUnixMs: 1, Sequence: 1, Address: id(i)})
+		}
+		state := &watcherState{firstUpdate: true, transferring: true}
+		fullUpdates, sent := 0, 0
+		for at := time.Duration(0); at < takeOverTime+5*updateInterval; at += updateInterval {
+			u := &wirepb.FleetUpdate{}
+			c.collectUpdate(start.Add(at), u, state)
+			sent += len(u.Instances)
+			if u.Full {
+				assert.Assert(t, at >= takeOverTime, "the watcher drops instances after %s", at)
+				fullUpdates++
+			}
+		}
+		assert.Equal(t, fullUpdates, 1, "of a registry of %d", instances)
+		assert.Equal(t, sent, instances, "instances were sent again")
+	}
+}
