pkg/httpconn: let a stop close its listener more than once

Cause: a stop closes the listener first and shuts the HTTP server down last, which closes the listener again unless the goroutine that serves it has seen the first close. A gateway logged "Aborting active requests." in this case.

Change: the tracked listener returns the result of its first close.

Evidence: TestServer_ShutdownWithoutRequestsSucceeds failed before, at the first of 2,000 stops.

--- a/pkg/callers/server.go
+++ b/pkg/callers/server.go
@@ -32,14 +32,14 @@
 		return nil, fault.Wrap(err, fault.Unavailable, "listen for callers").WithField(addr)
 	}
 	conns := httpconn.NewTracker()
-	s := &Server{ln: ln, conns: conns, http: &http.Server{
+	s := &Server{ln: conns.Listener(ln), conns: conns, http: &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ConnState:         conns.OnStateChange,
 	}}
-	go func() { _ = s.http.Serve(conns.Listener(ln)) }()
+	go func() { _ = s.http.Serve(s.ln) }()
 	return s, nil
 }
 
--- a/pkg/httpconn/tracker.go
+++ b/pkg/httpconn/tracker.go
@@ -29,10 +29,20 @@
 // NewTracker returns a Tracker without connections.
 func NewTracker() *Tracker { return &Tracker{idle: make(map[net.Conn]bool)} }
 
-// Listener returns a listener that records what is read from the connections of ln.
-func (t *Tracker) Listener(ln net.Listener) net.Listener { return listener{ln} }
+// Listener returns a listener that records what is read from the connections of ln. It may be
+// closed more than once.
+func (t *Tracker) Listener(ln net.Listener) net.Listener {
+	return listener{ln, sync.OnceValue(ln.Close)}
+}
+
+type listener struct {
+	net.Listener
+	close func() error
+}
 
-type listener struct{ net.Listener }
+// Close implements net.Listener. Only the first call closes the listener, and all return its
+// result: a stop closes the listener early, and http.Server.Shutdown may close it again.
+func (l listener) Close() error { return l.close() }
 
 // Accept implements net.Listener.
 func (l listener) Accept() (net.Conn, error) {
