pkg/instances: send a call once more only if no reply came

Cause: a repeatable call on a kept connection is sent again if the upstream had closed it while it was idle. Every head that could not be read counted as that, also garbage and half a head, although the call had arrived. The second send was no attempt and drew on no retry budget.

Change: only a connection that ends before the first byte of a reply counts. Anything else is an invalid reply, and the attempt has failed.

Evidence: TestPool_SendsOnceMoreOnlyIfNoReplyCame failed before in five of six cases (3 sends in place of 2).

--- a/pkg/instances/pool.go
+++ b/pkg/instances/pool.go
@@ -271,6 +271,9 @@
 // one is that to the call only if nothing else was sent on the connection, and even then
 // it proves nothing about what ran.
 func (c *conn) awaitReply(call Call) (*http.Response, ReplyMetadata, error) {
+	if _, err := c.reader.Peek(1); err != nil {
+		return nil, ReplyMetadata{}, err // the upstream may have closed an idle connection
+	}
 	for range maxResponsesRead {
 		resp, err := c.readHead(call.Method)
 		if err != nil {
@@ -298,11 +301,16 @@
 	return nil, ReplyMetadata{}, fault.New(fault.Protocol, "%s sent %d responses, none of them to this call", c.address, maxResponsesRead)
 }
 
-// readHead reads the head of the next response. It fails if the head exceeds maxHeadBytes.
+// readHead reads the head of the next response. It fails with a Protocol error if the head is
+// not valid, incomplete or exceeds maxHeadBytes.
 func (c *conn) readHead(method string) (*http.Response, error) {
 	c.input.beginHead(maxHeadBytes)
 	defer c.input.endHead()
-	return http.ReadResponse(c.reader, &http.Request{Method: method})
+	resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Protocol, "read the head of a response")
+	}
+	return resp, nil
 }
 
 func (c *conn) discardConn() {
--- a/pkg/instances/pool_test.go
+++ b/pkg/instances/pool_test.go
@@ -293,3 +293,34 @@
 		})
 	}
 }
+
+// Guards against a call that is sent once more, beside the retry budget, because bytes that are
+// no reply are taken for the end of an idle connection. One that has ended is replaced.
+func TestPool_SendsOnceMoreOnlyIfNoReplyCame(t *testing.T) {
+	for name, c := range map[string]struct {
+		second string
+		sends  int
+	}{
+		"no reply":        {closeMarker, 3},
+		"no HTTP":         {"overload\n\n" + closeMarker, 2},
+		"half of a head":  {"HTTP/1.1 200 OK\r\nId: 2\r\nConte" + closeMarker, 2},
+		"half of a line":  {"HTT" + closeMarker, 2},
+		"interim reply":   {"HTTP/1.1 102 Processing\r\n\r\n" + closeMarker, 2},
+		"another version": {"HTTP/9.9 200 OK\r\n\r\n" + closeMarker, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := startScriptedUpstream(t, replyText("1", "one"), c.second, replyText("2", "two"))
+			p := NewPool(echoDialect{}, func() {})
+			_, err := get(t, p, s.Addr().String(), "1")
+			assert.NilError(t, err)
+			body, err := get(t, p, s.Addr().String(), "2")
+			assert.Equal(t, len(s.requests), c.sends)
+			if c.sends > 2 {
+				assert.NilError(t, err)
+				assert.Equal(t, body, "two")
+				return
+			}
+			assert.Assert(t, fault.Is(err, fault.Upstream) && fault.As(err).Outcome == fault.MayHaveRun, "%v", err)
+		})
+	}
+}
