pkg/upstreams: bound the memory of all answers that an agent reads

The same cause as at gateways, on the product's own path: an agent bounds the answer of a service by 0.9 MiB for each call, and by nothing for all of them.

Change: the reader of bodies moves from pkg/instances to pkg/replybody, and the client of agents uses it with a budget of 8 MiB for the answers that are being read, above the first 64 KiB of each.

Evidence: TestCallService_EndlessAnswersStayWithinMemory, 200 calls at once to a service that answers without end, failed before: the heap grew to 285 MB (133 MB with the race detector) where an agent may use 64 MB. Now 41 MB (31 MB).

--- a/pkg/instances/pool.go
+++ b/pkg/instances/pool.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/plantainstair/plantainstair/pkg/fault"
+	"github.com/plantainstair/plantainstair/pkg/replybody"
 )
 
 const (
@@ -332,6 +333,17 @@
 	return data, nil
 }
 
+// ReadBody reads the rest of the body into memory of the budget. It returns an error if the body
+// is truncated, longer than limit bytes, or too long for what is left of the budget.
+func (r *Reply) ReadBody(limit int64, memory *replybody.Memory) (*replybody.Body, error) {
+	body, err := memory.Read(r.Body, r.Length, limit)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Upstream, "reply of %s", r.conn.address).WithOutcome(fault.MayHaveRun)
+	}
+	r.bodyRead = true
+	return body, nil
+}
+
 // MarkComplete records that the body was read to its end.
 func (r *Reply) MarkComplete() { r.bodyRead = true }
 
--- a/pkg/role/gateway/gateway.go
+++ b/pkg/role/gateway/gateway.go
@@ -24,6 +24,7 @@
 	"github.com/plantainstair/plantainstair/pkg/lifecycle"
 	"github.com/plantainstair/plantainstair/pkg/link"
 	"github.com/plantainstair/plantainstair/pkg/logs"
+	"github.com/plantainstair/plantainstair/pkg/replybody"
 )
 
 // Options configures a Gateway.
@@ -48,7 +49,7 @@
 	log           logs.Logger
 	client        *coordinators.Client
 	pool          *instances.Pool
-	replyMemory   *instances.ReplyMemory
+	replyMemory   *replybody.Memory
 	engines       *instances.EngineClient
 	metrics       *metricSet
 	lifecycle     *lifecycle.Lifecycle
@@ -87,7 +88,7 @@
 	g.retryBudgets.init(o.RetryBudget)
 	g.prompts = newPromptEvidence()
 	g.view.Store(&view{})
-	g.replyMemory = instances.NewReplyMemory(o.ReplyMemoryBytes)
+	g.replyMemory = replybody.NewMemory(o.ReplyMemoryBytes)
 	g.pool = instances.NewPool(o.Dialect, g.metrics.connections.Inc)
 	g.engines = instances.NewEngineClient(g.pool, o.Dialect, g.recordOrderReply)
 	g.client = coordinators.NewClient(coordinators.Options{
--- a/pkg/role/gateway/plain.go
+++ b/pkg/role/gateway/plain.go
@@ -12,6 +12,7 @@
 	"github.com/plantainstair/plantainstair/pkg/fault"
 	"github.com/plantainstair/plantainstair/pkg/instances"
 	"github.com/plantainstair/plantainstair/pkg/logs"
+	"github.com/plantainstair/plantainstair/pkg/replybody"
 	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
 )
 
@@ -179,7 +180,7 @@
 
 // attemptPlain sends the request to an upstream and reads the whole reply. The caller releases
 // the body.
-func (g *Gateway) attemptPlain(ctx context.Context, q *request, in *wirepb.Instance) (*instances.Reply, *instances.ReplyBody, error) {
+func (g *Gateway) attemptPlain(ctx context.Context, q *request, in *wirepb.Instance) (*instances.Reply, *replybody.Body, error) {
 	defer g.load.begin(in.GetId())()
 	q.attempts++
 	q.upstream = in.GetId()
--- a/pkg/upstreams/client.go
+++ b/pkg/upstreams/client.go
@@ -15,6 +15,7 @@
 	"github.com/plantainstair/plantainstair/pkg/core/selfreport"
 	"github.com/plantainstair/plantainstair/pkg/defaults"
 	"github.com/plantainstair/plantainstair/pkg/fault"
+	"github.com/plantainstair/plantainstair/pkg/replybody"
 )
 
 // Defaults of Options.
@@ -24,6 +25,8 @@
 	DefaultLineTimeout      = 2 * time.Second
 	DefaultMaxKVBytes       = 256 << 20
 	DefaultMaxResponseBytes = 896 << 10 // leaves room in a 1 MiB frame for the response headers
+	// DefaultResponseMemory is an eighth of the 64 MB that an agent may use.
+	DefaultResponseMemory = 8 << 20
 )
 
 const (
@@ -41,6 +44,7 @@
 	MaxLineBytes     int           // of one NDJSON line
 	MaxKVBytes       int64         // of an exported KV state
 	MaxResponseBytes int64         // of the body of a service response
+	ResponseMemory   int64         // in bytes, for all service responses that are being read
 	// OnSelfReport is called with what an answer of the upstream at an address states
 	// about it, if it states anything.
 	OnSelfReport func(address string, r selfreport.Report)
@@ -53,6 +57,7 @@
 	defaults.Set(&o.MaxLineBytes, DefaultMaxLineBytes)
 	defaults.Set(&o.MaxKVBytes, DefaultMaxKVBytes)
 	defaults.Set(&o.MaxResponseBytes, DefaultMaxResponseBytes)
+	defaults.Set(&o.ResponseMemory, DefaultResponseMemory)
 	if o.OnSelfReport == nil {
 		o.OnSelfReport = func(string, selfreport.Report) {}
 	}
@@ -65,6 +70,8 @@
 	engine    *http.Client // cleartext HTTP/2
 	pooled    *http.Client // HTTP/1.1 with connection reuse, for repeatable service calls
 	singleUse *http.Client // HTTP/1.1 with a new connection per call
+
+	responseMemory *replybody.Memory
 }
 
 // NewClient returns a client with the given options. Call Close to release its
@@ -78,6 +85,8 @@
 		engine:    newHTTPClient(opts, &http.Transport{DialContext: dialer(opts), Protocols: h2}),
 		pooled:    newHTTPClient(opts, &http.Transport{DialContext: dialer(opts), MaxIdleConnsPerHost: maxIdleConns}),
 		singleUse: newHTTPClient(opts, &http.Transport{DialContext: dialer(opts), DisableKeepAlives: true}),
+
+		responseMemory: replybody.NewMemory(opts.ResponseMemory),
 	}
 }
 
--- a/pkg/upstreams/service.go
+++ b/pkg/upstreams/service.go
@@ -75,7 +75,7 @@
 	if call.MaxResponseBytes > 0 {
 		limit = min(limit, call.MaxResponseBytes)
 	}
-	return readServiceResponse(ctx, resp, limit)
+	return c.readServiceResponse(ctx, resp, limit)
 }
 
 func newServiceRequest(ctx context.Context, address string, call *ServiceCall) (*http.Request, error) {
@@ -104,16 +104,13 @@
 	return req, nil
 }
 
-func readServiceResponse(ctx context.Context, resp *http.Response, limit int64) (*ServiceResponse, error) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
+func (c *Client) readServiceResponse(ctx context.Context, resp *http.Response, limit int64) (*ServiceResponse, error) {
+	body, err := c.responseMemory.Read(resp.Body, resp.ContentLength, limit)
 	if err != nil {
 		return nil, transportError(ctx, err, "read answer of service")
 	}
-	if int64(len(body)) > limit {
-		return nil, fault.New(fault.Upstream, "answer of service is over the limit of %d bytes", limit).
-			WithField("body").WithOutcome(fault.MayHaveRun)
-	}
-	a := &ServiceResponse{Status: resp.StatusCode, Body: body}
+	a := &ServiceResponse{Status: resp.StatusCode, Body: body.Bytes()}
+	body.Release()
 	for name, values := range resp.Header {
 		if hopByHopHeaders[name] {
 			continue
--- a/pkg/upstreams/upstreams_test.go
+++ b/pkg/upstreams/upstreams_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -136,3 +139,53 @@
 	assert.Equal(t, fault.As(err).Outcome, fault.NotRun, "%v", err)
 	assert.Assert(t, upstreams.IsConnectionRefused(err))
 }
+
+// Guards against an agent that runs out of memory because its service sends answers without end
+// on many connections: each is bounded, but all of them together were not.
+func TestCallService_EndlessAnswersStayWithinMemory(t *testing.T) {
+	const (
+		calls = 200
+		// agentMemory is what an agent may use.
+		agentMemory = 64 << 20
+	)
+	part := make([]byte, 32<<10)
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(upstreams.HeaderRequestID, r.Header.Get(upstreams.HeaderRequestID))
+		for {
+			if _, err := w.Write(part); err != nil {
+				return
+			}
+			time.Sleep(time.Millisecond) // all answers grow beside each other
+		}
+	}))
+	defer srv.Close()
+	c := newClient(t, upstreams.Options{})
+	runtime.GC()
+	done := make(chan struct{})
+	var peak atomic.Uint64
+	go func() {
+		var m runtime.MemStats
+		for {
+			runtime.ReadMemStats(&m)
+			peak.Store(max(peak.Load(), m.HeapAlloc))
+			select {
+			case <-done:
+				return
+			case <-time.After(2 * time.Millisecond):
+			}
+		}
+	}()
+	var wg sync.WaitGroup
+	for i := range calls {
+		wg.Go(func() {
+			_, err := c.CallService(context.Background(), srv.Listener.Addr().String(), &upstreams.ServiceCall{RequestID: fmt.Sprint(i), Method: "GET", Target: "/"})
+			if !fault.Is(err, fault.Upstream) || fault.As(err).Outcome != fault.MayHaveRun {
+				t.Errorf("call %d: %v", i, err)
+			}
+		})
+	}
+	wg.Wait()
+	close(done)
+	t.Logf("the heap grew to %d MB", peak.Load()>>20)
+	assert.Assert(t, peak.Load() < agentMemory)
+}
