gateway: resume a broken stream elsewhere at once if its data centre has no other path

Cause: a stream whose path lost an engine was moved to a path that crosses between data centres, or waited for one. Change: a stream whose data centre has no other path is resumed at once in another data centre if that has capacity, and crosses only otherwise.

--- a/pkg/role/gateway/repair.go
+++ b/pkg/role/gateway/repair.go
@@ -63,7 +63,11 @@
 		case s.timeWithoutEvent(lost != "") > stallTimeout:
 			g.resume(v, s, stages[0], lost, "no event since the path broke")
 		case lost != "" && repairDue:
-			g.repath(ctx, v, s, stages, lost, true)
+			// A new path that crosses to another data centre has to send all tokens so far
+			// over the shared link, which takes longer than to begin anew on the other side.
+			if !g.repath(ctx, v, s, stages, lost, false) && !g.resume(v, s, stages[0], lost, "path broken") {
+				g.repath(ctx, v, s, stages, lost, true)
+			}
 		case lost == "" && leaving != "" && repairDue && s.remaining() > leaveGrace:
 			g.repath(ctx, v, s, stages, leaving, false)
 		}
@@ -73,13 +77,15 @@
 // resume ends the current attempt, so that the stream is resumed on a path with another
 // first engine. If no path has free capacity, the attempt goes on, as its engine may be
 // unreachable only for the coordinator.
-func (g *Gateway) resume(v *view, s *stream, firstStage path.PipelineStage, lost, reason string) {
-	if _, err := g.bestPath(v, s.q, map[string]bool{firstStage.ID: true, lost: true}); err != nil {
-		return
+func (g *Gateway) resume(v *view, s *stream, firstStage path.PipelineStage, lost, reason string) bool {
+	if c, err := g.bestPath(v, s.q, map[string]bool{firstStage.ID: true, lost: true}); err != nil || c.DataCentreCrossings > 0 {
+		return false
 	}
-	if s.endAttempt(fault.New(fault.Upstream, "%s", reason).WithOutcome(fault.MayHaveRun)) {
-		g.log.Info("Attempt ended.", logs.Str("request", s.q.metadata.RequestID), logs.Str("reason", reason), logs.Str("lost", lost), logs.Dur("view_age", v.age()))
+	if !s.endAttempt(fault.New(fault.Upstream, "%s", reason).WithOutcome(fault.MayHaveRun)) {
+		return false
 	}
+	g.log.Info("Attempt ended.", logs.Str("request", s.q.metadata.RequestID), logs.Str("reason", reason), logs.Str("lost", lost), logs.Dur("view_age", v.age()))
+	return true
 }
 
 // timeWithoutEvent records whether the path is broken. It returns the time since the
@@ -140,10 +146,10 @@
 // repath moves a stream off the engine avoid to a path with the same first engine,
 // which keeps the connection of the stream and the KV cache of the other engines. With
 // crossDataCentre, the path may cross between data centres.
-func (g *Gateway) repath(ctx context.Context, v *view, s *stream, stages []path.PipelineStage, avoid string, crossDataCentre bool) {
+func (g *Gateway) repath(ctx context.Context, v *view, s *stream, stages []path.PipelineStage, avoid string, crossDataCentre bool) bool {
 	q := s.q
 	if time.Now().Before(g.selfReports.Get(stageProcess(stages[0])).PausedUntil) {
-		return // the first engine wants no orders either
+		return false // the first engine wants no orders either
 	}
 	tokens := q.metadata.PromptTokens + q.expectedOutputTokens()
 	choice, err := path.Choose(q.service.Model, g.candidateEngines(v, q, nil, g.isClosedTo(stages)), path.Request{
@@ -151,10 +157,10 @@
 		FirstStage: &stages[0], SingleDataCentre: !crossDataCentre, AllowFull: true, CostFactor: preferKeptEngines(stages, q.metadata.RequestID),
 	})
 	if err == nil && passesThrough(choice.Stages, avoid) {
-		return // the cheapest path still contains the engine to avoid
+		return false // the cheapest path still contains the engine to avoid
 	}
 	if err != nil || !g.linkBudgets.admitRepath(q.service.Model, v.gatewayCount, tokens, choice) {
-		return // the next view may have another path
+		return false // the next view may have another path
 	}
 	s.mu.Lock()
 	s.stages, s.repathedAt = choice.Stages, time.Now()
@@ -183,6 +189,7 @@
 		}
 		s.mu.Unlock()
 	}()
+	return true
 }
 
 // keptEngineFactor reduces the cost of engines that already hold the KV cache of the
