pkg/core/locality: streams stay in their data centre until leaving it pays

Cause: a gateway took the fastest path of all data centres, so that streams left their data centre for any small difference of the estimates. Change: a pure decision on the share that leaves: none while the time elsewhere is not lower by a fifth, all at twice the time or without local capacity.

--- a/pkg/core/path/path.go
+++ b/pkg/core/path/path.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"github.com/plantainstair/plantainstair/pkg/core/locality"
 	"github.com/plantainstair/plantainstair/pkg/core/routing"
 	"github.com/plantainstair/plantainstair/pkg/fault"
 )
@@ -48,6 +49,9 @@
 	AllowFull bool
 	// MaxCost, if set, is the cost from which a path counts as having no capacity.
 	MaxCost time.Duration
+	// Draw is uniform in [0, 1) and decides whether this request is among the share that
+	// leaves the data centre.
+	Draw float64
 	// CostFactor, if set, returns a factor close to one that scales the time of an
 	// engine. It varies between requests, so that gateways with the same engine
 	// reports do not all choose the same path.
@@ -134,8 +138,22 @@
 	if !covers(m, engines) {
 		return Choice{}, false
 	}
+	best, found := chooseDataCentre(m, engines, r)
+	if found && best.HasCapacity || r.SingleDataCentre {
+		return best, found
+	}
+	if c, ok := cheapestPath(m, engines, r); ok && (!found || c.Cost < best.Cost) {
+		best, found = c, true
+		best.DataCentreCrossings = countCrossings(engines, c.Stages)
+	}
+	return best, found
+}
+
+// chooseDataCentre returns the cheapest path of the data centre that locality selects.
+func chooseDataCentre(m *routing.Model, engines []Engine, r Request) (Choice, bool) {
 	groups := groupByDataCentre(engines)
-	best, found := Choice{}, false
+	var choices []Choice
+	var candidates []locality.Candidate
 	for _, name := range slices.Sorted(maps.Keys(groups)) {
 		c, ok := cheapestPath(m, groups[name], r)
 		if !ok {
@@ -144,18 +162,14 @@
 		if name != r.DataCentre {
 			c.Cost += m.LinkDelay(r.DataCentre, name)
 		}
-		if !found || c.Cost < best.Cost {
-			best, found = c, true
-		}
+		choices = append(choices, c)
+		candidates = append(candidates, locality.Candidate{DataCentre: name, Time: c.Cost, HasCapacity: c.HasCapacity})
 	}
-	if found && best.HasCapacity || r.SingleDataCentre {
-		return best, found
-	}
-	if c, ok := cheapestPath(m, engines, r); ok && (!found || c.Cost < best.Cost) {
-		best, found = c, true
-		best.DataCentreCrossings = countCrossings(engines, c.Stages)
+	i := locality.Select(r.DataCentre, candidates, r.Draw)
+	if i < 0 {
+		return Choice{}, false
 	}
-	return best, found
+	return choices[i], true
 }
 
 func groupByDataCentre(engines []Engine) map[string][]Engine {
--- a/pkg/role/gateway/stream.go
+++ b/pkg/role/gateway/stream.go
@@ -185,7 +185,7 @@
 func (g *Gateway) bestPathAmong(v *view, q *request, avoid map[string]bool, excluded func(*wirepb.Instance) bool) (path.Choice, error) {
 	return path.Choose(q.service.Model, g.candidateEngines(v, q, avoid, excluded), path.Request{
 		InputTokens: q.metadata.PromptTokens, ExpectedOutputTokens: q.expectedOutputTokens(), DataCentre: g.opts.DataCentre, MaxCost: q.costLimit(),
-		CostFactor: spreadFactors(q.metadata.RequestID),
+		CostFactor: spreadFactors(q.metadata.RequestID), Draw: localityDraw(q.metadata.RequestID),
 	})
 }
 
--- a/pkg/role/gateway/view.go
+++ b/pkg/role/gateway/view.go
@@ -141,3 +141,10 @@
 		return 1 + spreadRange*(float64(h.Sum32())/math.MaxUint32-0.5)
 	}
 }
+
+// localityDraw returns a number in [0, 1) that is fixed for a request.
+func localityDraw(requestID string) float64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(requestID))
+	return float64(h.Sum64()>>11) / (1 << 53)
+}
