gateway: spread the moves off leaving engines, return refused callers later

Refused callers returned after 1 to 3 s, before engines that replace lost ones had loaded their layers, and were refused again. Change: the moves are spread over 0.8 s, and the mean Retry-After is a fifth of the time that the caller has left. The log of a request tells how long it waited before it was sent.

--- a/pkg/role/gateway/handler.go
+++ b/pkg/role/gateway/handler.go
@@ -32,8 +32,10 @@
 	promptParts quarantine.Parts
 	// attempts is compared with Route.MaxAttempts. It counts the sends without those that
 	// failed with the outcome NotRun and without refused streams.
-	attempts  int
-	sends     int // sends, including retries
+	attempts int
+	sends    int // sends, including retries
+	// waited is the time from the arrival to the first send.
+	waited    time.Duration
 	upstream  string
 	endReason string // why the request ended, empty on success
 	// lastEventAt and longestGap measure the gaps between the events of a stream.
@@ -209,6 +211,7 @@
 // retry and the retry budget is spent.
 func (g *Gateway) acquireSend(q *request) bool {
 	if q.sends == 0 {
+		q.waited = time.Since(q.arrived)
 		g.retryBudgets.request(q.service.Name)
 	} else if !g.retryBudgets.retry(q.service.Name) {
 		g.metrics.budgetSpent.Inc()
@@ -308,7 +311,7 @@
 	g.metrics.recordResponse(w.status, took)
 	fields := []logs.Field{
 		logs.Str("request", q.metadata.RequestID), logs.Int("status", w.status),
-		logs.Dur("took", took), logs.Int("attempts", q.attempts), logs.Str("upstream", q.upstream),
+		logs.Dur("took", took), logs.Int("attempts", q.attempts), logs.Str("upstream", q.upstream), logs.Dur("waited", q.waited),
 	}
 	if !w.firstByteAt.IsZero() {
 		fields = append(fields, logs.Dur("first", w.firstByteAt.Sub(q.arrived)))
--- a/pkg/role/gateway/plain.go
+++ b/pkg/role/gateway/plain.go
@@ -93,7 +93,8 @@
 	e := *fault.As(lastErr)
 	retryAfter := refusalRetryAfter
 	if q.route.Kind == routing.Stream {
-		retryAfter = streamRetryAfter/2 + rand.N(streamRetryAfter)
+		mean := max(streamRetryAfter, time.Duration(retryAfterShare*float64(q.timeLeft())))
+		retryAfter = mean/2 + rand.N(mean)
 	}
 	if q.service.Model == nil {
 		retryAfter = max(retryAfter, g.pauseWait(q, nil))
--- a/pkg/role/gateway/repair.go
+++ b/pkg/role/gateway/repair.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/plantainstair/plantainstair/pkg/core/path"
@@ -15,6 +16,10 @@
 	// leaveGrace is the time for which a leaving engine is certain to serve. Streams
 	// that end within it are not moved, because a move pauses them.
 	leaveGrace = time.Second
+	// moveSpread is the time over which the streams of a leaving engine move to others. If
+	// all moved at once, the engines that take them over would read all their tokens at once
+	// and pause every stream for longer than routes allow.
+	moveSpread = 800 * time.Millisecond
 	// stallTimeout is the time without an event after which a stream whose path broke
 	// is resumed at another first engine: callers disconnect after 2 s.
 	stallTimeout = time.Second
@@ -68,7 +73,7 @@
 			if !g.repath(ctx, v, s, stages, lost, false) && !g.resume(v, s, stages[0], lost, "path broken") {
 				g.repath(ctx, v, s, stages, lost, true)
 			}
-		case lost == "" && leaving != "" && repairDue && s.remaining() > leaveGrace:
+		case lost == "" && leaving != "" && repairDue && s.moveDue(leaving, time.Now()):
 			g.repath(ctx, v, s, stages, leaving, false)
 		}
 	}
@@ -129,6 +134,19 @@
 	return s.stages, time.Since(s.repathedAt) > minRepathInterval
 }
 
+// moveDue reports whether the stream is to move off a leaving engine now: at a random time
+// within moveSpread, and only if it would not end in the time for which the engine is
+// certain to serve.
+func (s *stream) moveDue(leaving string, now time.Time) bool {
+	s.mu.Lock()
+	if s.leavingEngine != leaving {
+		s.leavingEngine, s.leavingSince, s.moveAt = leaving, now, now.Add(rand.N(moveSpread))
+	}
+	due, served := !now.Before(s.moveAt), leaveGrace-now.Sub(s.leavingSince)
+	s.mu.Unlock()
+	return due && s.remaining() > served
+}
+
 // endAttempt cancels the current attempt with the given cause. It returns false if the
 // attempt was already ended or is the last one: a last attempt goes on, as its engine
 // may be unreachable only for the coordinator and no other engine may be tried.
--- a/pkg/role/gateway/stream.go
+++ b/pkg/role/gateway/stream.go
@@ -31,7 +31,11 @@
 	endBlocked  bool                    // this attempt was already ended, or is the last that the route allows
 	lastEventAt time.Time               // last event, or the start of the attempt
 	pathBroken  bool                    // the path broke during this attempt
-	eventWrites int                     // writes to the caller, each of one or more complete events
+	// leavingEngine is the engine of the path that was last seen to leave, since
+	// leavingSince. The stream moves off it at moveAt.
+	leavingEngine        string
+	leavingSince, moveAt time.Time
+	eventWrites          int // writes to the caller, each of one or more complete events
 	// replyBegan is set once the engine has sent the header of its reply to this attempt, and
 	// attemptWrites counts the writes of this attempt.
 	replyBegan    bool
@@ -53,6 +57,10 @@
 	// requests of the typical length have ended and freed capacity. It is randomised, so
 	// that refused callers do not return together.
 	streamRetryAfter = 2 * time.Second
+	// retryAfterShare is the share of the time that a caller has left which is the mean
+	// Retry-After if that is longer. A lack of capacity after the loss of engines lasts until
+	// others have loaded their layers, and a caller that returns earlier is refused again.
+	retryAfterShare = 0.2
 	// pathWaitShare is the share of the route's target for the first event for which a
 	// request waits for a path with free capacity before it is refused. The rest is
 	// enough for a first event.
