coordinator: plan early in a new leader whose view is current

Cause: a new leader changes no existing layout for two announcement intervals (2.4 s), so an engine lost at about the time of a change of leader leaves its layers missing for that time as well.

Change: core/takeover tracks which of the engines that the leader watched before it led have been polled by it. Once each of them has answered or failed a poll, and the watch covered the whole fleet and was not older than 1 s, the leader plans. A leader without such a view waits as before.

Measured: TestPlacement_ReadyOnceWatchedEnginesArePolled is ready with the last poll in place of 2.4 s; with a view of 1.5 s it waits as before.

--- a/pkg/coordinators/client.go
+++ b/pkg/coordinators/client.go
@@ -51,6 +51,8 @@
 	LeaderPeerAddress    string   // peer address of the coordinator that sent this view
 	Term                 uint64
 	ReceivedAt           time.Time
+	// Complete is set once a leader has sent all instances that it knew.
+	Complete bool
 }
 
 // Options configure a client.
@@ -255,6 +257,7 @@
 	next := &View{
 		Configuration: old.Configuration, Instances: old.Instances, Prompts: old.Prompts, GatewayCount: int(u.GetEntries()),
 		CoordinatorAddresses: u.GetControl(), LeaderPeerAddress: leader, Term: u.GetTerm(), ReceivedAt: time.Now(),
+		Complete: old.Complete || u.GetFull(),
 	}
 	if len(u.GetDocument()) > 0 && (old.Configuration == nil || u.GetVersion() > old.Configuration.Version) {
 		conf, err := c.decode(u.GetDocument())
--- a/pkg/role/coordinator/coordinator.go
+++ b/pkg/role/coordinator/coordinator.go
@@ -19,6 +19,7 @@
 	"github.com/plantainstair/plantainstair/pkg/core/route"
 	"github.com/plantainstair/plantainstair/pkg/core/routing"
 	"github.com/plantainstair/plantainstair/pkg/core/selfreport"
+	"github.com/plantainstair/plantainstair/pkg/core/takeover"
 	"github.com/plantainstair/plantainstair/pkg/fault"
 	"github.com/plantainstair/plantainstair/pkg/instances"
 	"github.com/plantainstair/plantainstair/pkg/link"
@@ -87,6 +88,7 @@
 	lastStep        time.Time            // last step as the leader
 	lastRaftMessage map[uint64]time.Time // time of the last Raft message by replica id
 	placement       *placement
+	survey          *takeover.Survey // polls of the engines that were watched before
 	polls           map[string]*pollState
 	prompts         *quarantine.Tracker
 	permits         *route.Permits
@@ -118,7 +120,7 @@
 	c.stateMachine = newStateMachine(c.configurationChanged, c.requestStep)
 	c.conns = instances.NewPool(o.Dialect, c.metrics.connections.Inc)
 	c.engines = instances.NewEngineClient(c.conns, o.Dialect, c.recordEngineReply)
-	c.placement = newPlacement(c)
+	c.placement, c.survey = newPlacement(c), new(takeover.Survey)
 	c.prompts, c.permits = quarantine.NewTracker(promptDelays, nil), route.NewPermits()
 	if err := c.openReplica(); err != nil {
 		cancel()
@@ -397,6 +399,7 @@
 	c.mergeInstances(now, known, c.opts.Self.GetHost())
 	c.registry.RecordLeft(now, c.leaderWatch.LeftInstances())
 	c.placement = newPlacement(c)
+	c.survey = takeover.NewSurvey(viewAge, view.Complete, c.polledEngines())
 	c.polls = make(map[string]*pollState)
 	c.prompts = quarantine.NewTracker(promptDelays, view.Prompts.Quarantines)
 	c.permits = route.NewPermits()
--- a/pkg/role/coordinator/placement.go
+++ b/pkg/role/coordinator/placement.go
@@ -130,13 +130,19 @@
 	p.layersInherited = p.layersInherited || in.GetLayers() != nil
 }
 
-// ready reports whether enough engines are known for a plan. If engines already held
-// layers, a new leader waits until all of them had time to announce themselves, because
+// ready reports whether enough engines are known for a plan. A new leader whose watch was
+// current plans once it has polled every engine that it watched. Otherwise, if engines
+// already held layers, it waits until all of them had time to announce themselves, because
 // the layers of an engine that it does not know yet would be taken for missing.
 func (p *placement) ready(now time.Time) bool {
 	if p.planningAllowed {
 		return true
 	}
+	if p.c.survey.Complete() {
+		p.planningAllowed = true
+		p.c.log.Info("Watched engines are polled.", logs.Int("engines", len(p.knownEngines)), logs.Dur("after", now.Sub(p.c.leaderSince)))
+		return true
+	}
 	quiet := now.Sub(p.lastEngineAt) >= firstPlanQuietTime
 	if p.layersInherited {
 		p.planningAllowed = quiet && now.Sub(p.c.leaderSince) >= takeOverAnnouncements*p.c.opts.AnnouncementInterval
--- a/pkg/role/coordinator/placement_test.go
+++ b/pkg/role/coordinator/placement_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/plantainstair/plantainstair/pkg/core/layout"
 	"github.com/plantainstair/plantainstair/pkg/core/routing"
+	"github.com/plantainstair/plantainstair/pkg/core/takeover"
 	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
 )
 
@@ -59,3 +60,20 @@
 	_, orderable = (&placement{pendingOrders: map[string]pendingOrder{}}).heldLayers(now, loading, placementModel)
 	assert.Assert(t, !orderable)
 }
+
+// Guards against a new leader that leaves a lost layer missing for two announcement intervals
+// although it has polled every engine.
+func TestPlacement_ReadyOnceWatchedEnginesArePolled(t *testing.T) {
+	now := time.Now()
+	e := takeover.Engine{ID: "e", StartUnixMs: 1}
+	for viewAge, want := range map[time.Duration]bool{500 * time.Millisecond: true, 1500 * time.Millisecond: false} {
+		c := &Coordinator{leaderSince: now, survey: takeover.NewSurvey(viewAge, true, []takeover.Engine{e}), stepRequested: make(chan struct{}, 1)}
+		c.opts.AnnouncementInterval = 1200 * time.Millisecond
+		p := newPlacement(c)
+		p.noteEngine(now, &wirepb.Instance{Id: "e", BornUnixMs: 1, Layers: &wirepb.LayerRange{From: 0, To: 8}})
+		assert.Assert(t, !p.ready(now.Add(10*time.Millisecond)))
+		c.recordSurveyed(&wirepb.Instance{Id: "e", BornUnixMs: 1})
+		assert.Equal(t, p.ready(now.Add(20*time.Millisecond)), want, "view of %s", viewAge)
+		assert.Assert(t, p.ready(now.Add(takeOverAnnouncements*c.opts.AnnouncementInterval)))
+	}
+}
--- a/pkg/role/coordinator/poll.go
+++ b/pkg/role/coordinator/poll.go
@@ -7,7 +7,9 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/plantainstair/plantainstair/pkg/core/routing"
 	"github.com/plantainstair/plantainstair/pkg/core/selfreport"
+	"github.com/plantainstair/plantainstair/pkg/core/takeover"
 	"github.com/plantainstair/plantainstair/pkg/fault"
 	"github.com/plantainstair/plantainstair/pkg/instances"
 	"github.com/plantainstair/plantainstair/pkg/logs"
@@ -50,8 +52,7 @@
 	}
 	interval := max(pollInterval, time.Duration(len(c.polls))*time.Second/maxPollsPerSecond)
 	for _, in := range c.registry.All() {
-		service := conf.Services[in.GetService()]
-		if service == nil || service.Model == nil || in.GetLeft() {
+		if !isPolled(conf, in) {
 			continue
 		}
 		p := c.polls[in.GetId()]
@@ -76,6 +77,31 @@
 			delete(c.polls, id)
 		}
 	}
+	c.survey.Retain(func(e takeover.Engine) bool {
+		in := c.registry.Get(e.ID)
+		return in != nil && !in.GetLeft() && in.GetBornUnixMs() == e.StartUnixMs
+	})
+}
+
+// isPolled reports whether an instance is an engine, and not gone.
+func isPolled(conf *routing.Configuration, in *wirepb.Instance) bool {
+	service := conf.Services[in.GetService()]
+	return service != nil && service.Model != nil && !in.GetLeft()
+}
+
+// polledEngines returns the engines in the registry.
+func (c *Coordinator) polledEngines() []takeover.Engine {
+	conf := c.config.Load()
+	if conf == nil {
+		return nil
+	}
+	var out []takeover.Engine
+	for _, in := range c.registry.All() {
+		if isPolled(conf, in) {
+			out = append(out, takeover.Engine{ID: in.GetId(), StartUnixMs: in.GetBornUnixMs()})
+		}
+	}
+	return out
 }
 
 func (c *Coordinator) pollEngine(in *wirepb.Instance) {
@@ -91,6 +117,7 @@
 		return
 	}
 	p.running = false
+	c.recordSurveyed(in)
 	known := c.registry.Get(in.GetId())
 	if known == nil || known.GetBornUnixMs() != in.GetBornUnixMs() {
 		return
@@ -130,6 +157,16 @@
 	}
 }
 
+// recordSurveyed records a finished poll for the survey of a new leader, and has the layout
+// planned when it was the last one.
+func (c *Coordinator) recordSurveyed(in *wirepb.Instance) {
+	before := c.survey.Complete()
+	c.survey.RecordPoll(takeover.Engine{ID: in.GetId(), StartUnixMs: in.GetBornUnixMs()})
+	if !before && c.survey.Complete() {
+		c.requestStep()
+	}
+}
+
 // markSuspect stops new work for an engine that does not answer.
 func (c *Coordinator) markSuspect(in *wirepb.Instance, misses int, cause error) {
 	if in.GetSuspect() {
