gateway, coordinator: report engines that may be lost, and poll them at once

Cause: gateways see the loss of an engine before the leader, whose polls come every 300 ms and need two misses of 250 ms for an engine that does not respond, but they do not tell it.

Change: LossReport (frame fields 102 and 103, as 98 and 99 are in use) names engines that another engine refused to reach, whose connection broke, or that lie on the path of a silent stream. core/suspicion finds silent streams at a gateway and decides at the leader which reported engines get short polls. A refused connection or two successive polls without an answer make an engine suspect; a report alone never does. The time-out of a short poll is 60 ms, or three times the usual poll time of a distant engine, and a poll counts for nothing if the leader itself did not run. The feed sends a suspicion after 4 ms in place of 40 ms.

A stream whose engine is lost is reported within max(100 ms, 4 gaps) and two checks of 50 ms.

--- a/pkg/coordinators/limits.go
+++ b/pkg/coordinators/limits.go
@@ -23,6 +23,12 @@
 	return reply.GetGranted(), time.Duration(reply.GetWaitMs()) * time.Millisecond, nil
 }
 
+// ReportLoss tells the leader which engines may be lost. The leader polls them.
+func (c *Client) ReportLoss(ctx context.Context, r *wirepb.LossReport) error {
+	_, err := c.exchange(ctx, &wirepb.Frame{Body: &wirepb.Frame_LossReport{LossReport: r}})
+	return err
+}
+
 // ReportRequestLimit tells the leader of the limit that an instance named in a reply, in
 // requests per second, or zero if it named none.
 func (c *Client) ReportRequestLimit(ctx context.Context, in *wirepb.Instance, perSecond float64) error {
--- a/pkg/role/coordinator/coordinator.go
+++ b/pkg/role/coordinator/coordinator.go
@@ -19,6 +19,7 @@
 	"github.com/plantainstair/plantainstair/pkg/core/route"
 	"github.com/plantainstair/plantainstair/pkg/core/routing"
 	"github.com/plantainstair/plantainstair/pkg/core/selfreport"
+	"github.com/plantainstair/plantainstair/pkg/core/suspicion"
 	"github.com/plantainstair/plantainstair/pkg/core/takeover"
 	"github.com/plantainstair/plantainstair/pkg/fault"
 	"github.com/plantainstair/plantainstair/pkg/instances"
@@ -90,6 +91,7 @@
 	placement       *placement
 	survey          *takeover.Survey // polls of the engines that were watched before
 	polls           map[string]*pollState
+	checks          *suspicion.Checks // of engines that gateways reported
 	prompts         *quarantine.Tracker
 	permits         *route.Permits
 	selfReports     selfreport.Book // pauses that engines asked for
@@ -107,7 +109,7 @@
 		pool: link.NewPool(o.Link), metrics: newMetrics(),
 		registry: registry.New(), ownerCalls: make(chan func(), maxOwnerCalls), stepRequested: make(chan struct{}, 1), configChanges: make(chan struct{}, 1),
 		transferSlots:   make(chan struct{}, maxConcurrentTransfers),
-		lastRaftMessage: make(map[uint64]time.Time), polls: make(map[string]*pollState),
+		lastRaftMessage: make(map[uint64]time.Time), polls: make(map[string]*pollState), checks: suspicion.NewChecks(),
 	}
 	c.watchers.init()
 	c.relay = newAnnouncementRelay(o.AnnouncementInterval)
@@ -400,7 +402,7 @@
 	c.registry.RecordLeft(now, c.leaderWatch.LeftInstances())
 	c.placement = newPlacement(c)
 	c.survey = takeover.NewSurvey(viewAge, view.Complete, c.polledEngines())
-	c.polls = make(map[string]*pollState)
+	c.polls, c.checks = make(map[string]*pollState), suspicion.NewChecks()
 	c.prompts = quarantine.NewTracker(promptDelays, view.Prompts.Quarantines)
 	c.permits = route.NewPermits()
 	c.loggedQuarantines, c.loggedPromptRevision = c.prompts.Quarantines(), c.prompts.Revision()
--- a/pkg/role/coordinator/feed.go
+++ b/pkg/role/coordinator/feed.go
@@ -29,13 +29,14 @@
 type watchers struct {
 	mu           sync.Mutex
 	changed      chan struct{}
+	urgent       chan struct{}
 	gateways     int
 	coordinators int
 }
 
-func (w *watchers) init() { w.changed = make(chan struct{}) }
+func (w *watchers) init() { w.changed, w.urgent = make(chan struct{}), make(chan struct{}) }
 
-// signalChange wakes all goroutines that wait for the channel of nextChange.
+// signalChange wakes all goroutines that wait for the first channel of nextChange.
 func (w *watchers) signalChange() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -43,11 +44,22 @@
 	w.changed = make(chan struct{})
 }
 
-// nextChange returns a channel that the next change closes.
-func (w *watchers) nextChange() <-chan struct{} {
+// signalUrgent is signalChange for a change that is sent without minUpdateSpacing: streams
+// pause until gateways know that an engine of their path is lost.
+func (w *watchers) signalUrgent() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.changed
+	close(w.changed)
+	close(w.urgent)
+	w.changed, w.urgent = make(chan struct{}), make(chan struct{})
+}
+
+// nextChange returns a channel that the next change closes, and one that the next urgent
+// change closes as well.
+func (w *watchers) nextChange() (changed, urgent <-chan struct{}) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.changed, w.urgent
 }
 
 // add adds n to the number of open watches of coordinators or of gateways. n is
@@ -89,6 +101,11 @@
 // several changes share one update.
 const minUpdateSpacing = 40 * time.Millisecond
 
+// urgentUpdateSpacing replaces minUpdateSpacing for an urgent change. The polls of the engines
+// of one lost host end within a few milliseconds, and each update is collected by the owner
+// once for each watcher.
+const urgentUpdateSpacing = 4 * time.Millisecond
+
 const (
 	// maxLoadBytesPerSecond bounds the rate at which the loads of engines, which are their
 	// utilisation as last reported, are sent to all watchers together. Small hosts have links
@@ -159,7 +176,7 @@
 		}
 	}()
 	for {
-		changed := c.watchers.nextChange()
+		changed, urgent := c.watchers.nextChange()
 		update, err := c.nextUpdate(w, &state)
 		if err != nil {
 			return err
@@ -175,7 +192,7 @@
 		if state.pending != nil || state.needsTransfer && c.beginTransfer(&state) {
 			continue
 		}
-		if !c.waitForChange(changed) {
+		if !c.waitForChange(changed, urgent) {
 			return fault.New(fault.Draining, "coordinator is shutting down")
 		}
 	}
@@ -223,7 +240,7 @@
 
 // waitForChange waits until the next update is due. It returns false when the coordinator
 // shuts down.
-func (c *Coordinator) waitForChange(changed <-chan struct{}) bool {
+func (c *Coordinator) waitForChange(changed, urgent <-chan struct{}) bool {
 	timer := time.NewTimer(updateInterval)
 	defer timer.Stop()
 	select {
@@ -235,6 +252,14 @@
 	}
 	timer.Reset(minUpdateSpacing)
 	select {
+	case <-c.ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	case <-urgent:
+	}
+	timer.Reset(urgentUpdateSpacing)
+	select {
 	case <-c.ctx.Done():
 		return false
 	case <-timer.C:
--- a/pkg/role/coordinator/metrics.go
+++ b/pkg/role/coordinator/metrics.go
@@ -14,6 +14,9 @@
 	connections                *metrics.Counter
 	droppedMessages            *metrics.Counter
 	polls                      *metrics.Counter
+	lossReports                *metrics.Counter
+	shortPolls                 *metrics.Counter
+	reportedSuspects           *metrics.Counter
 	pollTime                   *metrics.Histogram
 	sentOrders                 *metrics.Counter
 	acknowledgedConfigurations *metrics.Counter
@@ -33,6 +36,9 @@
 		connections:                s.NewCounter("plantain_coordinator_engine_connections_total"),
 		droppedMessages:            s.NewCounter("plantain_coordinator_messages_dropped_total"),
 		polls:                      s.NewCounter("plantain_coordinator_polls_total"),
+		lossReports:                s.NewCounter("plantain_coordinator_loss_reports_total"),
+		shortPolls:                 s.NewCounter("plantain_coordinator_short_polls_total"),
+		reportedSuspects:           s.NewCounter("plantain_coordinator_reported_suspects_total"),
 		pollTime:                   s.NewHistogram("plantain_coordinator_poll_seconds"),
 		sentOrders:                 s.NewCounter("plantain_coordinator_orders_total"),
 		acknowledgedConfigurations: s.NewCounter("plantain_coordinator_configurations_acknowledged_total"),
--- a/pkg/role/coordinator/poll.go
+++ b/pkg/role/coordinator/poll.go
@@ -39,7 +39,8 @@
 	running         bool
 	next            time.Time
 	misses          int
-	lastStallReport time.Time // when another engine last reported that it waits for this one
+	lastStallReport time.Time     // when another engine last reported that it waits for this one
+	usualTime       time.Duration // mean duration of the answered polls, zero before the first one
 }
 
 // poll starts the polls that are due. handlePollResult marks an engine suspect, so that it
@@ -71,6 +72,7 @@
 		c.metrics.polls.Inc()
 		go c.pollEngine(in)
 	}
+	c.startShortPolls(now)
 	c.selfReports.Forget(now, func(p selfreport.Process) bool { return selfreport.ProcessOf(c.registry.Get(p.ID)) == p })
 	for id := range c.polls {
 		if c.registry.Get(id) == nil {
@@ -107,8 +109,14 @@
 func (c *Coordinator) pollEngine(in *wirepb.Instance) {
 	started := time.Now()
 	state, err := c.engines.Report(c.ctx, in.GetAddress(), pollTimeout)
-	c.metrics.pollTime.Update(time.Since(started).Seconds())
-	c.postToOwner(func() { c.handlePollResult(in, state, err) })
+	took := time.Since(started)
+	c.metrics.pollTime.Update(took.Seconds())
+	c.postToOwner(func() {
+		if err == nil {
+			c.recordPollTime(in, started, took)
+		}
+		c.handlePollResult(in, state, err)
+	})
 }
 
 func (c *Coordinator) handlePollResult(in *wirepb.Instance, state instances.EngineState, err error) {
@@ -136,22 +144,27 @@
 		}
 		return
 	}
+	c.recordState(known, p, state)
+}
+
+// recordState records the answer of an engine to a poll.
+func (c *Coordinator) recordState(known *wirepb.Instance, p *pollState, state instances.EngineState) {
 	c.recordStalled(state.Stalled)
 	p.misses = 0
 	if known.GetSuspect() {
-		c.log.Info("Engine answers again.", logs.Str("instance", in.GetId()), logs.Str("address", in.GetAddress()))
+		c.log.Info("Engine answers again.", logs.Str("instance", known.GetId()), logs.Str("address", known.GetAddress()))
 	}
 	if was, is := isSlow(known.GetLoad()), isSlow(state.Load); was != is {
-		c.log.Info("Engine speed changed.", logs.Str("instance", in.GetId()), logs.Int("slow", boolToInt(is)),
+		c.log.Info("Engine speed changed.", logs.Str("instance", known.GetId()), logs.Int("slow", boolToInt(is)),
 			logs.Str("slowdown", strconv.FormatFloat(state.Load.GetSlowdown(), 'f', 2, 64)))
 	}
 	c.logRequestLimit(known, state.RequestLimit)
 	if state.Leaving && !known.GetLeaving() {
-		c.log.Info("Engine says that it leaves.", logs.Str("instance", in.GetId()), logs.Str("address", in.GetAddress()))
+		c.log.Info("Engine says that it leaves.", logs.Str("instance", known.GetId()), logs.Str("address", known.GetAddress()))
 		c.requestStep()
 	}
 	before, loads := c.registry.Revision(), c.registry.LoadRevision()
-	c.registry.ApplyPoll(time.Now(), in.GetId(), state.PollResult)
+	c.registry.ApplyPoll(time.Now(), known.GetId(), state.PollResult)
 	if c.registry.Revision() != before || c.registry.LoadRevision() != loads && c.loadInterval() == 0 {
 		c.watchers.signalChange()
 	}
@@ -174,7 +187,7 @@
 	}
 	c.log.Warn("Engine does not answer.", logs.Str("instance", in.GetId()), logs.Str("address", in.GetAddress()), logs.Int("misses", misses), logs.Err(cause))
 	c.registry.MarkSuspect(in.GetId())
-	c.watchers.signalChange()
+	c.watchers.signalUrgent()
 	c.requestStep()
 }
 
--- a/pkg/role/coordinator/serve.go
+++ b/pkg/role/coordinator/serve.go
@@ -44,6 +44,8 @@
 		c.replyFromOwner(s, func() *wirepb.Frame { return c.answerPermit(time.Now(), body.PermitRequest) })
 	case *wirepb.Frame_RequestLimitReport:
 		c.replyFromOwner(s, func() *wirepb.Frame { return c.recordRequestLimit(body.RequestLimitReport) })
+	case *wirepb.Frame_LossReport:
+		c.replyFromOwner(s, func() *wirepb.Frame { return c.recordLossReport(time.Now(), body.LossReport) })
 	default:
 		_ = s.WriteError(fault.New(fault.Protocol, "unexpected first message from %s", peer.Host))
 	}
--- a/pkg/role/gateway/attempt.go
+++ b/pkg/role/gateway/attempt.go
@@ -49,6 +49,7 @@
 	if err != nil {
 		g.recordAttemptError(ctx, q, firstStage.ID, err)
 		g.recordBrokenReply(ctx, s, firstStage, err)
+		g.recordLostConnection(ctx, firstStage, err)
 		return causeOf(ctx, err)
 	}
 	defer reply.Close()
@@ -59,6 +60,7 @@
 	}
 	err = g.copyEvents(ctx, w, s, reply, firstStage.ID)
 	g.recordBrokenReply(ctx, s, firstStage, err)
+	g.recordLostConnection(ctx, firstStage, err)
 	if err == nil {
 		g.recordAnswered(s, true)
 		s.recordPace(&g.pace)
@@ -89,6 +91,7 @@
 		return err
 	}
 	if reply.Metadata.NotRun {
+		g.recordRefusalBy(s.currentStages(), reply.Metadata.RefusingEngine, reply.Metadata.RetryAfter)
 		s.q.attempts--
 		refusing := firstStage.ID
 		for _, p := range s.currentStages() {
--- a/pkg/role/gateway/gateway.go
+++ b/pkg/role/gateway/gateway.go
@@ -65,6 +65,7 @@
 	callTimes     stopping.CallTimes
 	stopsAt       atomic.Pointer[time.Time] // end of the grace period, nil before a stop
 	prompts       *promptEvidence
+	losses        *lossReports
 	repairSignal  chan struct{}
 	startedAt     time.Time
 	gatewayCount  route.ProcessCount // accessed by viewChanged only
@@ -86,7 +87,7 @@
 	g.streams.init()
 	g.requestLimits.init()
 	g.retryBudgets.init(o.RetryBudget)
-	g.prompts = newPromptEvidence()
+	g.prompts, g.losses = newPromptEvidence(), newLossReports()
 	g.view.Store(&view{})
 	g.replyMemory = replybody.NewMemory(o.ReplyMemoryBytes)
 	g.pool = instances.NewPool(o.Dialect, g.metrics.connections.Inc)
@@ -95,7 +96,8 @@
 		Seeds: o.Coordinators, Host: o.Host, DataCentre: o.DataCentre, Link: o.Link,
 		Decode: o.Decode, Log: o.Log, OnChange: g.viewChanged,
 	})
-	for _, loop := range []func(){func() { g.client.Run(ctx) }, func() { g.repairLoop(ctx) }, func() { g.reportPrompts(ctx) }} {
+	for _, loop := range []func(){func() { g.client.Run(ctx) }, func() { g.repairLoop(ctx) }, func() { g.reportPrompts(ctx) },
+		func() { g.checkSilence(ctx) }, func() { g.reportLosses(ctx) }} {
 		g.wg.Add(1)
 		go func() {
 			defer g.wg.Done()
--- a/pkg/role/gateway/metrics.go
+++ b/pkg/role/gateway/metrics.go
@@ -9,35 +9,39 @@
 
 // metricSet holds the metrics of one gateway.
 type metricSet struct {
-	set            *metrics.Set
-	connections    *metrics.Counter
-	repaths        *metrics.Counter
-	brokenStreams  *metrics.Counter
-	budgetSpent    *metrics.Counter
-	quarantined    *metrics.Counter
-	leavingReports *metrics.Counter
-	pauseReports   *metrics.Counter
-	refusedByStop  *metrics.Counter
-	inProgress     *metrics.Counter
-	firstByte      *metrics.Histogram
-	requestTime    *metrics.Histogram
+	set                *metrics.Set
+	connections        *metrics.Counter
+	repaths            *metrics.Counter
+	brokenStreams      *metrics.Counter
+	budgetSpent        *metrics.Counter
+	quarantined        *metrics.Counter
+	leavingReports     *metrics.Counter
+	pauseReports       *metrics.Counter
+	refusedByStop      *metrics.Counter
+	lossReports        *metrics.Counter
+	lossReportsDropped *metrics.Counter
+	inProgress         *metrics.Counter
+	firstByte          *metrics.Histogram
+	requestTime        *metrics.Histogram
 }
 
 func newMetrics() *metricSet {
 	s := metrics.NewSet()
 	return &metricSet{
-		set:            s,
-		connections:    s.NewCounter("plantain_gateway_upstream_connections_total"),
-		repaths:        s.NewCounter("plantain_gateway_repaths_total"),
-		brokenStreams:  s.NewCounter("plantain_gateway_broken_streams_total"),
-		budgetSpent:    s.NewCounter("plantain_gateway_retry_budget_spent_total"),
-		quarantined:    s.NewCounter("plantain_gateway_quarantined_requests_total"),
-		leavingReports: s.NewCounter(`plantain_gateway_self_reports_total{state="leaving"}`),
-		pauseReports:   s.NewCounter(`plantain_gateway_self_reports_total{state="paused"}`),
-		refusedByStop:  s.NewCounter("plantain_gateway_refused_by_stop_total"),
-		inProgress:     s.NewCounter("plantain_gateway_requests_in_progress"),
-		firstByte:      s.NewHistogram("plantain_gateway_first_byte_seconds"),
-		requestTime:    s.NewHistogram("plantain_gateway_request_seconds"),
+		set:                s,
+		connections:        s.NewCounter("plantain_gateway_upstream_connections_total"),
+		repaths:            s.NewCounter("plantain_gateway_repaths_total"),
+		brokenStreams:      s.NewCounter("plantain_gateway_broken_streams_total"),
+		budgetSpent:        s.NewCounter("plantain_gateway_retry_budget_spent_total"),
+		quarantined:        s.NewCounter("plantain_gateway_quarantined_requests_total"),
+		leavingReports:     s.NewCounter(`plantain_gateway_self_reports_total{state="leaving"}`),
+		pauseReports:       s.NewCounter(`plantain_gateway_self_reports_total{state="paused"}`),
+		refusedByStop:      s.NewCounter("plantain_gateway_refused_by_stop_total"),
+		lossReports:        s.NewCounter("plantain_gateway_loss_reports_total"),
+		lossReportsDropped: s.NewCounter("plantain_gateway_loss_reports_dropped_total"),
+		inProgress:         s.NewCounter("plantain_gateway_requests_in_progress"),
+		firstByte:          s.NewHistogram("plantain_gateway_first_byte_seconds"),
+		requestTime:        s.NewHistogram("plantain_gateway_request_seconds"),
 	}
 }
 
--- a/pkg/role/gateway/repair.go
+++ b/pkg/role/gateway/repair.go
@@ -172,6 +172,7 @@
 		}
 		g.log.Warn("Stream not moved.", logs.Str("request", q.metadata.RequestID), logs.Str("off", avoid), logs.Err(err))
 		// Field holds the address of the engine that caused the refusal, if it is known.
+		g.recordRefusalBy(choice.Stages, fault.As(err).Field, 0)
 		for _, p := range choice.Stages {
 			if p.Address == fault.As(err).Field {
 				g.load.onFailure(p.ID)
--- a/pkg/role/gateway/stream.go
+++ b/pkg/role/gateway/stream.go
@@ -8,6 +8,7 @@
 
 	"github.com/plantainstair/plantainstair/pkg/core/events"
 	"github.com/plantainstair/plantainstair/pkg/core/path"
+	"github.com/plantainstair/plantainstair/pkg/core/suspicion"
 	"github.com/plantainstair/plantainstair/pkg/delay"
 	"github.com/plantainstair/plantainstair/pkg/fault"
 	"github.com/plantainstair/plantainstair/pkg/logs"
@@ -36,7 +37,8 @@
 	// attemptWrites counts the writes of this attempt.
 	replyBegan    bool
 	attemptWrites int
-	answered      bool // the answer was recorded as evidence that the prompt is sound
+	gap           suspicion.Gap // accessed by checkSilence only
+	answered      bool          // the answer was recorded as evidence that the prompt is sound
 	// firstEventAt is the time of the first of these writes.
 	firstEventAt time.Time
 }
