--- a/pkg/role/coordinator/coordinator.go
+++ b/pkg/role/coordinator/coordinator.go
@@ -19,6 +19,8 @@
 	"github.com/plantainstair/plantainstair/pkg/core/route"
 	"github.com/plantainstair/plantainstair/pkg/core/routing"
 	"github.com/plantainstair/plantainstair/pkg/core/selfreport"
+	"github.com/plantainstair/plantainstair/pkg/core/suspicion"
+	"github.com/plantainstair/plantainstair/pkg/core/takeover"
 	"github.com/plantainstair/plantainstair/pkg/fault"
 	"github.com/plantainstair/plantainstair/pkg/instances"
 	"github.com/plantainstair/plantainstair/pkg/link"
@@ -87,7 +89,9 @@
 	lastStep        time.Time            // last step as the leader
 	lastRaftMessage map[uint64]time.Time // time of the last Raft message by replica id
 	placement       *placement
+	survey          *takeover.Survey // polls of the engines that were watched before
 	polls           map[string]*pollState
+	checks          *suspicion.Checks // of engines that gateways reported
 	prompts         *quarantine.Tracker
 	permits         *route.Permits
 	selfReports     selfreport.Book // pauses that engines asked for
@@ -105,7 +109,7 @@
 		pool: link.NewPool(o.Link), metrics: newMetrics(),
 		registry: registry.New(), ownerCalls: make(chan func(), maxOwnerCalls), stepRequested: make(chan struct{}, 1), configChanges: make(chan struct{}, 1),
 		transferSlots:   make(chan struct{}, maxConcurrentTransfers),
-		lastRaftMessage: make(map[uint64]time.Time), polls: make(map[string]*pollState),
+		lastRaftMessage: make(map[uint64]time.Time), polls: make(map[string]*pollState), checks: suspicion.NewChecks(),
 	}
 	c.watchers.init()
 	c.relay = newAnnouncementRelay(o.AnnouncementInterval)
@@ -118,7 +122,7 @@
 	c.stateMachine = newStateMachine(c.configurationChanged, c.requestStep)
 	c.conns = instances.NewPool(o.Dialect, c.metrics.connections.Inc)
 	c.engines = instances.NewEngineClient(c.conns, o.Dialect, c.recordEngineReply)
-	c.placement = newPlacement(c)
+	c.placement, c.survey = newPlacement(c), new(takeover.Survey)
 	c.prompts, c.permits = quarantine.NewTracker(promptDelays, nil), route.NewPermits()
 	if err := c.openReplica(); err != nil {
 		cancel()
@@ -397,7 +401,8 @@
 	c.mergeInstances(now, known, c.opts.Self.GetHost())
 	c.registry.RecordLeft(now, c.leaderWatch.LeftInstances())
 	c.placement = newPlacement(c)
-	c.polls = make(map[string]*pollState)
+	c.survey = takeover.NewSurvey(viewAge, view.Complete, c.polledEngines())
+	c.polls, c.checks = make(map[string]*pollState), suspicion.NewChecks()
 	c.prompts = quarantine.NewTracker(promptDelays, view.Prompts.Quarantines)
 	c.permits = route.NewPermits()
 	c.loggedQuarantines, c.loggedPromptRevision = c.prompts.Quarantines(), c.prompts.Revision()
--- a/pkg/role/coordinator/poll.go
+++ b/pkg/role/coordinator/poll.go
@@ -7,7 +7,9 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/plantainstair/plantainstair/pkg/core/routing"
 	"github.com/plantainstair/plantainstair/pkg/core/selfreport"
+	"github.com/plantainstair/plantainstair/pkg/core/takeover"
 	"github.com/plantainstair/plantainstair/pkg/fault"
 	"github.com/plantainstair/plantainstair/pkg/instances"
 	"github.com/plantainstair/plantainstair/pkg/logs"
@@ -37,7 +39,8 @@
 	running         bool
 	next            time.Time
 	misses          int
-	lastStallReport time.Time // when another engine last reported that it waits for this one
+	lastStallReport time.Time     // when another engine last reported that it waits for this one
+	usualTime       time.Duration // mean duration of the answered polls, zero before the first one
 }
 
 // poll starts the polls that are due. handlePollResult marks an engine suspect, so that it
@@ -50,8 +53,7 @@
 	}
 	interval := max(pollInterval, time.Duration(len(c.polls))*time.Second/maxPollsPerSecond)
 	for _, in := range c.registry.All() {
-		service := conf.Services[in.GetService()]
-		if service == nil || service.Model == nil || in.GetLeft() {
+		if !isPolled(conf, in) {
 			continue
 		}
 		p := c.polls[in.GetId()]
@@ -70,19 +72,51 @@
 		c.metrics.polls.Inc()
 		go c.pollEngine(in)
 	}
+	c.startShortPolls(now)
 	c.selfReports.Forget(now, func(p selfreport.Process) bool { return selfreport.ProcessOf(c.registry.Get(p.ID)) == p })
 	for id := range c.polls {
 		if c.registry.Get(id) == nil {
 			delete(c.polls, id)
 		}
 	}
+	c.survey.Retain(func(e takeover.Engine) bool {
+		in := c.registry.Get(e.ID)
+		return in != nil && !in.GetLeft() && in.GetBornUnixMs() == e.StartUnixMs
+	})
+}
+
+// isPolled reports whether an instance is an engine, and not gone.
+func isPolled(conf *routing.Configuration, in *wirepb.Instance) bool {
+	service := conf.Services[in.GetService()]
+	return service != nil && service.Model != nil && !in.GetLeft()
+}
+
+// polledEngines returns the engines in the registry.
+func (c *Coordinator) polledEngines() []takeover.Engine {
+	conf := c.config.Load()
+	if conf == nil {
+		return nil
+	}
+	var out []takeover.Engine
+	for _, in := range c.registry.All() {
+		if isPolled(conf, in) {
+			out = append(out, takeover.Engine{ID: in.GetId(), StartUnixMs: in.GetBornUnixMs()})
+		}
+	}
+	return out
 }
 
 func (c *Coordinator) pollEngine(in *wirepb.Instance) {
 	started := time.Now()
 	state, err := c.engines.Report(c.ctx, in.GetAddress(), pollTimeout)
-	c.metrics.pollTime.Update(time.Since(started).Seconds())
-	c.postToOwner(func() { c.handlePollResult(in, state, err) })
+	took := time.Since(started)
+	c.metrics.pollTime.Update(took.Seconds())
+	c.postToOwner(func() {
+		if err == nil {
+			c.recordPollTime(in, started, took)
+		}
+		c.handlePollResult(in, state, err)
+	})
 }
 
 func (c *Coordinator) handlePollResult(in *wirepb.Instance, state instances.EngineState, err error) {
@@ -91,6 +125,7 @@
 		return
 	}
 	p.running = false
+	c.recordSurveyed(in)
 	known := c.registry.Get(in.GetId())
 	if known == nil || known.GetBornUnixMs() != in.GetBornUnixMs() {
 		return
@@ -109,27 +144,42 @@
 		}
 		return
 	}
+	c.recordState(known, p, state)
+}
+
+// recordState records the answer of an engine to a poll.
+func (c *Coordinator) recordState(known *wirepb.Instance, p *pollState, state instances.EngineState) {
 	c.recordStalled(state.Stalled)
 	p.misses = 0
 	if known.GetSuspect() {
-		c.log.Info("Engine answers again.", logs.Str("instance", in.GetId()), logs.Str("address", in.GetAddress()))
+		c.log.Info("Engine answers again.", logs.Str("instance", known.GetId()), logs.Str("address", known.GetAddress()))
 	}
 	if was, is := isSlow(known.GetLoad()), isSlow(state.Load); was != is {
-		c.log.Info("Engine speed changed.", logs.Str("instance", in.GetId()), logs.Int("slow", boolToInt(is)),
+		c.log.Info("Engine speed changed.", logs.Str("instance", known.GetId()), logs.Int("slow", boolToInt(is)),
 			logs.Str("slowdown", strconv.FormatFloat(state.Load.GetSlowdown(), 'f', 2, 64)))
 	}
 	c.logRequestLimit(known, state.RequestLimit)
 	if state.Leaving && !known.GetLeaving() {
-		c.log.Info("Engine says that it leaves.", logs.Str("instance", in.GetId()), logs.Str("address", in.GetAddress()))
+		c.log.Info("Engine says that it leaves.", logs.Str("instance", known.GetId()), logs.Str("address", known.GetAddress()))
 		c.requestStep()
 	}
 	before, loads := c.registry.Revision(), c.registry.LoadRevision()
-	c.registry.ApplyPoll(time.Now(), in.GetId(), state.PollResult)
+	c.registry.ApplyPoll(time.Now(), known.GetId(), state.PollResult)
 	if c.registry.Revision() != before || c.registry.LoadRevision() != loads && c.loadInterval() == 0 {
 		c.watchers.signalChange()
 	}
 }
 
+// recordSurveyed records a finished poll for the survey of a new leader, and has the layout
+// planned when it was the last one.
+func (c *Coordinator) recordSurveyed(in *wirepb.Instance) {
+	before := c.survey.Complete()
+	c.survey.RecordPoll(takeover.Engine{ID: in.GetId(), StartUnixMs: in.GetBornUnixMs()})
+	if !before && c.survey.Complete() {
+		c.requestStep()
+	}
+}
+
 // markSuspect stops new work for an engine that does not answer.
 func (c *Coordinator) markSuspect(in *wirepb.Instance, misses int, cause error) {
 	if in.GetSuspect() {
@@ -137,7 +187,7 @@
 	}
 	c.log.Warn("Engine does not answer.", logs.Str("instance", in.GetId()), logs.Str("address", in.GetAddress()), logs.Int("misses", misses), logs.Err(cause))
 	c.registry.MarkSuspect(in.GetId())
-	c.watchers.signalChange()
+	c.watchers.signalUrgent()
 	c.requestStep()
 }
 
