pkg/core/precedence: less urgent ranks give way while urgent ones wait

Change: no rank waits longer than the most urgent route to its service allows, and for 1.5 s after a more urgent request had to wait, less urgent ones wait a fifth of that and take only paths with a lower estimated time.

--- a/pkg/core/routing/configuration.go
+++ b/pkg/core/routing/configuration.go
@@ -30,6 +30,7 @@
 
 	routesByHost       map[string][]*Route
 	organisationsByKey map[string]*Organisation
+	urgentTargets      map[string]time.Duration // by service
 }
 
 // Route sends the requests of a host and path prefix to a service.
@@ -90,6 +91,7 @@
 func (c *Configuration) Prepare() error {
 	c.routesByHost = make(map[string][]*Route)
 	c.organisationsByKey = make(map[string]*Organisation)
+	c.urgentTargets = make(map[string]time.Duration)
 	routeNames := make(map[string]string)
 	for _, r := range c.Routes {
 		if err := c.checkRoute(r); err != nil {
@@ -101,6 +103,11 @@
 		}
 		routeNames[hostAndPrefix] = r.Name
 		c.routesByHost[r.Host] = append(c.routesByHost[r.Host], r)
+		for _, t := range r.Targets {
+			if old, ok := c.urgentTargets[t.Service]; r.TargetLatency > 0 && (!ok || r.TargetLatency < old) {
+				c.urgentTargets[t.Service] = r.TargetLatency
+			}
+		}
 	}
 	for _, o := range c.Organisations {
 		for _, key := range o.Keys {
@@ -152,6 +159,10 @@
 	return best
 }
 
+// UrgentTarget returns the shortest target latency of the routes to a service, zero if none
+// states a target.
+func (c *Configuration) UrgentTarget(service string) time.Duration { return c.urgentTargets[service] }
+
 // OrganisationForKey returns the organisation that owns the API key, or nil.
 func (c *Configuration) OrganisationForKey(key string) *Organisation {
 	return c.organisationsByKey[key]
--- a/pkg/role/gateway/stream.go
+++ b/pkg/role/gateway/stream.go
@@ -8,6 +8,7 @@
 
 	"github.com/plantainstair/plantainstair/pkg/core/events"
 	"github.com/plantainstair/plantainstair/pkg/core/path"
+	"github.com/plantainstair/plantainstair/pkg/core/precedence"
 	"github.com/plantainstair/plantainstair/pkg/core/suspicion"
 	"github.com/plantainstair/plantainstair/pkg/delay"
 	"github.com/plantainstair/plantainstair/pkg/fault"
@@ -136,8 +137,10 @@
 	if s.started {
 		return s.q.deadline
 	}
-	share := time.Duration(pathWaitShare * float64(s.q.route.TargetLatency))
-	return s.q.arrived.Add(max(share, g.startupWait()))
+	q := s.q
+	wait := precedence.LongestWait(pathWaitShare, q.route.TargetLatency, q.view.conf.UrgentTarget(q.service.Name))
+	wait = time.Duration(g.load.terms(q.service.Name, q.rank).WaitFactor * float64(wait))
+	return q.arrived.Add(max(wait, g.startupWait()))
 }
 
 // awaitPath returns a path with free capacity, and waits for one until waitDeadline.
@@ -163,6 +166,9 @@
 		if err == nil {
 			err = notRunError(fault.Overloaded, "the link between data centres has no room for %d tokens", tokens)
 		}
+		if !s.started {
+			g.load.recordShortage(q.service.Name, q.rank)
+		}
 		if time.Now().After(g.waitDeadline(s)) || !delay.Wait(ctx, pathRetryDelay) {
 			return path.Choice{}, err
 		}
@@ -194,7 +200,7 @@
 // excluded returns true.
 func (g *Gateway) bestPathAmong(v *view, q *request, avoid map[string]bool, excluded func(*wirepb.Instance) bool) (path.Choice, error) {
 	return path.Choose(q.service.Model, g.candidateEngines(v, q, avoid, excluded), path.Request{
-		InputTokens: q.metadata.PromptTokens, ExpectedOutputTokens: q.expectedOutputTokens(), DataCentre: g.opts.DataCentre, MaxCost: q.costLimit(),
+		InputTokens: q.metadata.PromptTokens, ExpectedOutputTokens: q.expectedOutputTokens(), DataCentre: g.opts.DataCentre, MaxCost: g.costLimit(q),
 		CostFactor: spreadFactors(q.metadata.RequestID), Draw: localityDraw(q.metadata.RequestID),
 	})
 }
@@ -202,9 +208,10 @@
 // costLimit returns the estimated duration from which a path counts as overloaded:
 // requests of the typical length would no longer end by their deadline. It is longer
 // for requests with a longer expected output, so that these are not refused first.
-func (q *request) costLimit() time.Duration {
+func (g *Gateway) costLimit(q *request) time.Duration {
 	typicalTokens := max(1, q.service.Model.TypicalOutputTokens)
-	return time.Duration(float64(q.timeLeft()) * max(1, float64(q.expectedOutputTokens())/float64(typicalTokens)))
+	terms := g.load.terms(q.service.Name, q.rank)
+	return time.Duration(terms.LoadFactor * float64(q.timeLeft()) * max(1, float64(q.expectedOutputTokens())/float64(typicalTokens)))
 }
 
 // expectedOutputTokens returns the expected number of generated tokens.
