pkg/httpconn: limit on the open connections of callers

Cause: callers that open connections without end use up the descriptors and the memory of a process. Bytes that wait in the sockets count as memory too where it is limited, and the kernel lets a receive buffer grow to several MiB.

Change: a Tracker may have a limit. At the limit it closes the connection that was idle for longest, or else has the owner of the bodies abort the unfinished body that made no progress for longest, or else closes the new connection. A connection whose request is in service is never closed. The listener may set the size of the receive buffers. Without a limit nothing changes.

--- a/pkg/httpconn/tracker.go
+++ b/pkg/httpconn/tracker.go
@@ -1,5 +1,5 @@
 // Package httpconn tracks the connections of an HTTP server, so that a stop closes those
-// that are idle and none that holds a request.
+// that are idle and none that holds a request, and so that their number stays within a limit.
 package httpconn
 
 import (
@@ -19,19 +19,42 @@
 // Tracker tracks the connections of a server and which of them are idle. The server
 // must use its Listener and OnStateChange.
 type Tracker struct {
-	mu   sync.Mutex
-	idle map[net.Conn]bool
+	limit Limit
+
+	mu    sync.Mutex
+	conns map[net.Conn]*trackedConn
+	// idle is the sentinel of the ring of idle connections, the one that became idle last at
+	// its end.
+	idle trackedConn
 	// closing is set if each connection is to be closed once its current request has
 	// ended.
 	closing bool
 }
 
-// NewTracker returns a Tracker without connections.
-func NewTracker() *Tracker { return &Tracker{idle: make(map[net.Conn]bool)} }
+// trackedConn is the state of an open connection.
+type trackedConn struct {
+	conn       net.Conn
+	isNew      bool // no request was read from it
+	idleSince  time.Time
+	prev, next *trackedConn // in the ring of idle connections, nil if it is not idle
+}
+
+// NewTracker returns a Tracker without connections and without a limit.
+func NewTracker() *Tracker { return NewLimitedTracker(Limit{}) }
+
+// NewLimitedTracker returns a Tracker without connections that enforces a limit.
+func NewLimitedTracker(l Limit) *Tracker {
+	t := &Tracker{limit: l, conns: make(map[net.Conn]*trackedConn)}
+	t.idle.prev, t.idle.next = &t.idle, &t.idle
+	return t
+}
 
 // Listener returns a listener that records what is read from the connections of ln. It may be
 // closed more than once.
 func (t *Tracker) Listener(ln net.Listener) net.Listener {
+	if tcp, ok := ln.(*net.TCPListener); ok && t.limit.ReceiveBufferBytes > 0 {
+		setReceiveBuffer(tcp, t.limit.ReceiveBufferBytes)
+	}
 	return listener{ln, sync.OnceValue(ln.Close)}
 }
 
@@ -58,13 +81,51 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	switch state {
+	case http.StateNew:
+		if t.makeRoom(c) {
+			tc := &trackedConn{conn: c, isNew: true}
+			t.conns[c] = tc
+			t.setIdle(tc)
+		}
 	case http.StateClosed, http.StateHijacked:
-		delete(t.idle, c)
+		t.forget(t.conns[c])
 	default:
-		t.idle[c] = state == http.StateIdle || state == http.StateNew
+		tc := t.conns[c]
+		if tc == nil {
+			tc = &trackedConn{conn: c}
+			t.conns[c] = tc
+		}
+		tc.isNew = false
+		if state != http.StateIdle {
+			t.setActive(tc)
+			return
+		}
+		t.setIdle(tc)
+		if t.closing {
+			t.closeIfUnused(tc) // its response header may have been sent before the stop
+		}
+	}
+}
+
+func (t *Tracker) setIdle(tc *trackedConn) {
+	t.setActive(tc)
+	tc.idleSince = time.Now()
+	last := t.idle.prev
+	tc.prev, tc.next = last, &t.idle
+	last.next, t.idle.prev = tc, tc
+}
+
+func (t *Tracker) setActive(tc *trackedConn) {
+	if tc.next != nil {
+		tc.prev.next, tc.next.prev = tc.next, tc.prev
+		tc.prev, tc.next = nil, nil
 	}
-	if t.closing && state == http.StateIdle {
-		closeIfUnused(c) // its response header may have been sent before the stop
+}
+
+func (t *Tracker) forget(tc *trackedConn) {
+	if tc != nil {
+		t.setActive(tc)
+		delete(t.conns, tc.conn)
 	}
 }
 
@@ -78,9 +139,9 @@
 	defer t.mu.Unlock()
 	t.closing = true
 	others := 0
-	for c, idle := range t.idle {
-		if !idle || !closeIfUnused(c) {
-			others++ // a closed connection is reported as StateClosed by its goroutine
+	for _, tc := range t.conns {
+		if tc.next == nil || !t.closeIfUnused(tc) {
+			others++
 		}
 	}
 	return others
@@ -93,11 +154,14 @@
 	}
 }
 
-// closeIfUnused closes a connection that holds no request and reports whether it did.
-func closeIfUnused(c net.Conn) bool {
-	if tracked, ok := c.(*conn); ok {
-		return tracked.closeIfUnused()
+// closeIfUnused closes and forgets a connection that holds no request and reports whether it
+// did.
+func (t *Tracker) closeIfUnused(tc *trackedConn) bool {
+	if tracked, ok := tc.conn.(*conn); !ok {
+		_ = tc.conn.Close()
+	} else if !tracked.closeIfUnused() {
+		return false
 	}
-	_ = c.Close()
+	t.forget(tc)
 	return true
 }
