gateway, entry, control API: read request bodies within a budget

Cause: 64 callers with bodies of 4 MiB took a gateway with limits.memory_mb = 64 to a peak resident set of 373 MB, with large chunks to 367 MB, with 64-byte chunks to 374 MB, and with bodies over the limit to 106 MB.

Change: the gateway, the entry and the control API of the coordinator read bodies with pkg/requestbody. The gateway limits the connections of callers and the size of a header (64 KiB), frees a body once no retry can need it, and refuses unfinished bodies at the end of a stop. A request body is passed on in the pieces in which it arrived. A body that is refused part-way gets a 503 or 413 with Connection: close, is read for at most 500 ms more, and its connection is closed.

A single body of 4 MiB is served with a length and chunked.

--- a/pkg/callers/chat.go
+++ b/pkg/callers/chat.go
@@ -58,6 +58,7 @@
 		return
 	}
 	q, err := parseChat(body)
+	x.releaseBody()
 	if err != nil {
 		x.sendError(err)
 		return
--- a/pkg/callers/exchange.go
+++ b/pkg/callers/exchange.go
@@ -8,6 +8,7 @@
 
 	"github.com/plantainstair/plantainstair/pkg/fault"
 	"github.com/plantainstair/plantainstair/pkg/logs"
+	"github.com/plantainstair/plantainstair/pkg/requestbody"
 	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
 )
 
@@ -36,6 +37,8 @@
 	headersSent        bool
 	writeTimeout       time.Duration
 	nextDeadlineUpdate time.Time
+	body               *requestbody.Body // nil once it is released
+	bodyErr            error             // why the body was refused
 	log                logs.Logger
 }
 
--- a/pkg/callers/handler.go
+++ b/pkg/callers/handler.go
@@ -5,11 +5,13 @@
 	"strings"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/justinas/alice"
 
 	"github.com/plantainstair/plantainstair/pkg/defaults"
 	"github.com/plantainstair/plantainstair/pkg/fault"
 	"github.com/plantainstair/plantainstair/pkg/logs"
+	"github.com/plantainstair/plantainstair/pkg/requestbody"
 	"github.com/plantainstair/plantainstair/pkg/wire/wirepb"
 )
 
@@ -38,6 +40,9 @@
 	MaxBodyBytes int64         // of a request; an organisation's limit takes precedence
 	ReadTimeout  time.Duration // for the whole request body
 	WriteTimeout time.Duration // for each write of a response
+	// Bodies is the memory of the request bodies that are being received or held, without a
+	// limit if it is nil.
+	Bodies *requestbody.Memory
 	// Track registers a request in progress and returns a function that ends the
 	// registration. It returns false while the process shuts down.
 	Track func() (done func(), ok bool)
@@ -75,6 +80,9 @@
 	if o.OnFinished == nil {
 		o.OnFinished = func(RequestRecord) {}
 	}
+	if o.Bodies == nil {
+		o.Bodies = requestbody.NewMemory(0, metrics.NewSet(), "callers")
+	}
 	if o.Now == nil {
 		o.Now = time.Now
 	}
--- a/pkg/callers/middleware.go
+++ b/pkg/callers/middleware.go
@@ -39,6 +39,7 @@
 			w.Header().Set("Connection", "close")
 		}
 		defer a.finishExchange(x)
+		defer x.endBody(r)
 		next.ServeHTTP(w, withExchange(r, x))
 	})
 }
--- a/pkg/instances/pool.go
+++ b/pkg/instances/pool.go
@@ -53,7 +53,7 @@
 	Target string // path and query as the caller sent them
 	Host   string
 	Header http.Header
-	Body   []byte
+	Body   [][]byte // in pieces, which are not kept
 	// RequestID is echoed in the reply.
 	RequestID string
 	// NonRepeatable is set if the call may not be repeated.
@@ -258,11 +258,15 @@
 	if err := call.Header.Write(&b); err != nil {
 		return err
 	}
-	if len(call.Body) > 0 || (call.Method != http.MethodGet && call.Method != http.MethodHead) {
-		b.WriteString("Content-Length: " + strconv.Itoa(len(call.Body)) + "\r\n")
+	size := 0
+	for _, piece := range call.Body {
+		size += len(piece)
+	}
+	if size > 0 || (call.Method != http.MethodGet && call.Method != http.MethodHead) {
+		b.WriteString("Content-Length: " + strconv.Itoa(size) + "\r\n")
 	}
 	b.WriteString("\r\n")
-	buffers := net.Buffers{[]byte(b.String()), call.Body}
+	buffers := append(net.Buffers{[]byte(b.String())}, call.Body...) // a copy: WriteTo changes it
 	_, err := buffers.WriteTo(c.Conn)
 	return err
 }
--- a/pkg/role/entry/entry.go
+++ b/pkg/role/entry/entry.go
@@ -11,6 +11,7 @@
 	"github.com/plantainstair/plantainstair/pkg/core/route"
 	"github.com/plantainstair/plantainstair/pkg/lifecycle"
 	"github.com/plantainstair/plantainstair/pkg/logs"
+	"github.com/plantainstair/plantainstair/pkg/requestbody"
 )
 
 // Options holds the settings and dependencies of an entry.
@@ -38,6 +39,7 @@
 	requestLimiter     *requestLimiter
 	promptGuard        *promptGuard
 	metrics            *entryMetrics
+	bodies             *requestbody.Memory
 	lifecycle          *lifecycle.Lifecycle
 	shuttingDown       atomic.Bool
 	warmedUp           atomic.Bool // every upstream is usable, or warmUpTimeout has passed
@@ -63,6 +65,7 @@
 		metrics:            newEntryMetrics(),
 		lifecycle:          lifecycle.NewLifecycle(),
 	}
+	e.bodies = requestbody.NewMemory(int64(opts.Settings.BodyMemoryMB)<<20, e.metrics.set, "plantain_entry")
 	e.metrics.addEntryGauges(e)
 	return e
 }
@@ -86,6 +89,7 @@
 		MaxBodyBytes: int64(s.MaxBodyBytes),
 		ReadTimeout:  s.ReadTimeout,
 		WriteTimeout: s.WriteTimeout,
+		Bodies:       e.bodies,
 		Track:        e.lifecycle.Track,
 		Draining:     e.shuttingDown.Load,
 		OnFinished:   e.metrics.countRequest,
--- a/pkg/role/entry/settings.go
+++ b/pkg/role/entry/settings.go
@@ -17,6 +17,7 @@
 	ControlAddresses []string `ini:"control.addresses" required:"true" format:"address" help:"Peer addresses of control replicas to start from."`
 
 	MaxBodyBytes          int           `ini:"callers.max_body_bytes" default:"1048576" min:"1024" max:"1048576" help:"Largest request body; the limit of an organisation takes precedence. A request must also fit in one frame of 1 MiB."`
+	BodyMemoryMB          int           `ini:"callers.body_memory_mb" default:"256" min:"2" max:"1048576" help:"Memory for the request bodies that are being received or held, apart from the first 4 KiB of each, in MB. More is refused with 503."`
 	MaxConcurrentRequests int           `ini:"callers.max_in_progress" default:"20000" min:"10" max:"1000000" help:"Largest number of chat requests and service calls in progress; about 60 kB each."`
 	ReadTimeout           time.Duration `ini:"callers.read_timeout" default:"10s" min:"100ms" max:"5m" help:"Time to receive the body of a request."`
 	WriteTimeout          time.Duration `ini:"callers.write_timeout" default:"10s" min:"1s" max:"5m" help:"Time for one write to a caller that does not read."`
--- a/pkg/role/gateway/attempt.go
+++ b/pkg/role/gateway/attempt.go
@@ -57,6 +57,7 @@
 	if reply.Status >= http.StatusMultipleChoices {
 		return g.handleErrorReply(w, s, reply, firstStage, avoid)
 	}
+	q.releaseUnneededBody()
 	err = g.copyEvents(ctx, w, s, reply, firstStage.ID)
 	g.recordBrokenReply(ctx, s, firstStage, err)
 	if err == nil {
--- a/pkg/role/gateway/gateway.go
+++ b/pkg/role/gateway/gateway.go
@@ -25,6 +25,7 @@
 	"github.com/plantainstair/plantainstair/pkg/link"
 	"github.com/plantainstair/plantainstair/pkg/logs"
 	"github.com/plantainstair/plantainstair/pkg/replybody"
+	"github.com/plantainstair/plantainstair/pkg/requestbody"
 )
 
 // Options configures a Gateway.
@@ -40,7 +41,12 @@
 	// ReplyMemoryBytes bounds the memory of the replies of plain services that are read whole,
 	// apart from the first part of each.
 	ReplyMemoryBytes int64
-	Log              logs.Logger
+	// BodyMemoryBytes bounds the memory of the request bodies that are being received or held,
+	// apart from the first 4 KiB of each. Zero is no limit.
+	BodyMemoryBytes int64
+	// MaxConnections bounds the open connections of callers. Zero is no limit.
+	MaxConnections int
+	Log            logs.Logger
 }
 
 // Gateway routes requests to upstreams. The process that starts it owns the listeners.
@@ -50,6 +56,7 @@
 	client        *coordinators.Client
 	pool          *instances.Pool
 	replyMemory   *replybody.Memory
+	bodies        *requestbody.Memory
 	engines       *instances.EngineClient
 	metrics       *metricSet
 	lifecycle     *lifecycle.Lifecycle
@@ -68,10 +75,13 @@
 	repairSignal  chan struct{}
 	startedAt     time.Time
 	gatewayCount  route.ProcessCount // accessed by viewChanged only
-	wg            sync.WaitGroup
-	cancel        context.CancelFunc
-	requests      context.Context // parent of the contexts of all requests
-	endRequests   context.CancelCauseFunc
+	// closedLoggedAt and closedSinceLog are accessed by recordClosed only.
+	closedLoggedAt time.Time
+	closedSinceLog int
+	wg             sync.WaitGroup
+	cancel         context.CancelFunc
+	requests       context.Context // parent of the contexts of all requests
+	endRequests    context.CancelCauseFunc
 }
 
 // Start returns a Gateway that watches the coordinators until Close is called.
@@ -79,7 +89,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	g := &Gateway{
 		opts: o, log: o.Log.Component("gateway"), metrics: newMetrics(), lifecycle: lifecycle.NewLifecycle(),
-		repairSignal: make(chan struct{}, 1), cancel: cancel, startedAt: time.Now(), callerConns: httpconn.NewTracker(),
+		repairSignal: make(chan struct{}, 1), cancel: cancel, startedAt: time.Now(),
 	}
 	g.requests, g.endRequests = context.WithCancelCause(context.Background())
 	g.load.init()
@@ -89,6 +99,11 @@
 	g.prompts = newPromptEvidence()
 	g.view.Store(&view{})
 	g.replyMemory = replybody.NewMemory(o.ReplyMemoryBytes)
+	g.bodies = requestbody.NewMemory(o.BodyMemoryBytes, g.metrics.set, "plantain_gateway")
+	g.callerConns = httpconn.NewLimitedTracker(httpconn.Limit{
+		MaxConns: o.MaxConnections, ReceiveBufferBytes: receiveBufferBytes,
+		AbortUnfinished: g.bodies.EvictStalled, OnClosed: g.recordClosed,
+	})
 	g.pool = instances.NewPool(o.Dialect, g.metrics.connections.Inc)
 	g.engines = instances.NewEngineClient(g.pool, o.Dialect, g.recordOrderReply)
 	g.client = coordinators.NewClient(coordinators.Options{
@@ -144,9 +159,14 @@
 	// disconnect earlier.
 	headerTimeout = 10 * time.Second
 	idleTimeout   = 2 * time.Minute
-	// maxHeader, in bytes, exceeds any limit that a configuration may set. The handler
-	// enforces the configured limit.
-	maxHeader = 1 << 20
+	// maxHeader, in bytes, is four times the documented limit. The handler enforces the
+	// configured limit, so that a configuration can't allow more than this.
+	maxHeader = 64 << 10
+	// receiveBufferBytes bounds what callers send faster than it is read. A body of 4 MiB needs
+	// 32 round trips with it.
+	receiveBufferBytes = 128 << 10
+	// closedLogInterval bounds the log lines about connections that are closed at the limit.
+	closedLogInterval = time.Second
 )
 
 // NewServer returns the HTTP server for callers. It must serve a listener of
@@ -165,6 +185,17 @@
 // CallerConnections returns the tracker of the connections of callers.
 func (g *Gateway) CallerConnections() *httpconn.Tracker { return g.callerConns }
 
+// recordClosed records a connection that was closed at the limit. The connection tracker calls
+// it with its lock held, so that calls do not overlap.
+func (g *Gateway) recordClosed(which httpconn.Closed) {
+	g.metrics.closedAtLimit[which].Inc()
+	g.closedSinceLog++
+	if now := time.Now(); now.Sub(g.closedLoggedAt) >= closedLogInterval {
+		g.log.Warn("Connections closed at the limit.", logs.Int("count", g.closedSinceLog), logs.Str("last", which.String()))
+		g.closedLoggedAt, g.closedSinceLog = now, 0
+	}
+}
+
 // BeginStop makes the gateway not ready and ask callers to close their connections. From
 // now on it refuses requests that would not end by the given time.
 func (g *Gateway) BeginStop(end time.Time) {
@@ -173,8 +204,10 @@
 }
 
 // EndRequests ends the requests in progress: those to which no answer has begun are answered
-// with what is known about them. Streams break.
+// with what is known about them, and those whose bodies have not arrived are refused. Streams
+// break.
 func (g *Gateway) EndRequests() {
+	g.bodies.EvictAll()
 	g.endRequests(fault.New(fault.Draining, "the process has stopped").WithOutcome(fault.MayHaveRun))
 }
 
--- a/pkg/role/gateway/handler.go
+++ b/pkg/role/gateway/handler.go
@@ -15,6 +15,7 @@
 	"github.com/plantainstair/plantainstair/pkg/fault"
 	"github.com/plantainstair/plantainstair/pkg/instances"
 	"github.com/plantainstair/plantainstair/pkg/logs"
+	"github.com/plantainstair/plantainstair/pkg/requestbody"
 )
 
 // request is the state of one request of a caller.
@@ -27,7 +28,10 @@
 	arrived  time.Time
 	deadline time.Time // earlier of the caller's and the route's time limit
 	call     instances.Call
-	view     *view // at admission
+	body     *requestbody.Body // that of call, nil once no retry can need it
+	// bodyReleased is set once the request can't be sent again.
+	bodyReleased bool
+	view         *view // at admission
 	// promptParts are the shared parts of the prompt.
 	promptParts quarantine.Parts
 	// attempts is compared with Route.MaxAttempts. It counts the sends without those that
@@ -62,18 +66,23 @@
 	recorder := &statusRecorder{ResponseWriter: w, closesConns: g.lifecycle.DrainStarted()}
 	defer g.record(q, recorder)
 	if err := g.admit(q, r); err != nil {
+		requestbody.LimitUnread(recorder, r)
 		writeError(recorder, q, err)
 		return
 	}
-	body, err := readBody(r, q.view.conf.Limits.BodyBytes)
-	if err != nil {
+	if err := g.readBody(q, recorder, r); err != nil {
+		recorder.Header().Set("Connection", "close")
 		writeError(recorder, q, err)
+		if !requestbody.EndRefused(recorder, r, err) {
+			panic(http.ErrAbortHandler) // closes the connection at once
+		}
 		return
 	}
+	defer q.releaseBody()
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
 	q.call = instances.Call{
-		Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: r.Header, Body: body,
+		Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: r.Header, Body: q.body.Chunks(),
 		RequestID: q.metadata.RequestID, NonRepeatable: !q.route.MayRepeat(),
 	}
 	if q.route.Kind == routing.Stream && q.service.Model != nil {
@@ -180,24 +189,29 @@
 }
 
 // readBody reads the whole body, so that a repeatable request can be sent again.
-func readBody(r *http.Request, limit int64) ([]byte, error) {
-	if r.Body == nil || r.Body == http.NoBody {
-		return nil, nil
-	}
-	if limit > 0 && r.ContentLength > limit {
-		return nil, notRunError(fault.Invalid, "body exceeds the limit of %d bytes", limit).WithField("body")
-	}
+func (g *Gateway) readBody(q *request, w http.ResponseWriter, r *http.Request) (err error) {
+	limit := q.view.conf.Limits.BodyBytes
 	if limit <= 0 {
 		limit = defaultBodyLimit
 	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
-	if err != nil {
-		return nil, fault.Wrap(err, fault.Cancelled, "request body was not received").WithOutcome(fault.NotRun)
-	}
-	if int64(len(body)) > limit {
-		return nil, notRunError(fault.Invalid, "body exceeds the limit of %d bytes", limit).WithField("body")
+	q.body, err = g.bodies.Read(w, r, limit, q.deadline)
+	return err
+}
+
+// releaseBody frees the body of the request, which can't be sent again afterwards.
+func (q *request) releaseBody() {
+	q.call.Body = nil
+	q.body.Release()
+	q.body = nil
+	q.bodyReleased = true
+}
+
+// releaseUnneededBody frees the body once an upstream has replied to the request and no retry
+// is allowed after that.
+func (q *request) releaseUnneededBody() {
+	if !q.route.MayRepeat() || q.attempts >= max(1, q.route.MaxAttempts) {
+		q.releaseBody()
 	}
-	return body, nil
 }
 
 const defaultBodyLimit = 4 << 20
@@ -242,6 +256,7 @@
 		w.Header().Set("Retry-After", strconv.FormatFloat(e.RetryAfter.Seconds(), 'f', 2, 64))
 	}
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.Header().Set("Content-Length", strconv.Itoa(len(e.Message)+1)) // the connection may be closed right after it
 	w.WriteHeader(status)
 	_, _ = io.WriteString(w, e.Message+"\n")
 }
--- a/pkg/role/gateway/metrics.go
+++ b/pkg/role/gateway/metrics.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/plantainstair/plantainstair/pkg/httpconn"
 )
 
 // metricSet holds the metrics of one gateway.
@@ -19,13 +21,14 @@
 	pauseReports   *metrics.Counter
 	refusedByStop  *metrics.Counter
 	inProgress     *metrics.Counter
+	closedAtLimit  [3]*metrics.Counter // by httpconn.Closed
 	firstByte      *metrics.Histogram
 	requestTime    *metrics.Histogram
 }
 
 func newMetrics() *metricSet {
 	s := metrics.NewSet()
-	return &metricSet{
+	m := &metricSet{
 		set:            s,
 		connections:    s.NewCounter("plantain_gateway_upstream_connections_total"),
 		repaths:        s.NewCounter("plantain_gateway_repaths_total"),
@@ -39,6 +42,10 @@
 		firstByte:      s.NewHistogram("plantain_gateway_first_byte_seconds"),
 		requestTime:    s.NewHistogram("plantain_gateway_request_seconds"),
 	}
+	for _, which := range []httpconn.Closed{httpconn.ClosedIdle, httpconn.ClosedUnfinished, httpconn.ClosedNew} {
+		m.closedAtLimit[which] = s.NewCounter(`plantain_gateway_connections_closed_at_limit_total{which="` + which.String() + `"}`)
+	}
+	return m
 }
 
 // recordResponse counts a response by its status and records the time that it took.
--- a/pkg/role/gateway/plain.go
+++ b/pkg/role/gateway/plain.go
@@ -47,6 +47,7 @@
 		tried[in.GetId()] = true
 		reply, body, err := g.attemptPlain(ctx, q, in)
 		if err == nil && !g.shouldRetry(q, reply, tried) {
+			q.releaseBody()
 			g.callTimes.Record(time.Since(q.arrived))
 			writeReplyHeader(w, reply)
 			_, _ = body.WriteTo(w)
@@ -60,7 +61,7 @@
 		lastErr = err
 		g.log.Info("Attempt failed.", logs.Str("request", q.metadata.RequestID), logs.Str("upstream", in.GetId()),
 			logs.Str("address", in.GetAddress()), logs.Int("attempt", q.attempts), logs.Err(err))
-		if e := fault.As(err); e.Outcome != fault.NotRun && !q.route.MayRepeat() || ctx.Err() != nil {
+		if e := fault.As(err); e.Outcome != fault.NotRun && !q.route.MayRepeat() || ctx.Err() != nil || q.bodyReleased {
 			break
 		} else if e.Outcome == fault.NotRun {
 			notRunCount++
@@ -194,6 +195,9 @@
 	defer reply.Close()
 	g.recordRequestLimit(in.GetId(), reply)
 	g.recordReplyOf(selfreport.ProcessOf(in), reply.Metadata, "request")
+	if !reply.Metadata.NotRun {
+		q.releaseUnneededBody()
+	}
 	body, err := reply.ReadBody(maxReplyBytes, g.replyMemory)
 	if err != nil {
 		g.recordAttemptError(ctx, q, in.GetId(), err)
--- a/pkg/role/gateway/stream.go
+++ b/pkg/role/gateway/stream.go
@@ -93,7 +93,7 @@
 		g.log.Info("Attempt failed.", logs.Str("request", q.metadata.RequestID), logs.Str("upstream", q.upstream),
 			logs.Int("attempt", q.attempts), logs.Str("after_event", s.splitter.LastEventID()),
 			logs.Bool("reply_began", replyBegan), logs.Int("attempt_writes", writes), logs.Strs("prompt_parts", q.metadata.SharedPromptParts), logs.Err(err))
-		if e.Outcome != fault.NotRun && (!q.route.MayRepeat() || q.attempts >= max(1, q.route.MaxAttempts)) {
+		if q.bodyReleased || e.Outcome != fault.NotRun && (!q.route.MayRepeat() || q.attempts >= max(1, q.route.MaxAttempts)) {
 			break
 		}
 	}
