--- a/pkg/requestbody/requestbody.go
+++ b/pkg/requestbody/requestbody.go
@@ -36,6 +36,9 @@
 	maxDiscardBytes = 4 << 20
 )
 
+// past is a deadline that ends reads at once.
+var past = time.Unix(1, 0)
+
 // chunks holds unused chunks of chunkBytes. Reuse keeps the memory of refused bodies from
 // waiting for the garbage collector.
 var chunks = sync.Pool{New: func() any { return new([chunkBytes]byte) }}
@@ -70,11 +73,7 @@
 		m.evicted[cause.String()] = set.NewCounter(prefix + `_bodies_evicted_total{cause="` + cause.String() + `"}`)
 	}
 	set.NewGauge(prefix+"_body_bytes_held", func() float64 { return float64(m.Held()) })
-	set.NewGauge(prefix+"_bodies_receiving", func() float64 {
-		m.mu.Lock()
-		defer m.mu.Unlock()
-		return float64(m.budget.Receiving())
-	})
+	set.NewGauge(prefix+"_bodies_receiving", func() float64 { return float64(m.receiving()) })
 	return m
 }
 
@@ -91,6 +90,12 @@
 	return m.budget.Held()
 }
 
+func (m *Memory) receiving() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.budget.Receiving()
+}
+
 // Body is a whole body. Its receiver must release it. A nil Body is empty.
 type Body struct {
 	memory *Memory
@@ -314,7 +319,7 @@
 func (m *Memory) abort(victims []*intake.Body) {
 	for _, v := range victims {
 		m.evicted[v.Cause().String()].Inc()
-		_ = http.NewResponseController(v.Owner.(http.ResponseWriter)).SetReadDeadline(time.Unix(1, 0))
+		_ = http.NewResponseController(v.Owner.(http.ResponseWriter)).SetReadDeadline(past)
 	}
 	if len(victims) > 0 {
 		m.wakeWaiters() // a victim may wait for bytes itself
@@ -391,10 +396,18 @@
 // closed at once: net/http would leave it open for 500 ms more without reading it.
 func EndRefused(w http.ResponseWriter, r *http.Request, err error) (ended bool) {
 	LimitUnread(w, r)
-	_ = http.NewResponseController(w).Flush()
-	if e := (evicted{}); errors.As(err, &e) {
-		return false // nothing arrived for a while
-	}
+	controller := http.NewResponseController(w)
+	_ = controller.Flush()
+	e := evicted{}
+	// Nothing has arrived from an evicted caller for a while.
+	ended = !errors.As(err, &e) && discardRest(r)
+	if !ended {
+		_ = controller.SetReadDeadline(past) // net/http reads on before it closes a connection
+	}
+	return ended
+}
+
+func discardRest(r *http.Request) (ended bool) {
 	if strings.EqualFold(r.Header.Get("Expect"), "100-continue") {
 		return true // the caller may wait for the response before it sends anything
 	}
