gateway, plantainctl: explain command

Cause: operators who ask why a request goes to an upstream or a data centre, or why it is refused, have only logs of requests that were sent.

Change: plantainctl explain asks the metrics address of a gateway.

--- a/cmd/plantainctl/commands.go
+++ b/cmd/plantainctl/commands.go
@@ -7,6 +7,7 @@
 
 	"github.com/integrii/flaggy"
 
+	"github.com/plantainstair/plantainstair/pkg/core/explain"
 	"github.com/plantainstair/plantainstair/pkg/ctl"
 	"github.com/plantainstair/plantainstair/pkg/fault"
 	"github.com/plantainstair/plantainstair/pkg/operators"
@@ -38,6 +39,7 @@
 	c.addVoters()
 	c.addClaims()
 	c.addSnapshot()
+	c.addExplain()
 	c.addCheckConfig()
 	c.addSettings()
 	return c
@@ -195,3 +197,22 @@
 	sub := newSubcommand("snapshot", "Makes the first control replica write a snapshot.")
 	c.add(sub, func(ctx context.Context, app *ctl.App) error { return app.Snapshot(ctx) })
 }
+
+// addExplain adds the command that asks a gateway. It needs no settings file, because it
+// does not use the admin API.
+func (c *commands) addExplain() {
+	var gateway string
+	var q explain.Query
+	sub := newSubcommand("explain", "Explains how a gateway would route a request now, without sending it.")
+	sub.String(&gateway, "g", "gateway", "Metrics address of the gateway.")
+	sub.String(&q.Host, "", "host", "Host of the request.")
+	sub.String(&q.Path, "p", "path", "Path of the request.")
+	sub.Int(&q.PromptTokens, "", "prompt-tokens", "Tokens of the prompt; 0 takes the typical number of the model.")
+	sub.Int(&q.OutputTokens, "", "output-tokens", "Expected tokens of the output; 0 takes the typical number of the model.")
+	c.list = append(c.list, command{sub: sub, run: func() error {
+		ctx, cancel := context.WithTimeout(context.Background(), ctl.ExplainTimeout)
+		defer cancel()
+		app := &ctl.App{Out: os.Stdout, JSON: c.json}
+		return app.Explain(ctx, gateway, q)
+	}})
+}
--- a/cmd/plantainctl/main.go
+++ b/cmd/plantainctl/main.go
@@ -1,7 +1,8 @@
-// Command plantainctl changes and shows the catalogue, upstreams and voters.
+// Command plantainctl changes and shows the catalogue, upstreams and voters, and explains
+// how a gateway would route a request.
 //
 // Exit codes: 0 success, 1 failure, 2 usage, 3 conflict with another change,
-// 4 no control replica reachable and nothing changed, 5 invalid input or missing
+// 4 no control replica or gateway reachable and nothing changed, 5 invalid input or missing
 // permission, 6 change accepted but not confirmed by every watcher in time, 7 outcome unknown.
 package main
 
--- a/pkg/lifecycle/server.go
+++ b/pkg/lifecycle/server.go
@@ -29,6 +29,8 @@
 	// package, which all servers of one program share; tests run several. nil
 	// means the default set only.
 	Metrics *metrics.Set
+	// Handlers are served in addition, by their patterns for http.ServeMux.
+	Handlers map[string]http.Handler
 }
 
 // Server serves /healthz, /readyz and /metrics on a listener of its own.
@@ -74,6 +76,9 @@
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		writeMetrics(w, opts.Metrics)
 	})
+	for pattern, h := range opts.Handlers {
+		mux.Handle(pattern, h)
+	}
 	return alice.New(noStore).Then(mux)
 }
 
