--- a/pkg/core/locality/locality.go
+++ b/pkg/core/locality/locality.go
@@ -41,8 +41,9 @@
 // same for a request, so that a request that waits is not decided anew each time.
 //
 // Candidates with capacity take precedence over those without, and home over all others
-// except for the share that Share returns. Requests that leave are spread over the other data
-// centres in inverse proportion to their times.
+// except for the share that Share returns. Requests that leave are spread over the fastest
+// data centre and those of similar speed, in inverse proportion to their times. Without a
+// home the fastest data centre serves all requests.
 func Select(home string, candidates []Candidate, draw float64) int {
 	local, fastest := -1, -1
 	var remote []int
@@ -58,8 +59,11 @@
 			}
 		}
 	}
-	if local < 0 && fastest < 0 {
+	switch {
+	case fastest < 0 && local < 0:
 		return fastestOf(candidates)
+	case home == "":
+		return fastest
 	}
 	share := 1.0
 	switch {
@@ -71,6 +75,10 @@
 	if draw >= share {
 		return local
 	}
+	remote = slices.DeleteFunc(remote, func(i int) bool {
+		t := candidates[i].Time
+		return local >= 0 && Share(candidates[local].Time, t) == 0 || float64(t) > minRatio*float64(candidates[fastest].Time)
+	})
 	return spread(candidates, remote, draw/share)
 }
 
--- a/pkg/core/precedence/precedence.go
+++ b/pkg/core/precedence/precedence.go
@@ -6,9 +6,9 @@
 import "time"
 
 const (
-	// memory is the time for which a wait counts as a sign of a shortage. A gateway of a
+	// shortageMemory is the time for which a wait counts as a sign of a shortage. A gateway of a
 	// large fleet gets a few requests in this time.
-	memory = 1500 * time.Millisecond
+	shortageMemory = 1500 * time.Millisecond
 	// loadFactor is the factor by which the load that a request may add to is lower for each
 	// rank below the most urgent one that waits.
 	loadFactor = 0.5
@@ -32,12 +32,12 @@
 	WaitFactor float64 // of the longest wait for capacity, at most 1
 }
 
-// Terms returns the terms for a rank: those of a calm system unless a more urgent rank has had
-// to wait a short time ago.
+// Terms returns the terms for a rank. Both factors are 1 unless a more urgent rank has had to
+// wait within shortageMemory.
 func (s *Shortage) Terms(now time.Time, rank int) Terms {
 	t := Terms{LoadFactor: 1, WaitFactor: 1}
 	for urgent := range clamp(rank) {
-		if at := s.waitedAt[urgent]; !at.IsZero() && now.Sub(at) < memory {
+		if at := s.waitedAt[urgent]; !at.IsZero() && now.Sub(at) < shortageMemory {
 			for range clamp(rank) - urgent {
 				t.LoadFactor *= loadFactor
 			}
--- a/pkg/httpconn/limit.go
+++ b/pkg/httpconn/limit.go
@@ -11,7 +11,7 @@
 	// idle: its caller is about to send one.
 	newConnGrace = 500 * time.Millisecond
 	// maxCloseAttempts bounds the idle connections that are looked at for each new one. A
-	// connection on which a request has just arrived can't be closed.
+	// connection on which a request, or a part of its header, has arrived can't be closed.
 	maxCloseAttempts = 8
 )
 
@@ -77,12 +77,20 @@
 				return true
 			}
 			attempts++
+			t.moveToEnd(tc) // the next new connection looks at others first
 		}
 		tc = next
 	}
 	return false
 }
 
+// moveToEnd moves an idle connection to the end of the ring.
+func (t *Tracker) moveToEnd(tc *trackedConn) {
+	since := tc.idleSince
+	t.setIdle(tc)
+	tc.idleSince = since
+}
+
 // setReceiveBuffer sets the size of the receive buffers of connections that are accepted from
 // now on. Without it, the buffers keep their default size.
 func setReceiveBuffer(ln *net.TCPListener, bytes int) {
--- a/pkg/requestbody/requestbody.go
+++ b/pkg/requestbody/requestbody.go
@@ -51,6 +51,7 @@
 	// released is closed once bytes are released or a body is evicted, nil if nobody waits.
 	released chan struct{}
 	sweeping bool // a sweep is scheduled
+	stopping bool // EvictAll was called
 
 	refused map[string]*metrics.Counter // by cause
 	evicted map[string]*metrics.Counter // by cause
@@ -120,7 +121,9 @@
 		return nil, tooLarge(limit)
 	}
 	b := &Body{memory: m, charge: intake.Body{Owner: w}, first: make([]byte, 0, firstChunkSize(r.ContentLength))}
-	m.begin(b, deadline)
+	if !m.begin(b, deadline) {
+		return nil, evictedError(intake.Stopping)
+	}
 	if err := b.read(r.Body, limit); err != nil {
 		b.Release()
 		return nil, err
@@ -128,11 +131,13 @@
 	return b, nil
 }
 
+// firstChunkSize leaves room for one more byte than a short body has, so that its end is
+// found without a further chunk.
 func firstChunkSize(length int64) int64 {
 	if length < 0 || length > firstChunkBytes {
-		return firstChunkBytes
+		return firstChunkBytes + 1
 	}
-	return length
+	return length + 1
 }
 
 func (b *Body) read(r io.Reader, limit int64) error {
@@ -242,15 +247,20 @@
 	b.rest, b.last = nil, 0
 }
 
-func (m *Memory) begin(b *Body, deadline time.Time) {
+// begin begins the receipt of a body. It returns false once EvictAll was called.
+func (m *Memory) begin(b *Body, deadline time.Time) bool {
 	now := time.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.stopping {
+		return false
+	}
 	m.budget.Begin(&b.charge, now, deadline)
 	if !deadline.IsZero() && !m.sweeping {
 		m.sweeping = true
 		time.AfterFunc(sweepInterval, m.sweep)
 	}
+	return true
 }
 
 func (m *Memory) recordProgress(b *Body) {
@@ -344,6 +354,7 @@
 func (m *Memory) EvictAll() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.stopping = true
 	m.abort(m.budget.EvictAll())
 }
 
--- a/pkg/role/coordinator/loss.go
+++ b/pkg/role/coordinator/loss.go
@@ -71,6 +71,7 @@
 	case p == nil || known.GetBornUnixMs() != in.GetBornUnixMs():
 	case err == nil:
 		c.recordState(known, p, state)
+	case c.isPaused(now, known): // it answered that it wants no calls for some time
 	case errors.Is(err, syscall.ECONNREFUSED):
 		result = suspicion.Refused
 	case fault.Is(err, fault.Deadline) || fault.Is(err, fault.Unavailable):
--- a/pkg/role/gateway/gateway.go
+++ b/pkg/role/gateway/gateway.go
@@ -159,7 +159,7 @@
 const (
 	// headerTimeout and idleTimeout exceed what a configuration allows callers, who
 	// disconnect earlier.
-	headerTimeout = 10 * time.Second
+	headerTimeout = 5 * time.Second
 	idleTimeout   = 2 * time.Minute
 	// maxHeader, in bytes, is four times the documented limit. The handler enforces the
 	// configured limit, so that a configuration can't allow more than this.
--- a/pkg/role/gateway/handler.go
+++ b/pkg/role/gateway/handler.go
@@ -38,6 +38,9 @@
 	// failed with the outcome NotRun and without refused streams.
 	attempts int
 	sends    int // sends, including retries
+	// mayHaveRun is set once an attempt has failed after which the request may have run. No
+	// later refusal can take that back.
+	mayHaveRun bool
 	// waited is the time from the arrival to the first send.
 	waited    time.Duration
 	upstream  string
--- a/pkg/role/gateway/loss.go
+++ b/pkg/role/gateway/loss.go
@@ -20,7 +20,7 @@
 	lossReportSpacing = 20 * time.Millisecond
 	// lossRepeatDelay is the least time between two reports of the same engine.
 	lossRepeatDelay = 200 * time.Millisecond
-	// lossReportTimeout limits one report. A later one says the same if the loss persists.
+	// lossReportTimeout limits one report. A later report repeats it if the loss persists.
 	lossReportTimeout = 250 * time.Millisecond
 	// maxPendingLosses bounds the engines in a report, and maxRecentLosses those whose last
 	// report is remembered.
--- a/pkg/role/gateway/plain.go
+++ b/pkg/role/gateway/plain.go
@@ -59,6 +59,7 @@
 			err = fault.New(fault.Upstream, "upstream responded with status %d", reply.Status).WithOutcome(fault.MayHaveRun)
 		}
 		lastErr = err
+		q.mayHaveRun = q.mayHaveRun || fault.As(err).Outcome != fault.NotRun
 		g.log.Info("Attempt failed.", logs.Str("request", q.metadata.RequestID), logs.Str("upstream", in.GetId()),
 			logs.Str("address", in.GetAddress()), logs.Int("attempt", q.attempts), logs.Err(err))
 		if e := fault.As(err); e.Outcome != fault.NotRun && !q.route.MayRepeat() || ctx.Err() != nil || q.bodyReleased {
@@ -76,6 +77,10 @@
 // finalError returns the error for the caller after the last attempt, which failed with
 // lastErr.
 func (g *Gateway) finalError(ctx context.Context, q *request, lastErr error) error {
+	if lastErr != nil && q.mayHaveRun && fault.As(lastErr).Outcome == fault.NotRun {
+		e := *fault.As(lastErr)
+		lastErr = e.WithOutcome(fault.MayHaveRun)
+	}
 	stopped, isStopped := context.Cause(ctx).(*fault.Error) // of EndRequests
 	switch {
 	case lastErr == nil:
--- a/pkg/role/gateway/stream.go
+++ b/pkg/role/gateway/stream.go
@@ -100,6 +100,7 @@
 		}
 		lastErr = err
 		e := fault.As(err)
+		q.mayHaveRun = q.mayHaveRun || e.Outcome != fault.NotRun
 		replyBegan, writes := s.attemptProgress()
 		g.log.Info("Attempt failed.", logs.Str("request", q.metadata.RequestID), logs.Str("upstream", q.upstream),
 			logs.Int("attempt", q.attempts), logs.Str("after_event", s.splitter.LastEventID()),
@@ -138,7 +139,11 @@
 		return s.q.deadline
 	}
 	q := s.q
-	wait := precedence.LongestWait(pathWaitShare, q.route.TargetLatency, q.view.conf.UrgentTarget(q.service.Name))
+	var urgentTarget time.Duration
+	if conf := g.view.Load().conf; conf != nil {
+		urgentTarget = conf.UrgentTarget(q.service.Name)
+	}
+	wait := precedence.LongestWait(pathWaitShare, q.route.TargetLatency, urgentTarget)
 	wait = time.Duration(g.load.terms(q.service.Name, q.rank).WaitFactor * float64(wait))
 	return q.arrived.Add(max(wait, g.startupWait()))
 }
@@ -166,7 +171,8 @@
 		if err == nil {
 			err = notRunError(fault.Overloaded, "the link between data centres has no room for %d tokens", tokens)
 		}
-		if !s.started {
+		// A caller that states a short time says nothing about the capacity.
+		if !s.started && fault.Is(err, fault.Overloaded) && (q.metadata.MaxWait <= 0 || q.metadata.MaxWait >= q.route.Timeout/2) {
 			g.load.recordShortage(q.service.Name, q.rank)
 		}
 		if time.Now().After(g.waitDeadline(s)) || !delay.Wait(ctx, pathRetryDelay) {
@@ -210,8 +216,11 @@
 // for requests with a longer expected output, so that these are not refused first.
 func (g *Gateway) costLimit(q *request) time.Duration {
 	typicalTokens := max(1, q.service.Model.TypicalOutputTokens)
-	terms := g.load.terms(q.service.Name, q.rank)
-	return time.Duration(terms.LoadFactor * float64(q.timeLeft()) * max(1, float64(q.expectedOutputTokens())/float64(typicalTokens)))
+	factor := 1.0
+	if q.lastEventAt.IsZero() { // a stream in service keeps its claim
+		factor = g.load.terms(q.service.Name, q.rank).LoadFactor
+	}
+	return time.Duration(factor * float64(q.timeLeft()) * max(1, float64(q.expectedOutputTokens())/float64(typicalTokens)))
 }
 
 // expectedOutputTokens returns the expected number of generated tokens.
