--- a/pkg/core/explain/explain.go
+++ b/pkg/core/explain/explain.go
@@ -139,7 +139,10 @@
 	MaxWaitMs   int64        `json:"max_wait_ms"`
 	Reason      string       `json:"reason"` // for the choice of the data centre
 	DataCentres []DataCentre `json:"data_centres"`
-	Engines     []Restricted `json:"restricted_engines"`
+	// LeavingShare is the share of such requests, 0 to 1, that leave the data centre of the
+	// gateway. The path shown is that of a request in the middle of them all.
+	LeavingShare float64      `json:"leaving_share"`
+	Engines      []Restricted `json:"restricted_engines"`
 }
 
 // Stage is an engine of a path and the layers [From, To) that it runs.
--- a/pkg/core/explain/text.go
+++ b/pkg/core/explain/text.go
@@ -4,6 +4,9 @@
 	"fmt"
 	"io"
 	"text/tabwriter"
+	"time"
+
+	"github.com/plantainstair/plantainstair/pkg/core/locality"
 )
 
 // maxRows bounds the rows of a table in the text form. The JSON form has all of them.
@@ -23,14 +26,46 @@
 		return "no data centre has a path with capacity"
 	case s.Crossings > 0:
 		return "no data centre has a path with capacity of its own"
+	case hasOwn && s.Stages[0].DataCentre == own.Name && s.LeavingShare > 0:
+		return fmt.Sprintf("the gateway's own data centre serves this request; a share of %.2f leaves for a faster one", s.LeavingShare)
 	case hasOwn && s.Stages[0].DataCentre == own.Name:
-		return "the gateway's own data centre has the path with the lowest cost"
+		return "no other data centre is faster by enough to leave the gateway's own one"
 	case !hasOwn:
 		return "the gateway's own data centre has no engine of the service"
 	case !own.HasCapacity:
 		return fmt.Sprintf("the gateway's own data centre has no path with capacity: %s", own.Limit)
 	}
-	return fmt.Sprintf("the best path of the gateway's own data centre costs %.1f ms more", own.CostMs-s.CostMs)
+	return fmt.Sprintf("the best path of the gateway's own data centre costs %.1f ms more, and a share of %.2f leaves", own.CostMs-s.CostMs, s.LeavingShare)
+}
+
+// leavingShare returns the share of requests that leave the data centre of the gateway for
+// the fastest other one with capacity.
+func (s *Stream) leavingShare() float64 {
+	own, fastest := DataCentre{}, DataCentre{}
+	for _, d := range s.DataCentres {
+		switch {
+		case !d.HasCapacity:
+		case d.Own:
+			own = d
+		case !fastest.HasCapacity || d.CostMs < fastest.CostMs:
+			fastest = d
+		}
+	}
+	switch {
+	case !fastest.HasCapacity:
+		return 0
+	case !own.HasCapacity:
+		return 1
+	}
+	return locality.Share(duration(own.CostMs), duration(fastest.CostMs))
+}
+
+func duration(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
+// ExplainDataCentre sets LeavingShare and Reason from the other fields.
+func (s *Stream) ExplainDataCentre() {
+	s.LeavingShare = s.leavingShare()
+	s.Reason = s.DataCentreReason()
 }
 
 // WriteText writes the answer as text for people.
