gateway: less urgent ranks no longer take only cheaper paths

Cause: with a lower limit of the estimated time for ranks below one that waits, no data centre had a path within the limit, and their streams took paths that cross between data centres, which delay all others.

--- a/pkg/role/gateway/load.go
+++ b/pkg/role/gateway/load.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/plantainstair/plantainstair/pkg/core/path"
-	"github.com/plantainstair/plantainstair/pkg/core/precedence"
 )
 
 // loadTracker records the recent requests and failures of this gateway, which the
@@ -18,7 +17,6 @@
 	backoff          map[string]backoff
 	full             map[string]time.Time             // engine ID -> time until which it counts as full
 	waiting          map[string]map[*stream]time.Time // first engine ID -> start of each request without an event
-	shortages        map[string]*precedence.Shortage  // by service
 }
 
 type backoff struct {
@@ -48,33 +46,9 @@
 	b.active = make(map[string]int)
 	b.backoff = make(map[string]backoff)
 	b.full = make(map[string]time.Time)
-	b.shortages = make(map[string]*precedence.Shortage)
 	b.waiting = make(map[string]map[*stream]time.Time)
 }
 
-// recordShortage records that a request of a service found no capacity.
-func (b *loadTracker) recordShortage(service string, rank int) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.shortage(service).RecordWait(time.Now(), rank)
-}
-
-// terms returns the terms on which a request of a service is admitted.
-func (b *loadTracker) terms(service string, rank int) precedence.Terms {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.shortage(service).Terms(time.Now(), rank)
-}
-
-func (b *loadTracker) shortage(service string) *precedence.Shortage {
-	s := b.shortages[service]
-	if s == nil {
-		s = &precedence.Shortage{}
-		b.shortages[service] = s
-	}
-	return s
-}
-
 // addWaiting records a request that waits for its first event at a first engine.
 func (b *loadTracker) addWaiting(id string, s *stream) {
 	b.mu.Lock()
--- a/pkg/role/gateway/stream.go
+++ b/pkg/role/gateway/stream.go
@@ -8,7 +8,6 @@
 
 	"github.com/plantainstair/plantainstair/pkg/core/events"
 	"github.com/plantainstair/plantainstair/pkg/core/path"
-	"github.com/plantainstair/plantainstair/pkg/core/precedence"
 	"github.com/plantainstair/plantainstair/pkg/core/suspicion"
 	"github.com/plantainstair/plantainstair/pkg/delay"
 	"github.com/plantainstair/plantainstair/pkg/fault"
@@ -64,8 +63,8 @@
 	// Retry-After if that is longer. A lack of capacity after the loss of engines lasts until
 	// others have loaded their layers, and a caller that returns earlier is refused again.
 	retryAfterShare = 0.2
-	// pathWaitShare is the share of the route's target for the first event for which a
-	// request waits for a path with free capacity before it is refused. The rest is
+	// pathWaitShare is the share of the target for the first event, that of the most urgent
+	// route to the service, for which a request waits for a path with free capacity before it is refused. The rest is
 	// enough for a first event.
 	pathWaitShare = 0.7
 )
@@ -139,12 +138,15 @@
 		return s.q.deadline
 	}
 	q := s.q
-	var urgentTarget time.Duration
+	target := q.route.TargetLatency
 	if conf := g.view.Load().conf; conf != nil {
-		urgentTarget = conf.UrgentTarget(q.service.Name)
+		// Otherwise routes with longer targets would get the capacity for which urgent
+		// requests no longer wait.
+		if urgent := conf.UrgentTarget(q.service.Name); urgent > 0 {
+			target = min(target, urgent)
+		}
 	}
-	wait := precedence.LongestWait(pathWaitShare, q.route.TargetLatency, urgentTarget)
-	wait = time.Duration(g.load.terms(q.service.Name, q.rank).WaitFactor * float64(wait))
+	wait := time.Duration(pathWaitShare * float64(target))
 	return q.arrived.Add(max(wait, g.startupWait()))
 }
 
@@ -171,10 +173,6 @@
 		if err == nil {
 			err = notRunError(fault.Overloaded, "the link between data centres has no room for %d tokens", tokens)
 		}
-		// A caller that states a short time says nothing about the capacity.
-		if !s.started && fault.Is(err, fault.Overloaded) && (q.metadata.MaxWait <= 0 || q.metadata.MaxWait >= q.route.Timeout/2) {
-			g.load.recordShortage(q.service.Name, q.rank)
-		}
 		if time.Now().After(g.waitDeadline(s)) || !delay.Wait(ctx, pathRetryDelay) {
 			return path.Choice{}, err
 		}
@@ -216,11 +214,7 @@
 // for requests with a longer expected output, so that these are not refused first.
 func (g *Gateway) costLimit(q *request) time.Duration {
 	typicalTokens := max(1, q.service.Model.TypicalOutputTokens)
-	factor := 1.0
-	if q.lastEventAt.IsZero() { // a stream in service keeps its claim
-		factor = g.load.terms(q.service.Name, q.rank).LoadFactor
-	}
-	return time.Duration(factor * float64(q.timeLeft()) * max(1, float64(q.expectedOutputTokens())/float64(typicalTokens)))
+	return time.Duration(float64(q.timeLeft()) * max(1, float64(q.expectedOutputTokens())/float64(typicalTokens)))
 }
 
 // expectedOutputTokens returns the expected number of generated tokens.
