--- a/pkg/role/gateway/attempt.go
+++ b/pkg/role/gateway/attempt.go
@@ -35,6 +35,9 @@
 	g.load.reserve(choice.Stages, q.metadata.PromptTokens+q.expectedOutputTokens())
 	q.attempts++
 	q.upstream = firstStage.ID
+	if in := g.view.Load().byID[firstStage.ID]; in != nil && in.GetDataCentre() != g.opts.DataCentre {
+		g.metrics.streamsLeaving.Inc()
+	}
 	g.load.addWaiting(firstStage.ID, s)
 	defer g.load.removeWaiting(firstStage.ID, s)
 	d := q.dispatch(firstStage.ID)
--- a/pkg/role/gateway/metrics.go
+++ b/pkg/role/gateway/metrics.go
@@ -20,6 +20,7 @@
 	leavingReports     *metrics.Counter
 	pauseReports       *metrics.Counter
 	refusedByStop      *metrics.Counter
+	streamsLeaving     *metrics.Counter // to another data centre
 	lossReports        *metrics.Counter
 	lossReportsDropped *metrics.Counter
 	inProgress         *metrics.Counter
@@ -40,6 +41,7 @@
 		leavingReports:     s.NewCounter(`plantain_gateway_self_reports_total{state="leaving"}`),
 		pauseReports:       s.NewCounter(`plantain_gateway_self_reports_total{state="paused"}`),
 		refusedByStop:      s.NewCounter("plantain_gateway_refused_by_stop_total"),
+		streamsLeaving:     s.NewCounter("plantain_gateway_streams_leaving_data_centre_total"),
 		lossReports:        s.NewCounter("plantain_gateway_loss_reports_total"),
 		lossReportsDropped: s.NewCounter("plantain_gateway_loss_reports_dropped_total"),
 		inProgress:         s.NewCounter("plantain_gateway_requests_in_progress"),
