--- a/pkg/role/gateway/explain.go
+++ b/pkg/role/gateway/explain.go
@@ -107,7 +107,7 @@
 	m := q.service.Model
 	wanted := path.Request{
 		InputTokens: q.metadata.PromptTokens, ExpectedOutputTokens: q.expectedOutputTokens(),
-		DataCentre: g.opts.DataCentre, MaxCost: g.costLimit(q), Draw: 0.5,
+		DataCentre: g.opts.DataCentre, MaxCost: q.costLimit(), Draw: 0.5,
 	}
 	engines := g.candidateEngines(v, q, nil, g.isBlocked)
 	dataCentres := make(map[string][]path.Engine)
--- a/pkg/role/gateway/repair.go
+++ b/pkg/role/gateway/repair.go
@@ -80,8 +80,8 @@
 }
 
 // resume ends the current attempt, so that the stream is resumed on a path with another
-// first engine. If no path has free capacity, the attempt goes on, as its engine may be
-// unreachable only for the coordinator.
+// first engine, and reports whether it did. If no path within one data centre has free
+// capacity, the attempt goes on, as its engine may be unreachable only for the coordinator.
 func (g *Gateway) resume(v *view, s *stream, firstStage path.PipelineStage, lost, reason string) bool {
 	if c, err := g.bestPath(v, s.q, map[string]bool{firstStage.ID: true, lost: true}); err != nil || c.DataCentreCrossings > 0 {
 		return false
@@ -163,7 +163,8 @@
 
 // repath moves a stream off the engine avoid to a path with the same first engine,
 // which keeps the connection of the stream and the KV cache of the other engines. With
-// crossDataCentre, the path may cross between data centres.
+// crossDataCentre, the path may cross between data centres. It returns false if there is no
+// such path now.
 func (g *Gateway) repath(ctx context.Context, v *view, s *stream, stages []path.PipelineStage, avoid string, crossDataCentre bool) bool {
 	q := s.q
 	if time.Now().Before(g.selfReports.Get(stageProcess(stages[0])).PausedUntil) {
--- a/pkg/role/gateway/stream.go
+++ b/pkg/role/gateway/stream.go
@@ -64,8 +64,8 @@
 	// others have loaded their layers, and a caller that returns earlier is refused again.
 	retryAfterShare = 0.2
 	// pathWaitShare is the share of the target for the first event, that of the most urgent
-	// route to the service, for which a request waits for a path with free capacity before it is refused. The rest is
-	// enough for a first event.
+	// route to the service, for which a request waits for a path with free capacity before it
+	// is refused. The rest is enough for a first event.
 	pathWaitShare = 0.7
 )
 
@@ -204,7 +204,7 @@
 // excluded returns true.
 func (g *Gateway) bestPathAmong(v *view, q *request, avoid map[string]bool, excluded func(*wirepb.Instance) bool) (path.Choice, error) {
 	return path.Choose(q.service.Model, g.candidateEngines(v, q, avoid, excluded), path.Request{
-		InputTokens: q.metadata.PromptTokens, ExpectedOutputTokens: q.expectedOutputTokens(), DataCentre: g.opts.DataCentre, MaxCost: g.costLimit(q),
+		InputTokens: q.metadata.PromptTokens, ExpectedOutputTokens: q.expectedOutputTokens(), DataCentre: g.opts.DataCentre, MaxCost: q.costLimit(),
 		CostFactor: spreadFactors(q.metadata.RequestID), Draw: localityDraw(q.metadata.RequestID),
 	})
 }
@@ -212,7 +212,7 @@
 // costLimit returns the estimated duration from which a path counts as overloaded:
 // requests of the typical length would no longer end by their deadline. It is longer
 // for requests with a longer expected output, so that these are not refused first.
-func (g *Gateway) costLimit(q *request) time.Duration {
+func (q *request) costLimit() time.Duration {
 	typicalTokens := max(1, q.service.Model.TypicalOutputTokens)
 	return time.Duration(float64(q.timeLeft()) * max(1, float64(q.expectedOutputTokens())/float64(typicalTokens)))
 }
--- a/review/kit/platform.go
+++ b/review/kit/platform.go
@@ -107,7 +107,6 @@
 		"nodeName": m.name, "zone": m.zone, "region": "r1", "ip": m.ip, "portRange.0": strconv.Itoa(portFirst), "portRange.1": strconv.Itoa(portLast),
 		"seeds": strings.Join(m.seeds, ","), "bootstrap": strconv.FormatBool(m.bootstrap), "dataDir": dataDir, "heartbeatMs": strconv.Itoa(p.beatMs),
 		"limits.memoryMb":       strconv.Itoa(m.memoryMB),
-		"limits.maxFds":         "1024",
 		"listenAddresses.front": m.address(portFront), "listenAddresses.ready": m.address(portReady), "listenAddresses.control": m.address(portControl),
 	}
 	for name, value := range p.bounds {
