pkg/httpconn: the test of the limit waits until connections are idle

Cause: the test failed once beside load. The server reports a connection as idle after its response was sent, so that the second connection could count as idle before the first, and was closed in its place. Change: the test waits for the state that it relies on; its assertions are the same.

--- a/pkg/httpconn/limit_test.go
+++ b/pkg/httpconn/limit_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 )
 
 // Guards against callers that use up the descriptors: at the limit the longest idle connection
@@ -53,9 +54,28 @@
 		}
 		return receive(c)
 	}
+	// The server reports a connection as idle after its response was sent.
+	awaitIdle := func(count int) {
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			tracker.mu.Lock()
+			defer tracker.mu.Unlock()
+			n := 0
+			for tc := tracker.idle.next; tc != &tracker.idle; tc = tc.next {
+				if !tc.isNew {
+					n++
+				}
+			}
+			if n != count {
+				return poll.Continue("%d connections are idle", n)
+			}
+			return poll.Success()
+		}, poll.WithTimeout(10*time.Second), poll.WithDelay(time.Millisecond))
+	}
 	first, second := dial(), dial()
 	assert.NilError(t, get(first, "/"))
+	awaitIdle(1)
 	assert.NilError(t, get(second, "/"))
+	awaitIdle(2)
 	slow := dial()
 	assert.NilError(t, get(slow, "/slow"))
 	assert.Assert(t, receive(first) != nil, "the connection that was idle for longest is open")
