--- a/review/kit-2/client.go
+++ b/review/kit-2/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -109,9 +108,17 @@
 	c.conn = nil
 }
 
-// closedByPeer reports whether the connection was closed by the gateway, and not by the
-// client at its deadline.
-func (o outcome) closedByPeer() bool {
-	var timeout net.Error
-	return o.err != nil && !(errors.As(o.err, &timeout) && timeout.Timeout())
+// awaitStream waits until a stream is answered.
+func (p *play) awaitStream(front machine) {
+	c := &client{play: p, address: p.address(front, portFront)}
+	defer c.close()
+	for range 40 {
+		header := map[string]string{"Model": "m", "Token-Usage": "760,84", "Prefix-Hash": "5c1e07a2:40,91bd3f06:720", "Content-Type": "text/plain"}
+		o := c.do("POST", "/chat/1", "a.example", newRequestID(), header, "prompt", 20*time.Second)
+		if o.whole && o.status == http.StatusOK {
+			return
+		}
+		time.Sleep(300 * time.Millisecond)
+	}
+	cannotRun("no stream is served")
 }
--- a/review/kit-2/operator.go
+++ b/review/kit-2/operator.go
@@ -3,8 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
-	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -72,20 +70,3 @@
 	}
 	return ""
 }
-
-// readVersion reads the configuration at a node. It returns its version, 0 if there is none.
-func (p *play) readVersion(m machine) int {
-	status, answer, by := control(http.MethodGet, p.address(m, portControl), "/config", nil)
-	var read struct{ Version int }
-	if status != http.StatusOK || json.Unmarshal(answer, &read) != nil {
-		p.note("read of the configuration at %s: status %d by %s %.120s", m.name, status, by, answer)
-		return 0
-	}
-	p.note("read of the configuration at %s: version %d by %s", m.name, read.Version, by)
-	return read.Version
-}
-
-// plainConfig returns a configuration with one plain service.
-func plainConfig(version int) []byte {
-	return fmt.Appendf(nil, `{"version":%d,"routes":[{"name":"r-1","host":"a.example","pathPrefix":"/a/","kind":"unsafe","timeoutMs":2500,"targetLatencyMs":150,"priority":0,"service":"desk","maxAttempts":1,"public":true,"sticky":false,"resumable":false}],"services":[{"name":"desk","healthPath":"/healthz","maxConnections":260,"protocol":"h1","tls":false}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},"tenants":[]}`, version)
-}
--- a/review/kit-2/server.go
+++ b/review/kit-2/server.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
@@ -23,10 +22,7 @@
 	born    int64
 	nodes   []machine // that serve control
 	// weights returns what announcements say of loaded weights, nil for a plain service.
-	weights func() map[string]any
-	// cut is set while the server is partitioned from the core and from control.
-	cut atomic.Bool
-
+	weights  func() map[string]any
 	sequence int
 	listener net.Listener
 	ended    chan struct{}
@@ -59,10 +55,8 @@
 }
 
 func (s *server) announceLoop() {
-	for i := 0; ; i++ {
-		if !s.cut.Load() {
-			s.announce()
-		}
+	for {
+		s.announce()
 		select {
 		case <-s.ended:
 			return
@@ -115,8 +109,6 @@
 	from, to int
 	orders   int
 	active   int
-	// running holds the streams that the engine works on.
-	running map[string]bool
 }
 
 const (
@@ -127,7 +119,7 @@
 )
 
 func (p *play) startEngine(n int, service, zone string, nodes []machine) *engine {
-	e := &engine{server: p.newServer(n, service, zone, 192, nodes), running: make(map[string]bool)}
+	e := &engine{server: p.newServer(n, service, zone, 192, nodes)}
 	e.weights = e.announced
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Instance-Id", e.id) })
@@ -149,14 +141,7 @@
 	return out
 }
 
-func (e *engine) report(w http.ResponseWriter, r *http.Request) {
-	for e.cut.Load() { // nothing passes between the engine and control
-		select {
-		case <-r.Context().Done():
-			return
-		case <-time.After(50 * time.Millisecond):
-		}
-	}
+func (e *engine) report(w http.ResponseWriter, _ *http.Request) {
 	out := e.announced()
 	e.mu.Lock()
 	out["busy"], out["sequence"], out["queued"], out["active"] = false, e.orders, 0, e.active
@@ -207,8 +192,8 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	e.begin(id, 1)
-	defer e.begin(id, -1)
+	e.addActive(1)
+	defer e.addActive(-1)
 	w.Header().Set("Server-Signature", e.id+"."+id)
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.WriteHeader(http.StatusOK)
@@ -228,20 +213,10 @@
 	}
 }
 
-func (e *engine) begin(id string, n int) {
+func (e *engine) addActive(n int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.active += n
-	if n > 0 {
-		e.running[id] = true
-	}
-}
-
-// hasRun reports whether the engine was handed a request.
-func (e *engine) hasRun(id string) bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.running[id]
 }
 
 // modelConfig returns a configuration with one streaming route to a service with a model.
--- a/review/kit-2/system.go
+++ b/review/kit-2/system.go
@@ -25,7 +25,6 @@
 // Bounds of the deployments in SYSTEM.md.
 const (
 	graceS  = 8
-	catchUp = 4 * time.Second
 	contact = 3 * time.Second
 	drainMs = 2000
 	beatMs  = 1200
@@ -165,17 +164,6 @@
 
 func (s *system) dataDir(m machine) string { return filepath.Join(s.folder, m.name+"-data") }
 
-// signal sends a signal to a process that this run started.
-func (s *system) signal(p *process, sig syscall.Signal) {
-	select {
-	case <-p.ended:
-		return
-	default:
-	}
-	s.log.note("%v to %s", sig, p.name)
-	_ = p.cmd.Process.Signal(sig)
-}
-
 // endAll ends all processes and removes the temporary folder.
 func (s *system) endAll() {
 	s.mu.Lock()
