pkg/instances: refuse responses with an invalid status

Seen by callers: a server in trouble sends an answer with status 000, and the caller gets as its answer what follows that head, here the body of the broken answer.

Cause: http.ReadResponse accepts any three characters that make a number of zero or more, and any version HTTP/x.y. The pool skipped every status below 200 as an interim response, without its body, and read the next head from there.

Change: pkg/responsehead reads the head of a response before net/http does and checks the status line: version 1.0 or 1.1, one blank, a status from 100 to 599 in digits. The head is then put back for http.ReadResponse. What fails ends the call with 502, as bytes that are no response do; nothing is promised. The bound of 64 KiB for a head moves there.

Evidence: TestPool_RefusesInvalidStatusLines, 9 of 17 cases failed before, all with the body that callers got. TestFleet_BrokenReplyBecomesError failed before: the caller of an order got 200 with the signature and the body "one", which stood in the body of an answer with status 000. Status 000 with an ordinary body ended with 502 before too; the case stays.

--- a/pkg/instances/pool.go
+++ b/pkg/instances/pool.go
@@ -17,6 +17,7 @@
 
 	"github.com/plantainstair/plantainstair/pkg/fault"
 	"github.com/plantainstair/plantainstair/pkg/replybody"
+	"github.com/plantainstair/plantainstair/pkg/responsehead"
 )
 
 const (
@@ -42,9 +43,6 @@
 	// maxRefusals bounds the refusals on a connection, after which it is closed.
 	maxRefusals    = 32
 	readBufferSize = 4 << 10
-	// maxHeadBytes bounds the head of a response: an upstream in trouble may send bytes
-	// without end.
-	maxHeadBytes = 64 << 10
 )
 
 // Call is an HTTP request to an upstream.
@@ -91,7 +89,7 @@
 	net.Conn
 	pool      *Pool
 	address   string
-	input     *headLimiter
+	input     *replayReader
 	reader    *bufio.Reader // of input
 	maxIdle   time.Duration // longest idle time, 0 if the connection must not be reused
 	idleSince time.Time
@@ -171,7 +169,7 @@
 		return nil, fault.Wrap(err, fault.Unavailable, "connect to %s", address).WithOutcome(fault.NotRun)
 	}
 	p.onDial()
-	input := &headLimiter{source: nc}
+	input := &replayReader{source: nc}
 	return &conn{Conn: nc, pool: p, address: address, input: input, reader: bufio.NewReaderSize(input, readBufferSize), maxIdle: defaultMaxIdle}, nil
 }
 
@@ -204,7 +202,7 @@
 // inputEmpty reports whether nothing has arrived on an idle connection: neither a reply
 // to another request nor the end of the connection.
 func (c *conn) inputEmpty() bool {
-	if c.reader.Buffered() > 0 {
+	if c.hasUnreadInput() {
 		return false
 	}
 	raw, ok := c.Conn.(syscall.Conn)
@@ -225,6 +223,9 @@
 	return err == nil && inputEmpty
 }
 
+// hasUnreadInput reports whether bytes are left of those that were received from the connection.
+func (c *conn) hasUnreadInput() bool { return c.reader.Buffered() > 0 || len(c.input.pending) > 0 }
+
 // sendAndReceive writes the call and reads the header of its reply.
 func (c *conn) sendAndReceive(ctx context.Context, call Call) (*Reply, error) {
 	deadline, _ := ctx.Deadline()
@@ -307,10 +308,15 @@
 }
 
 // readHead reads the head of the next response. It fails with a Protocol error if the head is
-// not valid, incomplete or exceeds maxHeadBytes.
+// not valid, incomplete or too long.
 func (c *conn) readHead(method string) (*http.Response, error) {
-	c.input.beginHead(maxHeadBytes)
-	defer c.input.endHead()
+	head, err := responsehead.Read(c.reader)
+	if err != nil {
+		return nil, err
+	}
+	following, _ := c.reader.Peek(c.reader.Buffered()) // never fails: these bytes are there
+	c.input.pending = slices.Concat(head.Bytes, following, c.input.pending)
+	c.reader.Reset(c.input)
 	resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 	if err != nil {
 		return nil, fault.Wrap(err, fault.Protocol, "read the head of a response")
@@ -358,7 +364,7 @@
 	if r.Metadata.NotRun && r.Metadata.RequestID != "" {
 		c.refused = append(c.refused, r.Metadata.RequestID)
 	}
-	if !c.stopCancel() || len(c.refused) > maxRefusals || !r.bodyRead || r.resp.Close || c.reader.Buffered() > 0 || c.maxIdle == 0 {
+	if !c.stopCancel() || len(c.refused) > maxRefusals || !r.bodyRead || r.resp.Close || c.hasUnreadInput() || c.maxIdle == 0 {
 		_ = c.Close()
 		return
 	}
