pkg/instances: refuse responses with invalid lines among their fields

Seen by callers: a server in trouble sends a head in which the name of a field has a blank or a control byte. The caller gets it as an answer: without that line, with the line joined to the signature above it, or with a body that isn't the server's.

Cause: the reader of net/http accepts names with a blank, keeps them apart from the field that they resemble, and drops them when a header is written. With "Transfer-Encoding : chunked" the sizes of the chunks became part of the body, with "Content-Length : 3" the bytes after the body. A line that starts with a blank or a tab continued the value above it. Lines may end with a line feed alone there, so that one in a damaged line splits it.

Change: pkg/responsehead accepts only lines that end with CR LF, start with the name of a field and a colon, and have no control bytes. RFC 9112 lets a gateway answer 502 in place of a head with continued lines (section 5.2) and leaves it to the reader whether it accepts line feeds alone (section 2.2); both are refused, since a joined or split line can change the signature.

--- a/pkg/instances/broken_reply_test.go
+++ b/pkg/instances/broken_reply_test.go
@@ -28,6 +28,12 @@
 	assertBroken(t, brokenresponse.InvalidStatusLines("Id: 1\r\n"))
 }
 
+// Guards against a line in a head that is not passed on, or that changes where the body ends or
+// another field, because the reader did not find the name of a field in it.
+func TestPool_RefusesInvalidFields(t *testing.T) {
+	assertBroken(t, brokenresponse.InvalidFields("Id: 1\r\n"))
+}
+
 // Guards against a reply that ends within its head and is taken for a whole one with an empty or
 // short body.
 func TestPool_RefusesReplyCutInItsHead(t *testing.T) {
--- a/pkg/responsehead/responsehead.go
+++ b/pkg/responsehead/responsehead.go
@@ -8,6 +8,7 @@
 	"bytes"
 	"io"
 	"net/http"
+	"strings"
 
 	"github.com/plantainstair/plantainstair/pkg/fault"
 )
@@ -39,15 +40,22 @@
 	if err := h.parseStatusLine(line); err != nil {
 		return nil, err
 	}
-	for len(line) > 0 {
-		if line, err = h.readLine(r); err != nil {
+	for {
+		line, err := h.readLine(r)
+		switch {
+		case err != nil:
+			return nil, err
+		case len(line) == 0:
+			return h, nil
+		}
+		if err := checkField(line); err != nil {
 			return nil, err
 		}
 	}
-	return h, nil
 }
 
-// readLine appends a line to the head and returns it without its end.
+// readLine appends a line to the head and returns it without its end. The end is a carriage return
+// and a line feed: a line feed alone may stand in the middle of a damaged line.
 func (h *Head) readLine(r *bufio.Reader) ([]byte, error) {
 	start := len(h.Bytes)
 	for {
@@ -63,8 +71,39 @@
 		case err != nil:
 			return nil, fault.Wrap(err, fault.Protocol, "read the head of a response")
 		}
-		return bytes.TrimRight(h.Bytes[start:], "\r\n"), nil
+		line, ok := bytes.CutSuffix(h.Bytes[start:], []byte("\r\n"))
+		if !ok || !isText(line) {
+			return nil, fault.New(fault.Protocol, "line %.64q in the head of the response is not valid", h.Bytes[start:])
+		}
+		return line, nil
+	}
+}
+
+// isText reports whether a line has no control bytes except tabs.
+func isText(line []byte) bool {
+	for _, b := range line {
+		if (b < ' ' && b != '\t') || b == 0x7f {
+			return false
+		}
+	}
+	return true
+}
+
+// checkField returns an error if a line does not start with the name of a field and a colon. A
+// blank before the name would continue the line above; such lines are obsolete, and joining them
+// may change a field that is forwarded (RFC 9112, section 5.2). A blank after the name would hide
+// the field from the reader (section 5.1).
+func checkField(line []byte) error {
+	name, _, ok := bytes.Cut(line, []byte(":"))
+	if !ok || len(name) == 0 || bytes.ContainsFunc(name, func(r rune) bool { return !isTokenChar(r) }) {
+		return fault.New(fault.Protocol, "line %.64q in the head of the response has no valid field name", line)
 	}
+	return nil
+}
+
+// isTokenChar reports whether a token may have this character (RFC 9110, section 5.6.2).
+func isTokenChar(r rune) bool {
+	return '0' <= r && r <= '9' || 'a' <= r && r <= 'z' || 'A' <= r && r <= 'Z' || strings.ContainsRune("!#$%&'*+-.^_`|~", r)
 }
 
 // parseStatusLine reads a line such as "HTTP/1.1 200 OK". It accepts one without the blank that
--- a/pkg/standin/brokenresponse/brokenresponse.go
+++ b/pkg/standin/brokenresponse/brokenresponse.go
@@ -3,6 +3,8 @@
 // responses are read.
 package brokenresponse
 
+import "strings"
+
 // Close at the end of a response stands for the end of the connection.
 const Close = "<close>"
 
@@ -32,3 +34,35 @@
 		"field in its place":          lines + "Content-Length: 3\r\n\r\none",
 	}
 }
+
+// InvalidFields returns, by name, responses with an invalid line among the fields of their heads,
+// and with the given lines.
+func InvalidFields(lines string) map[string]string {
+	const body = "Content-Length: 3\r\n\r\none"
+	ok := "HTTP/1.1 200 OK\r\n" + lines
+	return map[string]string{
+		"blank in a name":             ok + "A b: c\r\n" + body,
+		"blank after a name":          ok + "A : b\r\n" + body,
+		"blank after the length":      ok + "Content-Length : 3\r\n\r\nonetwo" + Close,
+		"blank after the encoding":    ok + "Transfer-Encoding : chunked\r\n\r\n3\r\none\r\n0\r\n\r\n" + Close,
+		"blank before a name":         ok + "A: b\r\n C: d\r\n" + body,
+		"blank before the length":     ok + "A: b\r\n Content-Length: 3\r\n\r\nonetwo" + Close,
+		"blank before the first name": "HTTP/1.1 200 OK\r\n A: b\r\n" + lines + body,
+		"line of a blank":             ok + "A: b\r\n \r\n" + body,
+		"tab before a name":           ok + "A: b\r\n\tC: d\r\n" + body,
+		"tab after a name":            ok + "A\t: b\r\n" + body,
+		"control byte in a name":      ok + "A\x01b: c\r\n" + body,
+		"null byte in a name":         ok + "A\x00: b\r\n" + body,
+		"byte over 127 in a name":     ok + "A\xe9: b\r\n" + body,
+		"separator in a name":         ok + "A(b): c\r\n" + body,
+		"empty name":                  ok + ": b\r\n" + body,
+		"no name":                     ok + "A\r\n" + body,
+		"control byte in a value":     ok + "A: b\x01\r\n" + body,
+		"carriage return in a value":  ok + "A: b\rc\r\n" + body,
+		"carriage return in a name":   ok + "A\r: b\r\n" + body,
+		"control byte in the reason":  "HTTP/1.1 200 O\x01K\r\n" + lines + body,
+		"line feeds alone":            strings.ReplaceAll(ok+body, "\r\n", "\n"),
+		"last line feed alone":        ok + "Content-Length: 3\r\n\none",
+		"response after half a line":  ok + "A" + ok + body,
+	}
+}
