pkg/instances: refuse responses that contradict themselves about their end

Seen by callers: a head states two things about where its response ends, and the caller gets what the reader makes of it. A response of version 1.0 in chunks came with the sizes of the chunks in its body. An interim response (1xx) with a body was skipped without it, so that the next head was read from that body.

Cause: http.ReadResponse resolves such heads silently: it ignores a length beside chunks and chunks in version 1.0, and takes the bodies of interim responses and of status 204 for what follows on the connection. Status 101 was skipped like the other interim responses, although another protocol follows it.

Change: pkg/responsehead refuses a length beside a transfer encoding, a transfer encoding in version 1.0, a body stated with 1xx or 204, and status 101, which no call asks for (RFC 9112, sections 6.1 and 6.3). A length of 0 with 1xx or 204 is accepted: it contradicts nothing.

Evidence: TestPool_RefusesInvalidFraming, 7 of 20 cases failed before, among them the body "3\r\none\r\n0\r\n\r\n" in place of "one", and the body of an interim response as the reply. The other 13 hold before and stay.

--- a/pkg/instances/broken_reply_test.go
+++ b/pkg/instances/broken_reply_test.go
@@ -34,6 +34,12 @@
 	assertBroken(t, brokenresponse.InvalidFields("Id: 1\r\n"))
 }
 
+// Guards against a reply whose end is unclear or contradictory: a part of the body, or bytes after
+// it, would become the reply to this call or the next.
+func TestPool_RefusesInvalidFraming(t *testing.T) {
+	assertBroken(t, brokenresponse.InvalidFraming("Id: 1\r\n"))
+}
+
 // Guards against a reply that ends within its head and is taken for a whole one with an empty or
 // short body.
 func TestPool_RefusesReplyCutInItsHead(t *testing.T) {
--- a/pkg/responsehead/responsehead.go
+++ b/pkg/responsehead/responsehead.go
@@ -24,6 +24,10 @@
 	// Bytes are those of the head, with the empty line at its end.
 	Bytes  []byte
 	Status int
+
+	version   string
+	length    string // of the body, empty if not stated
+	isEncoded bool   // a transfer encoding is stated
 }
 
 // IsInterim reports whether another response to the same request follows.
@@ -46,9 +50,12 @@
 		case err != nil:
 			return nil, err
 		case len(line) == 0:
+			if err := h.checkFraming(); err != nil {
+				return nil, err
+			}
 			return h, nil
 		}
-		if err := checkField(line); err != nil {
+		if err := h.parseField(line); err != nil {
 			return nil, err
 		}
 	}
@@ -89,15 +96,39 @@
 	return true
 }
 
-// checkField returns an error if a line does not start with the name of a field and a colon. A
-// blank before the name would continue the line above; such lines are obsolete, and joining them
-// may change a field that is forwarded (RFC 9112, section 5.2). A blank after the name would hide
-// the field from the reader (section 5.1).
-func checkField(line []byte) error {
-	name, _, ok := bytes.Cut(line, []byte(":"))
+// parseField reads a line with the name of a field, a colon and its value. A blank before the
+// name would continue the line above; such lines are obsolete, and joining them may change a
+// field that is forwarded (RFC 9112, section 5.2). A blank after the name would hide the field
+// from the reader (section 5.1).
+func (h *Head) parseField(line []byte) error {
+	name, value, ok := bytes.Cut(line, []byte(":"))
 	if !ok || len(name) == 0 || bytes.ContainsFunc(name, func(r rune) bool { return !isTokenChar(r) }) {
 		return fault.New(fault.Protocol, "line %.64q in the head of the response has no valid field name", line)
 	}
+	switch {
+	case strings.EqualFold(string(name), "Content-Length"):
+		h.length = string(bytes.Trim(value, " \t"))
+	case strings.EqualFold(string(name), "Transfer-Encoding"):
+		h.isEncoded = true
+	}
+	return nil
+}
+
+// checkFraming returns an error if the head is contradictory about where its response ends. The
+// values of the fields are left to net/http, which refuses different lengths and unknown
+// encodings.
+func (h *Head) checkFraming() error {
+	hasBody := h.isEncoded || (h.length != "" && h.length != "0")
+	switch {
+	case h.Status == http.StatusSwitchingProtocols:
+		return fault.New(fault.Protocol, "response switches to a protocol that was not asked for")
+	case hasBody && (h.IsInterim() || h.Status == http.StatusNoContent):
+		return fault.New(fault.Protocol, "response with status %d states a body", h.Status)
+	case h.isEncoded && h.length != "":
+		return fault.New(fault.Protocol, "response states a length and a transfer encoding")
+	case h.isEncoded && h.version == "HTTP/1.0":
+		return fault.New(fault.Protocol, "response of version 1.0 states a transfer encoding")
+	}
 	return nil
 }
 
@@ -110,7 +141,8 @@
 // follows the status, which many servers omit if they state no reason.
 func (h *Head) parseStatusLine(line []byte) error {
 	version, rest, _ := bytes.Cut(line, []byte(" "))
-	if v := string(version); v != "HTTP/1.1" && v != "HTTP/1.0" {
+	h.version = string(version)
+	if h.version != "HTTP/1.1" && h.version != "HTTP/1.0" {
 		return fault.New(fault.Protocol, "response starts with %.32q", line)
 	}
 	code, _, _ := bytes.Cut(rest, []byte(" "))
--- a/pkg/standin/brokenresponse/brokenresponse.go
+++ b/pkg/standin/brokenresponse/brokenresponse.go
@@ -66,3 +66,33 @@
 		"response after half a line":  ok + "A" + ok + body,
 	}
 }
+
+// InvalidFraming returns, by name, responses of which it is unclear or contradictory where they
+// end, with the given lines in their heads.
+func InvalidFraming(lines string) map[string]string {
+	ok := "HTTP/1.1 200 OK\r\n" + lines
+	valid := ok + "Content-Length: 3\r\n\r\none"
+	const chunked, chunks = "Transfer-Encoding: chunked\r\n", "\r\n3\r\none\r\n0\r\n\r\n"
+	return map[string]string{
+		"two lengths":                    ok + "Content-Length: 3\r\nContent-Length: 6\r\n\r\nonetwo",
+		"list of lengths":                ok + "Content-Length: 3, 3\r\n\r\none",
+		"length with a sign":             ok + "Content-Length: +3\r\n\r\none",
+		"empty length":                   ok + "Content-Length:\r\n\r\none" + Close,
+		"length beside chunks":           ok + "Content-Length: 3\r\n" + chunked + chunks,
+		"chunks in version 1.0":          "HTTP/1.0 200 OK\r\n" + lines + chunked + chunks + Close,
+		"unknown transfer encoding":      ok + "Transfer-Encoding: gzip\r\n\r\none" + Close,
+		"encoding after chunks":          ok + "Transfer-Encoding: chunked, gzip\r\n" + chunks,
+		"chunk size with a sign":         ok + chunked + "\r\n+3\r\none\r\n0\r\n\r\n",
+		"chunk longer than its size":     ok + chunked + "\r\n3\r\nonetwo\r\n0\r\n\r\n",
+		"chunk size without return":      ok + chunked + "\r\n3\none\r\n0\r\n\r\n",
+		"no last chunk":                  ok + chunked + "\r\n3\r\none\r\n" + Close,
+		"trailer not ended":              ok + chunked + "\r\n3\r\none\r\n0\r\n" + Close,
+		"trailer without a name":         ok + chunked + "\r\n3\r\none\r\n0\r\nA\r\n\r\n",
+		"status 204 with a length":       "HTTP/1.1 204 No Content\r\n" + lines + "Content-Length: 3\r\n\r\none",
+		"status 204 with chunks":         "HTTP/1.1 204 No Content\r\n" + lines + chunked + chunks,
+		"interim response with a length": "HTTP/1.1 102 Processing\r\nContent-Length: 57\r\n\r\n" + valid,
+		"interim response with chunks":   "HTTP/1.1 102 Processing\r\n" + chunked + "\r\n" + valid,
+		"interim response before close":  "HTTP/1.1 102 Processing\r\n" + lines + "\r\n" + Close,
+		"switched protocol":              "HTTP/1.1 101 Switching Protocols\r\n" + lines + "Upgrade: x\r\n\r\n" + valid,
+	}
+}
