pkg/instances: a HEAD call has a connection of its own

Seen by callers: a faulty server repeats a reply on a kept connection where the next one is due. If one of the two calls was HEAD, the caller of the next call gets bytes from the body of another reply as its answer.

Cause: a reply to another request is skipped with its body, and whether it has one was taken from the method of the call that waits. A reply to HEAD states a length, but no body follows; a reply to GET has one although a HEAD call waits.

Change: a HEAD call is sent on a new connection, which is closed after the reply. All replies on a kept connection then end where their heads say.

Evidence: TestPool_KeepsRepliesToHeadApart, both cases failed before: the head in the body of a reply was taken for the reply.

--- a/pkg/instances/broken_reply_test.go
+++ b/pkg/instances/broken_reply_test.go
@@ -1,6 +1,11 @@
 package instances
 
 import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -58,3 +63,67 @@
 		}
 	}
 }
+
+// startRepeatingUpstream responds to each request with its reply. On a kept connection it writes
+// the reply to the request before once more, in front of it.
+func startRepeatingUpstream(t *testing.T, replies map[string]string) net.Listener {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = ln.Close() })
+	serve := func(c net.Conn) {
+		defer c.Close()
+		repeated := ""
+		for r := bufio.NewReader(c); ; {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			reply := replies[req.Method]
+			_, _ = io.WriteString(c, repeated+reply)
+			repeated = reply
+		}
+	}
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go serve(c)
+		}
+	}()
+	return ln
+}
+
+// Guards against a body that is read where there is none, or left where there is one: replies to
+// HEAD state the length of a body that does not follow, and a repeated reply does not tell which
+// method it belongs to.
+func TestPool_KeepsRepliesToHeadApart(t *testing.T) {
+	const inside = "HTTP/1.1 200 OK\r\nId: 2\r\nContent-Length: 0\r\n\r\n" // the body of a reply, 45 bytes
+	// The lengths are those of the heads, so that skipping one too many or too few bytes ends at
+	// the head inside a body.
+	first := "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 46\r\n\r\n"
+	second := "HTTP/1.1 200 OK\r\nId: 2\r\nContent-Length: 45\r\n\r\n"
+	for _, c := range []struct {
+		methods [2]string
+		replies map[string]string
+	}{
+		{[2]string{"HEAD", "GET"}, map[string]string{"HEAD": first, "GET": second + inside}},
+		{[2]string{"GET", "HEAD"}, map[string]string{"GET": first + inside + "\n", "HEAD": second}},
+	} {
+		t.Run(c.methods[1], func(t *testing.T) {
+			s := startRepeatingUpstream(t, c.replies)
+			p := NewPool(echoDialect{}, func() {})
+			for i, method := range c.methods {
+				call := Call{Method: method, Target: "/", Host: "h", Header: http.Header{}, RequestID: strconv.Itoa(i + 1)}
+				reply, err := p.Do(t.Context(), s.Addr().String(), call)
+				assert.NilError(t, err)
+				assert.Equal(t, reply.Length, int64(46-i), "the caller got another reply")
+				_, err = reply.ReadAll(100)
+				assert.NilError(t, err)
+				reply.Close()
+			}
+		})
+	}
+}
--- a/pkg/instances/pool.go
+++ b/pkg/instances/pool.go
@@ -131,9 +131,11 @@
 	return reply, err
 }
 
-// get returns an idle connection or a new one.
+// get returns an idle connection or a new one. A HEAD call gets a connection of its own: where the
+// reply to an earlier call that is repeated on the connection would end depends on the method of
+// that call, which the reply does not state.
 func (p *Pool) get(ctx context.Context, address string, call Call) (*conn, bool, error) {
-	for {
+	for call.Method != http.MethodHead {
 		c := p.popIdle(address)
 		if c == nil {
 			break
@@ -364,7 +366,7 @@
 	if r.Metadata.NotRun && r.Metadata.RequestID != "" {
 		c.refused = append(c.refused, r.Metadata.RequestID)
 	}
-	if !c.stopCancel() || len(c.refused) > maxRefusals || !r.bodyRead || r.resp.Close || c.hasUnreadInput() || c.maxIdle == 0 {
+	if !c.stopCancel() || r.resp.Request.Method == http.MethodHead || len(c.refused) > maxRefusals || !r.bodyRead || r.resp.Close || c.hasUnreadInput() || c.maxIdle == 0 {
 		_ = c.Close()
 		return
 	}
