pkg/upstreams: agents refuse broken responses of services

A call is answered with status 200 and a body that isn't the service's, with the field name "A b", or with a status from 600 to 999. Status 000 became 502 at the entry, but with a key it was recorded as the answer to the call.

Cause: agents read services through http.Transport, which reads heads like http.ReadResponse.

Change: responsehead.Transport, an http.Transport whose connections read each head with pkg/responsehead and pass it on once it is found valid. A head is expected from the moment at which the transport picks the connection for a request, and again after an interim response. The first byte of a refused head is passed on all the same: net/http sends an idempotent request once more if the first read of a response fails, and an upstream that answered may have run it.

--- a/pkg/upstreams/client.go
+++ b/pkg/upstreams/client.go
@@ -16,6 +16,7 @@
 	"github.com/plantainstair/plantainstair/pkg/defaults"
 	"github.com/plantainstair/plantainstair/pkg/fault"
 	"github.com/plantainstair/plantainstair/pkg/replybody"
+	"github.com/plantainstair/plantainstair/pkg/responsehead"
 )
 
 // Defaults of Options.
@@ -101,21 +102,30 @@
 	t.DisableCompression = true
 	t.MaxResponseHeaderBytes = maxResponseHeaderBytes
 	t.Proxy = nil
+	var checked transport = t // HTTP/2 has no heads of text
+	if t.Protocols == nil {
+		checked = responsehead.NewTransport(t)
+	}
 	return &http.Client{
-		Transport:     selfReportReader{t, opts.OnSelfReport},
+		Transport:     selfReportReader{checked, opts.OnSelfReport},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
 
+type transport interface {
+	http.RoundTripper
+	CloseIdleConnections()
+}
+
 // selfReportReader passes on what answers state about the upstream that sent them.
 type selfReportReader struct {
-	*http.Transport
+	transport
 	onReport func(address string, r selfreport.Report)
 }
 
 // RoundTrip implements http.RoundTripper.
 func (t selfReportReader) RoundTrip(req *http.Request) (*http.Response, error) {
-	resp, err := t.Transport.RoundTrip(req)
+	resp, err := t.transport.RoundTrip(req)
 	if err != nil {
 		return nil, err
 	}
