pkg/upstreams: only a status of 2xx is the success of an engine

Seen by operators and callers of entries: an engine in trouble answers an order, the end of a session or an import of KV state with status 000 or 302, and the agent reports it as carried out. An export with such a status is an empty KV state.

Cause: every status below 400 counted as a success, and the HTTP/2 client of net/http takes any whole number for a status.

Change: only 2xx is a success. What is neither 2xx nor 4xx nor 503 leaves the outcome unknown; a status below 400 that is no success would have counted as "not run".

Invalid names and values of fields were refused by net/http before; the cases stay.

--- a/pkg/upstreams/broken_response_test.go
+++ b/pkg/upstreams/broken_response_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -83,3 +84,83 @@
 		assert.Equal(t, fault.As(err).Outcome, fault.MayHaveRun)
 	}
 }
+
+const (
+	http2Preface  = "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"
+	frameHeaders  = 0x1
+	frameSettings = 0x4
+	flagsEnd      = 0x5 // the end of the headers and of the stream
+)
+
+// startRawEngine responds to HTTP/2 requests with a header block.
+func startRawEngine(t *testing.T, block string) string {
+	t.Helper()
+	ln := listen(t)
+	t.Cleanup(func() { _ = ln.Close() })
+	serve := func(c net.Conn) {
+		defer c.Close()
+		r := bufio.NewReader(c)
+		_, _ = r.Discard(len(http2Preface))
+		_, _ = c.Write([]byte{0, 0, 0, frameSettings, 0, 0, 0, 0, 0})
+		for {
+			var head [9]byte // of a frame: length (3), type, flags, stream (4)
+			if _, err := io.ReadFull(r, head[:]); err != nil {
+				return
+			}
+			_, _ = r.Discard(int(head[0])<<16 | int(head[1])<<8 | int(head[2]))
+			if head[3] == frameHeaders {
+				response := append([]byte{0, 0, byte(len(block)), frameHeaders, flagsEnd}, head[5:]...)
+				_, _ = c.Write(append(response, block...))
+			}
+		}
+	}
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go serve(c)
+		}
+	}()
+	return ln.Addr().String()
+}
+
+// Guards against a status that is no success and counts as one: an order would count as carried
+// out, a session as cancelled and its KV state as imported.
+func TestClient_RefusesBrokenResponsesOfEngines(t *testing.T) {
+	status := func(s string) string { return "\x08" + string(rune(len(s))) + s } // a literal with the indexed name :status
+	for name, block := range map[string]string{
+		"status 000":             status("000"),
+		"status 099":             status("099"),
+		"negative status":        status("-20"),
+		"status 302":             status("302"),
+		"status 600":             status("600"),
+		"status of four digits":  status("2000"),
+		"no number":              status("2x0"),
+		"no status":              "\x00\x01a\x01b",
+		"blank in a name":        status("204") + "\x00\x03a b\x01c",
+		"control byte in a name": status("204") + "\x00\x03a\x01b\x01c",
+		"name in upper case":     status("204") + "\x00\x01A\x01b",
+		"line feed in a value":   status("204") + "\x00\x01a\x03b\nc",
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newClient(t, upstreams.Options{})
+			address := startRawEngine(t, block)
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			defer cancel()
+			_, exportErr := c.ExportKV(ctx, address, "s", 1)
+			_, stageErr := c.OpenStage(ctx, address, &upstreams.StageOpen{Session: "s"}, time.Second)
+			for operation, err := range map[string]error{
+				"order":  c.SendOrder(ctx, address, &upstreams.Order{ID: "1"}),
+				"cancel": c.CancelSession(ctx, address, "s", 1),
+				"import": c.ImportKV(ctx, address, "s", 1, []byte("state")),
+				"export": exportErr,
+				"stage":  stageErr,
+			} {
+				assert.Assert(t, fault.Is(err, fault.Upstream), "%s: %v", operation, err)
+				assert.Equal(t, fault.As(err).Outcome, fault.MayHaveRun, "%s: %v", operation, err)
+			}
+		})
+	}
+}
--- a/pkg/upstreams/client.go
+++ b/pkg/upstreams/client.go
@@ -218,19 +218,22 @@
 	return req, nil
 }
 
-// do sends req and converts a status of 400 or more into an error.
+// do sends req and converts any status but that of a success into an error.
 func (c *Client) do(client *http.Client, req *http.Request) (*http.Response, error) {
 	resp, err := client.Do(req)
 	if err != nil {
 		return nil, transportError(req.Context(), err, req.Method+" "+req.URL.Path)
 	}
-	if resp.StatusCode < http.StatusBadRequest {
+	if isSuccess(resp.StatusCode) {
 		return resp, nil
 	}
 	defer func() { _ = resp.Body.Close() }()
 	return nil, statusError(resp)
 }
 
+// isSuccess reports whether a status is 2xx. net/http accepts any number as a status of HTTP/2.
+func isSuccess(status int) bool { return status/100 == 2 }
+
 // statusError converts an error response. A status of 4xx or 503 means that
 // the engine rejected the request without running it.
 func statusError(resp *http.Response) *fault.Error {
@@ -240,7 +243,7 @@
 		body.Error = Error{Kind: string(fault.Upstream), Message: "status " + resp.Status}
 	}
 	f := body.Error.Fault().WithOutcome(fault.MayHaveRun)
-	if resp.StatusCode < http.StatusInternalServerError || resp.StatusCode == http.StatusServiceUnavailable {
+	if resp.StatusCode/100 == 4 || resp.StatusCode == http.StatusServiceUnavailable {
 		f.Outcome = fault.NotRun
 	}
 	return f
--- a/pkg/upstreams/stage.go
+++ b/pkg/upstreams/stage.go
@@ -51,7 +51,7 @@
 		return nil, failed
 	}
 	s.body = resp.Body
-	if resp.StatusCode >= http.StatusBadRequest {
+	if !isSuccess(resp.StatusCode) {
 		// The request body must end before the response body can be closed.
 		defer s.Close()
 		return nil, statusError(resp)
