pkg/operators, pkg/ctl: refuse broken replies of control replicas and gateways

Seen by operators: a reply of a control replica with an invalid head is taken for the result of a change, by plantainctl and by a follower that passes on the reply of the leader. With status 000, the follower ended the request with a panic.

Cause: both read through http.Transport, as agents did.

Change: they use responsehead.Transport; plantainctl explain does so as well.

--- a/pkg/ctl/explain.go
+++ b/pkg/ctl/explain.go
@@ -11,6 +11,7 @@
 
 	"github.com/plantainstair/plantainstair/pkg/core/explain"
 	"github.com/plantainstair/plantainstair/pkg/fault"
+	"github.com/plantainstair/plantainstair/pkg/responsehead"
 )
 
 const (
@@ -36,7 +37,7 @@
 	if err != nil {
 		return fault.Wrap(err, fault.Invalid, "gateway address").WithField("gateway").WithOutcome(fault.NotRun)
 	}
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}} // without the proxy of the environment
+	client := &http.Client{Transport: responsehead.NewTransport(&http.Transport{DisableKeepAlives: true})} // without the proxy of the environment
 	resp, err := client.Do(req)
 	if err != nil {
 		return fault.Wrap(err, fault.Unavailable, "ask the gateway %s", gateway).WithOutcome(fault.NotRun)
--- a/pkg/instances/broken_reply_test.go
+++ b/pkg/instances/broken_reply_test.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -19,7 +18,7 @@
 	t.Helper()
 	for name, reply := range replies {
 		t.Run(name, func(t *testing.T) {
-			s := startScriptedUpstream(t, strings.TrimSuffix(reply, brokenresponse.Close)+closeMarker)
+			s := startScriptedUpstream(t, reply+closeMarker)
 			body, err := get(t, NewPool(echoDialect{}, func() {}), s.Addr().String(), "1")
 			assert.Assert(t, fault.Is(err, fault.Upstream), "body %q, error %v", body, err)
 			assert.Equal(t, fault.As(err).Outcome, fault.MayHaveRun)
--- a/pkg/operators/client.go
+++ b/pkg/operators/client.go
@@ -16,6 +16,7 @@
 
 	"github.com/plantainstair/plantainstair/pkg/delay"
 	"github.com/plantainstair/plantainstair/pkg/fault"
+	"github.com/plantainstair/plantainstair/pkg/responsehead"
 )
 
 const (
@@ -41,11 +42,11 @@
 }
 
 func newHTTPClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{
+	return &http.Client{Transport: responsehead.NewTransport(&http.Transport{
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxIdleConnsPerHost: 4,
 		IdleConnTimeout:     idleTimeout,
-	}}
+	})}
 }
 
 var defaultHTTP = newHTTPClient()
--- a/pkg/responsehead/transport.go
+++ b/pkg/responsehead/transport.go
@@ -15,6 +15,9 @@
 // NewTransport returns a Transport that dials and keeps connections as t does. It changes t.
 func NewTransport(t *http.Transport) *Transport {
 	dial := t.DialContext
+	if dial == nil {
+		dial = new(net.Dialer).DialContext
+	}
 	t.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
 		c, err := dial(ctx, network, address)
 		if err != nil {
--- a/pkg/standin/brokenresponse/brokenresponse.go
+++ b/pkg/standin/brokenresponse/brokenresponse.go
@@ -1,18 +1,57 @@
 // Package brokenresponse has responses of faulty upstreams that RFC 9112 does not allow. No
 // reader may take them for the response to a request. Tests send them on each path on which
-// responses are read.
+// responses are read, and close the connection after them.
 package brokenresponse
 
-import "strings"
+import (
+	"bufio"
+	"io"
+	"maps"
+	"net"
+	"net/http"
+	"strings"
+)
 
-// Close at the end of a response stands for the end of the connection.
-const Close = "<close>"
+// Serve responds to the requests on each connection of ln with these responses, one after the
+// other, and then closes the connection. It returns once ln is closed.
+func Serve(ln net.Listener, responses ...string) {
+	for {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		go serveConn(c, responses)
+	}
+}
+
+func serveConn(c net.Conn, responses []string) {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	for _, response := range responses {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		_, _ = io.WriteString(c, response)
+	}
+}
+
+// All returns the responses of the other functions.
+func All(lines string) map[string]string {
+	out := InvalidStatusLines(lines)
+	maps.Copy(out, InvalidFields(lines))
+	maps.Copy(out, InvalidFraming(lines))
+	return out
+}
+
+// The bodies are JSON, so that a reader of JSON accepts them.
 
 // InvalidStatusLines returns, by name, responses with an invalid status line and the given
 // lines in their heads. Where another response follows, a reader that skips the first would
 // take that one.
 func InvalidStatusLines(lines string) map[string]string {
-	rest := lines + "Content-Length: 3\r\n\r\none"
+	rest := lines + "Content-Length: 3\r\n\r\n{}\n"
 	valid := "HTTP/1.1 200 OK\r\n" + rest
 	return map[string]string{
 		"status 000":                  "HTTP/1.1 000 OK\r\n" + rest,
@@ -31,22 +70,22 @@
 		"version 9.9":                 "HTTP/9.9 200 OK\r\n" + rest,
 		"version in lower case":       "http/1.1 200 OK\r\n" + rest,
 		"empty line":                  "\r\n" + valid,
-		"field in its place":          lines + "Content-Length: 3\r\n\r\none",
+		"field in its place":          lines + "Content-Length: 3\r\n\r\n{}\n",
 	}
 }
 
 // InvalidFields returns, by name, responses with an invalid line among the fields of their heads,
 // and with the given lines.
 func InvalidFields(lines string) map[string]string {
-	const body = "Content-Length: 3\r\n\r\none"
+	const body = "Content-Length: 3\r\n\r\n{}\n"
 	ok := "HTTP/1.1 200 OK\r\n" + lines
 	return map[string]string{
 		"blank in a name":             ok + "A b: c\r\n" + body,
 		"blank after a name":          ok + "A : b\r\n" + body,
-		"blank after the length":      ok + "Content-Length : 3\r\n\r\nonetwo" + Close,
-		"blank after the encoding":    ok + "Transfer-Encoding : chunked\r\n\r\n3\r\none\r\n0\r\n\r\n" + Close,
+		"blank after the length":      ok + "Content-Length : 3\r\n\r\n{}\ntwo",
+		"blank after the encoding":    ok + "Transfer-Encoding : chunked\r\n\r\n3\r\n{}\n\r\n0\r\n\r\n",
 		"blank before a name":         ok + "A: b\r\n C: d\r\n" + body,
-		"blank before the length":     ok + "A: b\r\n Content-Length: 3\r\n\r\nonetwo" + Close,
+		"blank before the length":     ok + "A: b\r\n Content-Length: 3\r\n\r\n{}\ntwo",
 		"blank before the first name": "HTTP/1.1 200 OK\r\n A: b\r\n" + lines + body,
 		"line of a blank":             ok + "A: b\r\n \r\n" + body,
 		"tab before a name":           ok + "A: b\r\n\tC: d\r\n" + body,
@@ -71,28 +110,28 @@
 // end, with the given lines in their heads.
 func InvalidFraming(lines string) map[string]string {
 	ok := "HTTP/1.1 200 OK\r\n" + lines
-	valid := ok + "Content-Length: 3\r\n\r\none"
-	const chunked, chunks = "Transfer-Encoding: chunked\r\n", "\r\n3\r\none\r\n0\r\n\r\n"
+	valid := ok + "Content-Length: 3\r\n\r\n{}\n"
+	const chunked, chunks = "Transfer-Encoding: chunked\r\n", "\r\n3\r\n{}\n\r\n0\r\n\r\n"
 	return map[string]string{
-		"two lengths":                    ok + "Content-Length: 3\r\nContent-Length: 6\r\n\r\nonetwo",
-		"list of lengths":                ok + "Content-Length: 3, 3\r\n\r\none",
-		"length with a sign":             ok + "Content-Length: +3\r\n\r\none",
-		"empty length":                   ok + "Content-Length:\r\n\r\none" + Close,
+		"two lengths":                    ok + "Content-Length: 3\r\nContent-Length: 6\r\n\r\n{}\ntwo",
+		"list of lengths":                ok + "Content-Length: 3, 3\r\n\r\n{}\n",
+		"length with a sign":             ok + "Content-Length: +3\r\n\r\n{}\n",
+		"empty length":                   ok + "Content-Length:\r\n\r\n{}\n",
 		"length beside chunks":           ok + "Content-Length: 3\r\n" + chunked + chunks,
-		"chunks in version 1.0":          "HTTP/1.0 200 OK\r\n" + lines + chunked + chunks + Close,
-		"unknown transfer encoding":      ok + "Transfer-Encoding: gzip\r\n\r\none" + Close,
+		"chunks in version 1.0":          "HTTP/1.0 200 OK\r\n" + lines + chunked + chunks,
+		"unknown transfer encoding":      ok + "Transfer-Encoding: gzip\r\n\r\n{}\n",
 		"encoding after chunks":          ok + "Transfer-Encoding: chunked, gzip\r\n" + chunks,
-		"chunk size with a sign":         ok + chunked + "\r\n+3\r\none\r\n0\r\n\r\n",
-		"chunk longer than its size":     ok + chunked + "\r\n3\r\nonetwo\r\n0\r\n\r\n",
-		"chunk size without return":      ok + chunked + "\r\n3\none\r\n0\r\n\r\n",
-		"no last chunk":                  ok + chunked + "\r\n3\r\none\r\n" + Close,
-		"trailer not ended":              ok + chunked + "\r\n3\r\none\r\n0\r\n" + Close,
-		"trailer without a name":         ok + chunked + "\r\n3\r\none\r\n0\r\nA\r\n\r\n",
-		"status 204 with a length":       "HTTP/1.1 204 No Content\r\n" + lines + "Content-Length: 3\r\n\r\none",
+		"chunk size with a sign":         ok + chunked + "\r\n+3\r\n{}\n\r\n0\r\n\r\n",
+		"chunk longer than its size":     ok + chunked + "\r\n3\r\n{}\ntwo\r\n0\r\n\r\n",
+		"chunk size without return":      ok + chunked + "\r\n3\n{}\n\r\n0\r\n\r\n",
+		"no last chunk":                  ok + chunked + "\r\n3\r\n{}\n\r\n",
+		"trailer not ended":              ok + chunked + "\r\n3\r\n{}\n\r\n0\r\n",
+		"trailer without a name":         ok + chunked + "\r\n3\r\n{}\n\r\n0\r\nA\r\n\r\n",
+		"status 204 with a length":       "HTTP/1.1 204 No Content\r\n" + lines + "Content-Length: 3\r\n\r\n{}\n",
 		"status 204 with chunks":         "HTTP/1.1 204 No Content\r\n" + lines + chunked + chunks,
 		"interim response with a length": "HTTP/1.1 102 Processing\r\nContent-Length: 57\r\n\r\n" + valid,
 		"interim response with chunks":   "HTTP/1.1 102 Processing\r\n" + chunked + "\r\n" + valid,
-		"interim response before close":  "HTTP/1.1 102 Processing\r\n" + lines + "\r\n" + Close,
+		"interim response before close":  "HTTP/1.1 102 Processing\r\n" + lines + "\r\n",
 		"switched protocol":              "HTTP/1.1 101 Switching Protocols\r\n" + lines + "Upgrade: x\r\n\r\n" + valid,
 	}
 }
--- a/pkg/upstreams/broken_response_test.go
+++ b/pkg/upstreams/broken_response_test.go
@@ -4,10 +4,7 @@
 	"bufio"
 	"context"
 	"io"
-	"maps"
 	"net"
-	"net/http"
-	"strings"
 	"testing"
 	"time"
 
@@ -24,27 +21,7 @@
 	t.Helper()
 	ln := listen(t)
 	t.Cleanup(func() { _ = ln.Close() })
-	serve := func(c net.Conn) {
-		defer c.Close()
-		r := bufio.NewReader(c)
-		for _, response := range responses {
-			req, err := http.ReadRequest(r)
-			if err != nil {
-				return
-			}
-			_, _ = io.Copy(io.Discard, req.Body)
-			_, _ = io.WriteString(c, strings.TrimSuffix(response, brokenresponse.Close))
-		}
-	}
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go serve(c)
-		}
-	}()
+	go brokenresponse.Serve(ln, responses...)
 	return ln.Addr().String()
 }
 
@@ -52,11 +29,8 @@
 // (on a connection of its own) and without one (on a kept connection).
 func TestCallService_RefusesBrokenResponses(t *testing.T) {
 	const lines = "X-Request-Id: 1\r\n"
-	responses := brokenresponse.InvalidStatusLines(lines)
-	maps.Copy(responses, brokenresponse.InvalidFields(lines))
-	maps.Copy(responses, brokenresponse.InvalidFraming(lines))
 	const valid = "HTTP/1.1 200 OK\r\n" + lines + "Content-Length: 3\r\n\r\none"
-	for name, response := range responses {
+	for name, response := range brokenresponse.All(lines) {
 		t.Run(name, func(t *testing.T) {
 			c := newClient(t, upstreams.Options{})
 			keyed := &upstreams.ServiceCall{RequestID: "1", Key: "k", Method: "POST", Target: "/", Body: []byte("b")}
