pkg/operators: a reply over the limit is an error

Seen by operators: a reply of the leader of more than 64 MiB reaches plantainctl cut off, with the length of the part as its length, and counts as whole if what is cut off is blanks.

Cause: the follower, and plantainctl itself, read the first 64 MiB and did not look whether the body had ended there.

Change: one function reads the replies of replicas and refuses longer ones. At the follower the outcome is unknown.

Evidence: TestOrders_FollowerRefusesReplyOverLimit failed before: no error.

--- a/pkg/operators/broken_reply_test.go
+++ b/pkg/operators/broken_reply_test.go
@@ -1,8 +1,11 @@
 package operators
 
 import (
+	"bytes"
+	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -31,3 +34,20 @@
 		})
 	}
 }
+
+// Guards against a reply of the leader over the limit that a follower cuts off and passes on as a
+// whole one.
+func TestOrders_FollowerRefusesReplyOverLimit(t *testing.T) {
+	part := bytes.Repeat([]byte(" "), 1<<20)
+	leader := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "{}")
+		for range maxReplyBytes/len(part) + 1 {
+			_, _ = w.Write(part)
+		}
+	}))
+	defer leader.Close()
+	follower := startAPI(t, &fakeService{leaderAdminAddress: leader.Listener.Addr().String()})
+	order := operation{http.MethodPost, "/v1/upstreams/h1/drain", nil, nil, readAttemptTimeout}
+	err := (&Client{Token: testToken}).attempt(testContext(t), follower, order, []byte(`{"request_id":"r"}`), &OrderReply{})
+	assert.Assert(t, fault.Is(err, fault.UnknownOutcome) && fault.As(err).Outcome == fault.MayHaveRun, "%v", err)
+}
--- a/pkg/operators/client.go
+++ b/pkg/operators/client.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net"
 	"net/http"
 	"net/url"
@@ -252,7 +251,7 @@
 }
 
 func readReply(res *http.Response, reply any) error {
-	body, err := io.ReadAll(io.LimitReader(res.Body, maxReplyBytes))
+	body, err := readReplyBody(res.Body)
 	if err != nil {
 		return fault.Wrap(err, fault.Unavailable, "read answer").WithOutcome(fault.MayHaveRun)
 	}
--- a/pkg/operators/forward.go
+++ b/pkg/operators/forward.go
@@ -16,6 +16,15 @@
 // entries fits.
 const maxReplyBytes = 64 << 20
 
+// readReplyBody returns an error for a body over maxReplyBytes.
+func readReplyBody(r io.Reader) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(r, maxReplyBytes+1))
+	if err == nil && len(body) > maxReplyBytes {
+		err = fault.New(fault.Protocol, "answer exceeds the limit of %d bytes", maxReplyBytes)
+	}
+	return body, err
+}
+
 // forwardedReply is the leader's response, returned to the caller unchanged.
 type forwardedReply struct {
 	status int
@@ -63,7 +72,7 @@
 		return nil, fault.Wrap(err, fault.UnknownOutcome, "leader at %s did not answer", leader).WithOutcome(fault.MayHaveRun)
 	}
 	defer res.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(res.Body, maxReplyBytes))
+	body, err := readReplyBody(res.Body)
 	if err != nil {
 		return nil, fault.Wrap(err, fault.UnknownOutcome, "read answer of the leader").WithOutcome(fault.MayHaveRun)
 	}
