platform: refuse successes without one signature and one request

Seen by callers: a head that is valid HTTP, but damaged otherwise, reaches them as an answer: status 200 without Server-Signature, with two of them, or with the ids of two requests. A Connection header that names the signature had the gateway remove it from a 200.

Cause: a reply was recognised by its first Request-Id. Whether it carries what each success of a server carries was not looked at.

Change: the dialect names the defect of a header and the pool refuses the reply, so that the caller gets 502 and no promise.

--- a/pkg/instances/dialect.go
+++ b/pkg/instances/dialect.go
@@ -41,12 +41,9 @@
 // StripHopByHop removes the hop-by-hop headers, and those that a Connection header
 // names except the ones in keep.
 func StripHopByHop(h http.Header, keep ...string) {
-	for _, list := range h.Values("Connection") {
-		for _, name := range strings.Split(list, ",") {
-			name = http.CanonicalHeaderKey(strings.TrimSpace(name))
-			if !slices.Contains(keep, name) {
-				h.Del(name)
-			}
+	for _, name := range ConnectionOptions(h) {
+		if !slices.Contains(keep, name) {
+			h.Del(name)
 		}
 	}
 	for _, name := range hopByHopHeaders {
@@ -54,6 +51,17 @@
 	}
 }
 
+// ConnectionOptions returns the names in the Connection headers in their canonical form.
+func ConnectionOptions(h http.Header) []string {
+	var names []string
+	for _, list := range h.Values("Connection") {
+		for _, name := range strings.Split(list, ",") {
+			names = append(names, http.CanonicalHeaderKey(strings.TrimSpace(name)))
+		}
+	}
+	return names
+}
+
 // RequestMetadata is what a caller states about its request.
 type RequestMetadata struct {
 	RequestID       string
@@ -98,6 +106,9 @@
 	// Encoded is set if the body has a content encoding, so that it differs from what
 	// the upstream produced.
 	Encoded bool
+	// Defect tells why the header is not valid, so that the reply proves nothing; empty if it
+	// is valid.
+	Defect string
 }
 
 // EngineState is the reply of an engine to a report call.
--- a/pkg/instances/pool.go
+++ b/pkg/instances/pool.go
@@ -291,6 +291,9 @@
 			continue
 		}
 		metadata := c.pool.dialect.ReadReplyMetadata(resp.StatusCode, resp.Header)
+		if metadata.Defect != "" {
+			return resp, metadata, fault.New(fault.Protocol, "reply of %s with status %d %s", c.address, resp.StatusCode, metadata.Defect)
+		}
 		unidentified := metadata.RequestID == "" && call.RequestID != "" && resp.StatusCode >= http.StatusMultipleChoices
 		if unidentified && (c.sends > 1 || metadata.NotRun) {
 			return resp, metadata, fault.New(fault.Protocol, "reply of %s with status %d names no request", c.address, resp.StatusCode)
