pkg/upstreams: refuse responses of services that name two requests

Seen by callers of entries: the answer of a service with two ids, the own one and another, counts as the answer to their call.

Cause: only the first X-Request-Id was compared.

Change: there must be one. The outcome is unknown, as with another id.

Evidence: TestCallService_RefusesBrokenResponses, new case, failed before: an answer and no error.

--- a/pkg/upstreams/broken_response_test.go
+++ b/pkg/upstreams/broken_response_test.go
@@ -30,7 +30,9 @@
 func TestCallService_RefusesBrokenResponses(t *testing.T) {
 	const lines = "X-Request-Id: 1\r\n"
 	const valid = "HTTP/1.1 200 OK\r\n" + lines + "Content-Length: 3\r\n\r\none"
-	for name, response := range brokenresponse.All(lines) {
+	responses := brokenresponse.All(lines)
+	responses["two requests"] = "HTTP/1.1 200 OK\r\n" + lines + "X-Request-Id: 2\r\nContent-Length: 3\r\n\r\n{}\n"
+	for name, response := range responses {
 		t.Run(name, func(t *testing.T) {
 			c := newClient(t, upstreams.Options{})
 			keyed := &upstreams.ServiceCall{RequestID: "1", Key: "k", Method: "POST", Target: "/", Body: []byte("b")}
--- a/pkg/upstreams/service.go
+++ b/pkg/upstreams/service.go
@@ -67,7 +67,7 @@
 		return nil, transportError(ctx, err, "call service")
 	}
 	defer func() { _ = resp.Body.Close() }()
-	if got := resp.Header.Get(HeaderRequestID); got != call.RequestID {
+	if got := resp.Header.Values(HeaderRequestID); len(got) != 1 || got[0] != call.RequestID {
 		return nil, fault.New(fault.Upstream, "service answered request %.128q in place of %q", got, call.RequestID).
 			WithField(HeaderRequestID).WithOutcome(fault.MayHaveRun)
 	}
