pkg/role/gateway: refusals without proof become 502

Seen by callers: a server in trouble runs an order and answers 503, 429 or 408 without Not-Executed. The caller gets that status, which promises that the order has not run and never will, and sends it again.

Cause: replies that do not state that the request has not run were forwarded with any status.

Change: a reply with one of these statuses and no proof ends the attempt as failed; its outcome is unknown.

--- a/pkg/role/gateway/attempt.go
+++ b/pkg/role/gateway/attempt.go
@@ -86,8 +86,8 @@
 
 // handleErrorReply handles a reply with a status of 300 or above. If an engine of the
 // path refused the request, the request avoids that engine for a while. Any other
-// reply is sent to the caller, unless the stream has started or the request may be
-// retried.
+// reply is sent to the caller, unless its status makes a promise without proof, the stream
+// has started or the request may be retried.
 func (g *Gateway) handleErrorReply(w http.ResponseWriter, s *stream, reply *instances.Reply, firstStage path.PipelineStage, avoid avoidUntil) error {
 	body, err := reply.ReadAll(maxErrorReplyBytes)
 	if err != nil {
@@ -107,6 +107,10 @@
 		g.load.onRefusal(refusing)
 		return notRunError(fault.Overloaded, "engine %s refused with status %d", refusing, reply.Status)
 	}
+	if promisesNotRun(reply.Status) {
+		g.load.onFailure(firstStage.ID)
+		return errUnprovedRefusal(firstStage.ID, reply)
+	}
 	if s.started {
 		return fault.New(fault.Upstream, "engine responded to a resumed stream with status %d", reply.Status).WithOutcome(fault.MayHaveRun)
 	}
--- a/pkg/role/gateway/plain.go
+++ b/pkg/role/gateway/plain.go
@@ -214,10 +214,29 @@
 		g.load.onFailure(in.GetId())
 		return nil, nil, notRunError(fault.Overloaded, "upstream %s refused with status %d", in.GetId(), reply.Status)
 	}
+	if promisesNotRun(reply.Status) {
+		body.Release()
+		g.load.onFailure(in.GetId())
+		return nil, nil, errUnprovedRefusal(in.GetId(), reply)
+	}
 	g.load.onSuccess(in.GetId())
 	return reply, body, nil
 }
 
+// promisesNotRun reports whether a status tells callers that their request has not run and never
+// will. A reply has it without proof if its Metadata does not say so too.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+func errUnprovedRefusal(id string, reply *instances.Reply) error {
+	return fault.New(fault.Upstream, "upstream %s refused with status %d without proof", id, reply.Status).WithOutcome(fault.MayHaveRun)
+}
+
 func (g *Gateway) recordAttemptError(ctx context.Context, q *request, id string, err error) {
 	if fault.As(err).Outcome == fault.NotRun {
 		q.attempts-- // the request was not sent
