pkg/instances, platform: tests of reports, orders, early replies and cut heads

Cause: replies to report calls and orders go through the same reader as those to requests, and nothing showed it. Whether a reply that comes before the body is read leaves other bytes in its place was not shown either, nor what a caller gets when the head of an answer is cut off.

Change: tests only.

--- a/pkg/instances/broken_reply_test.go
+++ b/pkg/instances/broken_reply_test.go
@@ -6,7 +6,9 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -140,3 +142,72 @@
 		})
 	}
 }
+
+// callDialect sends report calls and orders whose replies name no request.
+type callDialect struct{ echoDialect }
+
+func (callDialect) ReportCall() Call {
+	return Call{Method: "GET", Target: "/report", Header: http.Header{}}
+}
+
+func (callDialect) DecodeReport([]byte) (EngineState, error) { return EngineState{}, nil }
+
+func (callDialect) PlaceCall(Placement) (Call, error) {
+	return Call{Method: "POST", Target: "/order", Header: http.Header{}}, nil
+}
+
+func (callDialect) RefusedBy([]byte) string { return "" }
+
+// Guards against a broken reply that is taken for the state of an engine, or for an order that it
+// has accepted.
+func TestEngineClient_RefusesBrokenReplies(t *testing.T) {
+	for name, reply := range brokenresponse.All("") {
+		t.Run(name, func(t *testing.T) {
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+			defer ln.Close()
+			go brokenresponse.Serve(ln, reply)
+			e := NewEngineClient(NewPool(callDialect{}, func() {}), callDialect{}, func(string, ReplyMetadata) {})
+			_, err = e.Report(t.Context(), ln.Addr().String(), 5*time.Second)
+			assert.Assert(t, fault.Is(err, fault.Upstream), "report: %v", err)
+			err = e.Place(t.Context(), ln.Addr().String(), Placement{})
+			assert.Assert(t, fault.Is(err, fault.Upstream), "order: %v", err)
+		})
+	}
+}
+
+// Guards against other bytes where the rest of a body is due: an upstream may reply before it has
+// read the body, and read on later.
+func TestPool_EarlyReplyLeavesBodyWhole(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer ln.Close()
+	bodies := make(chan string, 2)
+	go func() {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		r := bufio.NewReader(c)
+		for id := 1; ; id++ {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, replyText(strconv.Itoa(id), "one"))
+			body, _ := io.ReadAll(req.Body)
+			bodies <- string(body)
+		}
+	}()
+	p := NewPool(echoDialect{}, func() {})
+	for id, body := range []string{strings.Repeat("long ", 2<<20), "short"} {
+		call := Call{Method: "POST", Target: "/", Host: "h", Header: http.Header{}, RequestID: strconv.Itoa(id + 1), Body: [][]byte{[]byte(body)}}
+		reply, err := p.Do(t.Context(), ln.Addr().String(), call)
+		assert.NilError(t, err)
+		_, err = reply.ReadAll(100)
+		assert.NilError(t, err)
+		reply.Close()
+		assert.Assert(t, <-bodies == body, "the upstream read another body")
+	}
+}
