pkg/responsehead, pkg/standin: order of functions, one accept loop

Cause: read as a newcomer, the functions of pkg/responsehead did not follow the order of a head, and three tests had a loop of their own that accepts connections.

Change: functions and comments rearranged, brokenresponse.Accept. No behaviour, no check changed.

--- a/pkg/instances/broken_reply_test.go
+++ b/pkg/instances/broken_reply_test.go
@@ -86,8 +86,7 @@
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = ln.Close() })
-	serve := func(c net.Conn) {
-		defer c.Close()
+	go brokenresponse.Accept(ln, func(c net.Conn) {
 		repeated := ""
 		for r := bufio.NewReader(c); ; {
 			req, err := http.ReadRequest(r)
@@ -98,16 +97,7 @@
 			_, _ = io.WriteString(c, repeated+reply)
 			repeated = reply
 		}
-	}
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go serve(c)
-		}
-	}()
+	})
 	return ln
 }
 
@@ -183,12 +173,7 @@
 	assert.NilError(t, err)
 	defer ln.Close()
 	bodies := make(chan string, 2)
-	go func() {
-		c, err := ln.Accept()
-		if err != nil {
-			return
-		}
-		defer c.Close()
+	go brokenresponse.Accept(ln, func(c net.Conn) {
 		r := bufio.NewReader(c)
 		for id := 1; ; id++ {
 			req, err := http.ReadRequest(r)
@@ -199,7 +184,7 @@
 			body, _ := io.ReadAll(req.Body)
 			bodies <- string(body)
 		}
-	}()
+	})
 	p := NewPool(echoDialect{}, func() {})
 	for id, body := range []string{strings.Repeat("long ", 2<<20), "short"} {
 		call := Call{Method: "POST", Target: "/", Host: "h", Header: http.Header{}, RequestID: strconv.Itoa(id + 1), Body: [][]byte{[]byte(body)}}
--- a/pkg/responsehead/responsehead.go
+++ b/pkg/responsehead/responsehead.go
@@ -21,8 +21,7 @@
 
 // Head is the head of a response.
 type Head struct {
-	// Bytes are those of the head, with the empty line at its end.
-	Bytes  []byte
+	Bytes  []byte // with the empty line at its end
 	Status int
 	// Connection has the values of the Connection fields. net/http removes them from the header
 	// if one of them is "close", together with the names of fields that are not to be forwarded.
@@ -33,7 +32,8 @@
 	isEncoded bool   // a transfer encoding is stated
 }
 
-// IsInterim reports whether another response to the same request follows.
+// IsInterim reports whether the response is informational (1xx): another one to the same request
+// follows.
 func (h *Head) IsInterim() bool { return h.Status < http.StatusOK }
 
 // Read reads the next head from r. It fails with a Protocol error if the head is not valid,
@@ -99,6 +99,30 @@
 	return true
 }
 
+// parseStatusLine reads a line such as "HTTP/1.1 200 OK". It accepts one without the blank that
+// follows the status, which many servers omit if they state no reason.
+func (h *Head) parseStatusLine(line []byte) error {
+	version, rest, _ := bytes.Cut(line, []byte(" "))
+	h.version = string(version)
+	if h.version != "HTTP/1.1" && h.version != "HTTP/1.0" {
+		return fault.New(fault.Protocol, "response starts with %.32q", line)
+	}
+	code, _, _ := bytes.Cut(rest, []byte(" "))
+	if len(code) != len("200") {
+		return fault.New(fault.Protocol, "status %.16q of the response is not valid", code)
+	}
+	for _, digit := range code {
+		if digit < '0' || digit > '9' {
+			return fault.New(fault.Protocol, "status %q of the response is not valid", code)
+		}
+		h.Status = 10*h.Status + int(digit-'0')
+	}
+	if h.Status < http.StatusContinue || h.Status > maxStatus {
+		return fault.New(fault.Protocol, "status %q of the response is not valid", code)
+	}
+	return nil
+}
+
 // parseField reads a line with the name of a field, a colon and its value. A blank before the
 // name would continue the line above; such lines are obsolete, and joining them may change a
 // field that is forwarded (RFC 9112, section 5.2). A blank after the name would hide the field
@@ -141,27 +165,3 @@
 func isTokenChar(r rune) bool {
 	return '0' <= r && r <= '9' || 'a' <= r && r <= 'z' || 'A' <= r && r <= 'Z' || strings.ContainsRune("!#$%&'*+-.^_`|~", r)
 }
-
-// parseStatusLine reads a line such as "HTTP/1.1 200 OK". It accepts one without the blank that
-// follows the status, which many servers omit if they state no reason.
-func (h *Head) parseStatusLine(line []byte) error {
-	version, rest, _ := bytes.Cut(line, []byte(" "))
-	h.version = string(version)
-	if h.version != "HTTP/1.1" && h.version != "HTTP/1.0" {
-		return fault.New(fault.Protocol, "response starts with %.32q", line)
-	}
-	code, _, _ := bytes.Cut(rest, []byte(" "))
-	if len(code) != len("200") {
-		return fault.New(fault.Protocol, "status %.16q of the response is not valid", code)
-	}
-	for _, digit := range code {
-		if digit < '0' || digit > '9' {
-			return fault.New(fault.Protocol, "status %q of the response is not valid", code)
-		}
-		h.Status = 10*h.Status + int(digit-'0')
-	}
-	if h.Status < http.StatusContinue || h.Status > maxStatus {
-		return fault.New(fault.Protocol, "status %q of the response is not valid", code)
-	}
-	return nil
-}
--- a/pkg/role/gateway/plain.go
+++ b/pkg/role/gateway/plain.go
@@ -224,7 +224,7 @@
 }
 
 // promisesNotRun reports whether a status tells callers that their request has not run and never
-// will. A reply has it without proof if its Metadata does not say so too.
+// will. A reply may be forwarded with it only if its Metadata says so too.
 func promisesNotRun(status int) bool {
 	switch status {
 	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
@@ -233,6 +233,7 @@
 	return false
 }
 
+// errUnprovedRefusal is the error of a reply that makes such a promise without proof.
 func errUnprovedRefusal(id string, reply *instances.Reply) error {
 	return fault.New(fault.Upstream, "upstream %s refused with status %d without proof", id, reply.Status).WithOutcome(fault.MayHaveRun)
 }
--- a/pkg/standin/brokenresponse/brokenresponse.go
+++ b/pkg/standin/brokenresponse/brokenresponse.go
@@ -12,20 +12,28 @@
 	"strings"
 )
 
-// Serve responds to the requests on each connection of ln with these responses, one after the
-// other, and then closes the connection. It returns once ln is closed.
-func Serve(ln net.Listener, responses ...string) {
+// Accept calls serve with each connection of ln and closes the connection when serve returns. It
+// returns once ln is closed.
+func Accept(ln net.Listener, serve func(net.Conn)) {
 	for {
 		c, err := ln.Accept()
 		if err != nil {
 			return
 		}
-		go serveConn(c, responses)
+		go func() {
+			defer c.Close()
+			serve(c)
+		}()
 	}
 }
 
+// Serve responds to the requests on each connection of ln with these responses, one after the
+// other, and then closes the connection. It returns once ln is closed.
+func Serve(ln net.Listener, responses ...string) {
+	Accept(ln, func(c net.Conn) { serveConn(c, responses) })
+}
+
 func serveConn(c net.Conn, responses []string) {
-	defer c.Close()
 	r := bufio.NewReader(c)
 	for _, response := range responses {
 		req, err := http.ReadRequest(r)
--- a/pkg/upstreams/broken_response_test.go
+++ b/pkg/upstreams/broken_response_test.go
@@ -84,8 +84,7 @@
 	t.Helper()
 	ln := listen(t)
 	t.Cleanup(func() { _ = ln.Close() })
-	serve := func(c net.Conn) {
-		defer c.Close()
+	go brokenresponse.Accept(ln, func(c net.Conn) {
 		r := bufio.NewReader(c)
 		_, _ = r.Discard(len(http2Preface))
 		_, _ = c.Write([]byte{0, 0, 0, frameSettings, 0, 0, 0, 0, 0})
@@ -100,16 +99,7 @@
 				_, _ = c.Write(append(response, block...))
 			}
 		}
-	}
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go serve(c)
-		}
-	}()
+	})
 	return ln.Addr().String()
 }
 
