pkg/responsehead: say who reads a connection

Cause: the comment said that one goroutine does; the body is read by the caller, after the transport has read the head.

Change: the comment.

--- a/pkg/responsehead/transport.go
+++ b/pkg/responsehead/transport.go
@@ -52,7 +52,7 @@
 }
 
 // conn is a client connection that passes on the head of a response once it is read whole and
-// found valid. All reads are those of one goroutine.
+// found valid. Its reads do not overlap: the transport reads the heads, then a caller the body.
 type conn struct {
 	net.Conn
 	reader       *bufio.Reader
