pkg/standin: JSON in the body of every broken response

Cause: one response, "last line feed alone", kept a body that is no JSON when the others changed. A reader of JSON refused it for that reason, whatever its head. The comment about the bodies stood apart from what it describes.

Change: its body is that of the others; the comment is part of the package's. The case is stricter, no check changed.

--- a/pkg/standin/brokenresponse/brokenresponse.go
+++ b/pkg/standin/brokenresponse/brokenresponse.go
@@ -1,6 +1,7 @@
 // Package brokenresponse has responses of faulty upstreams that RFC 9112 does not allow. No
 // reader may take them for the response to a request. Tests send them on each path on which
-// responses are read, and close the connection after them.
+// responses are read, and close the connection after them. Their bodies are JSON, so that a
+// reader of JSON does not refuse them for another reason.
 package brokenresponse
 
 import (
@@ -53,8 +54,6 @@
 	return out
 }
 
-// The bodies are JSON, so that a reader of JSON accepts them.
-
 // InvalidStatusLines returns, by name, responses with an invalid status line and the given
 // lines in their heads. Where another response follows, a reader that skips the first would
 // take that one.
@@ -109,7 +108,7 @@
 		"carriage return in a name":   ok + "A\r: b\r\n" + body,
 		"control byte in the reason":  "HTTP/1.1 200 O\x01K\r\n" + lines + body,
 		"line feeds alone":            strings.ReplaceAll(ok+body, "\r\n", "\n"),
-		"last line feed alone":        ok + "Content-Length: 3\r\n\none",
+		"last line feed alone":        ok + "Content-Length: 3\r\n\n{}\n",
 		"response after half a line":  ok + "A" + ok + body,
 	}
 }
