--- a/review/kit-3/engine.go
+++ b/review/kit-3/engine.go
@@ -10,29 +10,25 @@
 	"net/http"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
 const (
 	modelLayers  = 8
 	engineSlots  = 192
-	streamEvents = 40
+	streamEvents = 10
 	eventGap     = 200 * time.Millisecond
 	// readTime is the time to the first event, in which an engine reads the prompt.
-	readTime = 1300 * time.Millisecond
-	// shortReadTime is that of a short prompt.
-	shortReadTime = 600 * time.Millisecond
-	loadTime      = 300 * time.Millisecond
+	readTime = 600 * time.Millisecond
+	loadTime = 300 * time.Millisecond
 )
 
-// engineConfiguration returns a configuration with a model service, whose streams may not be
-// resumed unless resumable is set.
-func engineConfiguration(version int, resumable bool) []byte {
+// engineConfiguration returns a configuration with a model service, whose streams may be resumed.
+func engineConfiguration(version int) []byte {
 	data, _ := json.Marshal(map[string]any{
 		"version": version,
-		"routes": []any{map[string]any{"name": "r-chat", "host": routeHost, "pathPrefix": "/chat/", "kind": "streaming", "timeoutMs": 20000, "targetLatencyMs": 2000,
-			"priority": 0, "service": "llm", "maxAttempts": 2, "public": false, "sticky": true, "resumable": resumable, "targetGapMs": 250}},
+		"routes": []any{map[string]any{"name": "r-chat", "host": routeHost, "pathPrefix": "/chat/", "kind": "streaming", "timeoutMs": 20000, "targetLatencyMs": 1000,
+			"priority": 0, "service": "llm", "maxAttempts": 2, "public": false, "sticky": true, "resumable": true, "targetGapMs": 250}},
 		"services": []any{map[string]any{"name": "llm", "healthPath": "/healthz", "maxConnections": 2000, "protocol": "h1", "tls": false, "engine": map[string]any{
 			"slots": engineSlots, "kvCapacityTokens": 100000, "kvTokenBytes": 59000, "linkMbps": 400000.0, "stride": 4,
 			"models":  []any{map[string]any{"name": "m", "pace": 1.0, "loadS": 1.0, "warmupS": 0.1}},
@@ -57,17 +53,12 @@
 	cancel   context.CancelFunc
 	done     chan struct{}
 	born     int64
-	// cut is set while the engine is partitioned from control: it neither reaches the nodes that
-	// serve control nor answers them.
-	cut atomic.Bool
-
 	mu       sync.Mutex
 	from, to int
 	orders   int
 	loaded   time.Time
 	active   int
-	reading  int               // requests without an event
-	outcomes map[string]string // by request
+	reading  int // requests without an event
 }
 
 // startEngine starts an engine on a free port of an IP address, or on the port that it had.
@@ -77,7 +68,7 @@
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	e := &engine{id: id, zone: zone, nodes: nodes, rec: rec, listener: ln, cancel: cancel, done: make(chan struct{}), born: time.Now().UnixMilli(), outcomes: map[string]string{}}
+	e := &engine{id: id, zone: zone, nodes: nodes, rec: rec, listener: ln, cancel: cancel, done: make(chan struct{}), born: time.Now().UnixMilli()}
 	e.http = &http.Server{Handler: http.HandlerFunc(e.serve), IdleTimeout: 10 * time.Second}
 	go func() { _ = e.http.Serve(ln) }()
 	go e.announce(ctx)
@@ -114,9 +105,6 @@
 		}
 		body, _ := json.Marshal(m)
 		for range e.nodes {
-			if e.cut.Load() {
-				break
-			}
 			n := e.nodes[next%len(e.nodes)]
 			req, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+n.cluster.address(n, "control")+"/instances/"+e.id, bytes.NewReader(body))
 			if err != nil {
@@ -145,16 +133,6 @@
 		return
 	}
 	switch r.URL.Path {
-	case "/report", "/order":
-		for e.cut.Load() { // the call does not arrive while the partition lasts
-			select {
-			case <-r.Context().Done():
-				return
-			case <-time.After(20 * time.Millisecond):
-			}
-		}
-	}
-	switch r.URL.Path {
 	case "/report":
 		e.report(w)
 	case "/order":
@@ -226,7 +204,6 @@
 	defer func() {
 		e.mu.Lock()
 		e.active--
-		e.outcomes[id] = outcome
 		e.mu.Unlock()
 		e.rec.add("engine %s: %s is %s", e.id, id, outcome)
 	}()
@@ -243,9 +220,6 @@
 		count = n
 	}
 	wait := readTime
-	if r.URL.Query().Get("prompt") == "short" {
-		wait = shortReadTime
-	}
 	e.addReading(1)
 	isReading := true
 	defer func() {
@@ -273,12 +247,6 @@
 	}
 }
 
-func (e *engine) outcome(id string) string {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.outcomes[id]
-}
-
 func (e *engine) addReading(n int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -298,3 +266,29 @@
 	defer e.mu.Unlock()
 	return e.to == modelLayers && time.Now().After(e.loaded)
 }
+
+// startEngines starts two engines in each zone and waits until they have layers.
+func startEngines(c *cluster, core []*node) ([]*engine, error) {
+	var engines []*engine
+	for i := range 6 {
+		e, err := startEngine(fmt.Sprintf("i-%d", i+1), zones[i%3], fmt.Sprintf("%s.%d:0", c.subnet, 100+i), core, c.rec)
+		if err != nil {
+			return engines, err
+		}
+		engines = append(engines, e)
+	}
+	for end := time.Now().Add(20 * time.Second); ; time.Sleep(50 * time.Millisecond) {
+		ready := 0
+		for _, e := range engines {
+			if e.isReady() {
+				ready++
+			}
+		}
+		if ready == len(engines) {
+			return engines, nil
+		}
+		if time.Now().After(end) {
+			return engines, fmt.Errorf("only %d engines have layers", ready)
+		}
+	}
+}
--- a/review/kit-3/main.go
+++ b/review/kit-3/main.go
@@ -49,9 +49,7 @@
 }
 
 var cases = map[string]func(c *cluster, trouble bool, delay time.Duration) (int, error){
-	"recover":     recovery,
-	"added-route": addedRoute,
-	"odd-entries": oddEntries,
-	"first-start": firstStart,
-	"cut-engine":  cutEngine,
+	"recover":      recovery,
+	"young-leader": youngLeader,
+	"odd-entries":  oddEntries,
 }
--- a/review/kit-3/peers.go
+++ b/review/kit-3/peers.go
@@ -8,7 +8,6 @@
 	"io"
 	"net"
 	"net/http"
-	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -134,21 +133,6 @@
 	s.ran.Add(1)
 	s.rec.add("server %s runs %s %s %s", s.id, id, r.Method, r.RequestURI)
 	w.Header().Set("Server-Signature", "by."+s.id+"."+id)
-	if strings.HasPrefix(r.URL.Path, "/talk/") {
-		first, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
-		w.Header().Set("Content-Type", "text/event-stream")
-		for i := first + 1; i <= 10; i++ {
-			select {
-			case <-r.Context().Done():
-				s.rec.add("server %s: the caller of %s has left before event %d", s.id, id, i)
-				return
-			case <-time.After(eventGap + shortReadTime/10):
-			}
-			_, _ = fmt.Fprintf(w, "id: %d\ndata: %s %d\n\n", i, id, i)
-			_ = http.NewResponseController(w).Flush()
-		}
-		return
-	}
 	time.Sleep(20 * time.Millisecond)
 	_, _ = fmt.Fprintf(w, "%s for %s: %s", s.id, id, body)
 }
--- a/review/kit-3/recovery.go
+++ b/review/kit-3/recovery.go
@@ -11,23 +11,23 @@
 )
 
 const (
-	crashes       = 16
-	downTime      = 3 * time.Second
-	crashGap      = 500 * time.Millisecond // from the return of an engine to the next crash
-	requestGap    = 500 * time.Millisecond // between two requests of all clients together
+	crashes       = 32
+	downTime      = 1500 * time.Millisecond
+	crashGap      = 300 * time.Millisecond // from the return of an engine to the next crash
+	requestGap    = 600 * time.Millisecond // between two requests of all clients together
 	wipedDownTime = 1400 * time.Millisecond
-	afterRecovery = 15 * time.Second
+	afterRecovery = 14 * time.Second
 )
 
 // shortStream sends a resumable stream of ten events and reports whether it was answered whole.
 func shortStream(rec *record, n *node, id string) bool {
-	req, err := http.NewRequest(http.MethodPost, "http://"+n.cluster.address(n, "front")+"/chat/1?events=10&prompt=short", bytes.NewReader([]byte("{}")))
+	req, err := http.NewRequest(http.MethodPost, "http://"+n.cluster.address(n, "front")+"/chat/1", bytes.NewReader([]byte("{}")))
 	if err != nil {
 		return false
 	}
 	req.Host = routeHost
 	for name, value := range map[string]string{"Request-Id": id, "Deadline-Ms": "20000", "Authorization": "Bearer " + apiKey,
-		"Model": "m", "Token-Usage": "774,40", "Prefix-Hash": fmt.Sprintf("5c1e07a2:40,%08x:734", time.Now().UnixNano()&0xffffffff)} {
+		"Model": "m", "Token-Usage": fmt.Sprintf("774,%d", 4*streamEvents), "Prefix-Hash": fmt.Sprintf("5c1e07a2:40,%08x:734", time.Now().UnixNano()&0xffffffff)} {
 		req.Header.Set(name, value)
 	}
 	resp, err := (&http.Client{Timeout: 21 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}).Do(req)
@@ -43,7 +43,7 @@
 	} else {
 		rec.add("client: %s at %s: 200, %d events, ends with %v", id, n.name, events, err)
 	}
-	return resp.StatusCode == http.StatusOK && err == nil && events == 10
+	return resp.StatusCode == http.StatusOK && err == nil && events == streamEvents
 }
 
 // recovery lets single engines crash and come back under their ids while clients send streams that
@@ -55,7 +55,7 @@
 		return exitNotRun, err
 	}
 	op := &operator{nodes: core, rec: c.rec}
-	if !op.put(engineConfiguration(1, true), 20*time.Second) {
+	if !op.put(engineConfiguration(1), 20*time.Second) {
 		return exitNotRun, fmt.Errorf("the configuration was not acknowledged")
 	}
 	engines, err := startEngines(c, core)
@@ -124,7 +124,7 @@
 		time.Sleep(crashGap)
 	}
 	time.Sleep(2 * time.Second)
-	if !op.put(engineConfiguration(2, true), 10*time.Second) {
+	if !op.put(engineConfiguration(2), 10*time.Second) {
 		return exitNotRun, fmt.Errorf("the last change was not acknowledged")
 	}
 	phase.Store(1)
